--- /dev/null
+++ b/Makefile
@@ -0,0 +1,38 @@
+# Named sessions; the same commands run locally and in CI.
+VENV := .venv
+PYTHON := $(VENV)/bin/python
+STAMP := $(VENV)/.installed
+
+.PHONY: test lint types format demo bench capacity clean
+
+$(STAMP): requirements.lock pyproject.toml
+	test -x $(PYTHON) || python3 -m venv $(VENV)
+	$(PYTHON) -m pip install --quiet --disable-pip-version-check -r requirements.lock
+	$(PYTHON) -m pip install --quiet --disable-pip-version-check --no-deps -e .
+	touch $(STAMP)
+
+test: $(STAMP)
+	$(PYTHON) -m pytest
+
+lint: $(STAMP)
+	$(PYTHON) -m ruff format --check src tests tools
+	$(PYTHON) -m ruff check src tests tools
+
+types: $(STAMP)
+	$(PYTHON) -m mypy
+
+format: $(STAMP)
+	$(PYTHON) -m ruff format src tests tools
+	$(PYTHON) -m ruff check --fix src tests tools
+
+demo: $(STAMP)
+	PYTHONPATH=tools $(PYTHON) -m demo
+
+bench: $(STAMP)
+	PYTHONPATH=tools $(PYTHON) -m bench
+
+capacity: $(STAMP)
+	PYTHONPATH=tools $(PYTHON) -m capacity
+
+clean:
+	rm -rf $(VENV) build src/*.egg-info
--- /dev/null
+++ b/src/egretloft/_internal/__init__.py
@@ -0,0 +1,1 @@
+"""Implementation; not a public interface."""
--- /dev/null
+++ b/src/egretloft/_internal/accounts/__init__.py
@@ -0,0 +1,1 @@
+"""Usage intervals and monthly accounts."""
--- /dev/null
+++ b/src/egretloft/_internal/border/__init__.py
@@ -0,0 +1,1 @@
+"""Validated models for data that comes from outside."""
--- /dev/null
+++ b/src/egretloft/_internal/codec.py
@@ -0,0 +1,23 @@
+"""Encoding of data classes as msgpack for rows of the table service."""
+
+from __future__ import annotations
+
+from typing import TypeVar
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+T = TypeVar("T")
+
+
+def encode(value: object) -> bytes:
+    """Return ``value``, a data class or plain value, as msgpack."""
+    return msgspec.msgpack.encode(value)
+
+
+def decode(data: bytes, type_: type[T]) -> Result[T, str]:
+    """Return ``data`` as a ``type_``, or why it is not one."""
+    try:
+        return Success(msgspec.msgpack.decode(data, type=type_))
+    except msgspec.DecodeError as error:
+        return Failure(str(error))
--- /dev/null
+++ b/src/egretloft/_internal/coordination/__init__.py
@@ -0,0 +1,1 @@
+"""Ownership, roster, configuration and safe store writes."""
--- /dev/null
+++ b/src/egretloft/_internal/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""Wiring, start and graceful shutdown of the daemon."""
--- /dev/null
+++ b/src/egretloft/_internal/gangs/__init__.py
@@ -0,0 +1,1 @@
+"""Execution of gang jobs on workers."""
--- /dev/null
+++ b/src/egretloft/_internal/http/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP handlers of the daemon."""
--- /dev/null
+++ b/src/egretloft/_internal/metrics.py
@@ -0,0 +1,77 @@
+"""Counters by reason and latency histograms."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+from hdrh.histogram import HdrHistogram
+
+# Histograms record microseconds from 1 us to 1 h with two significant digits, which
+# keeps one histogram near 30 KB.
+HIGHEST_MICROSECONDS = 3_600_000_000
+SIGNIFICANT_DIGITS = 2
+
+Labels = tuple[tuple[str, str], ...]
+
+
+class Metrics:
+    """Counters, gauges and histograms of one process."""
+
+    def __init__(self) -> None:
+        self.counters: Counter[tuple[str, Labels]] = Counter()
+        self.gauges: dict[tuple[str, Labels], float] = {}
+        self.histograms: dict[tuple[str, Labels], HdrHistogram] = {}
+
+    def count(self, name: str, amount: int = 1, **labels: str) -> None:
+        """Add ``amount`` to a counter."""
+        self.counters[name, tuple(sorted(labels.items()))] += amount
+
+    def set_gauge(self, name: str, value: float, **labels: str) -> None:
+        """Set a gauge."""
+        self.gauges[name, tuple(sorted(labels.items()))] = value
+
+    def observe_seconds(self, name: str, seconds: float, **labels: str) -> None:
+        """Record a duration in a histogram."""
+        key = name, tuple(sorted(labels.items()))
+        histogram = self.histograms.get(key)
+        if histogram is None:
+            histogram = HdrHistogram(1, HIGHEST_MICROSECONDS, SIGNIFICANT_DIGITS)
+            self.histograms[key] = histogram
+        microseconds = max(1, min(HIGHEST_MICROSECONDS, int(seconds * 1e6)))
+        histogram.record_value(microseconds)
+
+    def counter(self, name: str, **labels: str) -> int:
+        """Return the value of one counter."""
+        return self.counters[name, tuple(sorted(labels.items()))]
+
+    def snapshot(self) -> dict[str, list[dict[str, object]]]:
+        """Return all values as plain data for JSON; durations are in seconds."""
+        return {
+            "counters": [
+                {"name": name, "labels": dict(labels), "value": value}
+                for (name, labels), value in sorted(self.counters.items())
+            ],
+            "gauges": [
+                {"name": name, "labels": dict(labels), "value": value}
+                for (name, labels), value in sorted(self.gauges.items())
+            ],
+            "histograms": [
+                {
+                    "name": name,
+                    "labels": dict(labels),
+                    "count": histogram.get_total_count(),
+                    "mean": histogram.get_mean_value() / 1e6,
+                    "p50": histogram.get_value_at_percentile(50) / 1e6,
+                    "p99": histogram.get_value_at_percentile(99) / 1e6,
+                    "max": histogram.get_max_value() / 1e6,
+                }
+                for (name, labels), histogram in sorted(
+                    self.histograms.items(), key=lambda item: item[0]
+                )
+            ],
+        }
+
+
+def create_metrics() -> Metrics:
+    """Return an empty set of metrics."""
+    return Metrics()
--- /dev/null
+++ b/src/egretloft/_internal/models/__init__.py
@@ -0,0 +1,1 @@
+"""Plain value types without I/O."""
--- /dev/null
+++ b/src/egretloft/_internal/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Streams between entry instances."""
--- /dev/null
+++ b/src/egretloft/_internal/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Interfaces to the platform and their HTTP adapters."""
--- /dev/null
+++ b/src/egretloft/_internal/platform/system_clock.py
@@ -0,0 +1,22 @@
+"""The machine's own clocks."""
+
+from __future__ import annotations
+
+import time
+
+
+class SystemClock:
+    """Clock of the operating system."""
+
+    def monotonic(self) -> float:
+        """Return the monotonic clock in seconds."""
+        return time.monotonic()
+
+    def wall(self) -> float:
+        """Return Unix time in seconds."""
+        return time.time()
+
+
+def create_system_clock() -> SystemClock:
+    """Return the clock of this machine."""
+    return SystemClock()
--- /dev/null
+++ b/src/egretloft/_internal/requests/__init__.py
@@ -0,0 +1,1 @@
+"""Routing, admission and dispatch of service requests."""
--- /dev/null
+++ b/src/egretloft/_internal/scheduling/__init__.py
@@ -0,0 +1,1 @@
+"""Pure placement and queueing decisions for gang jobs."""
--- /dev/null
+++ b/src/egretloft/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Entry points: parse the command line and dispatch."""
--- /dev/null
+++ b/src/egretloft/commands/__init__.py
@@ -0,0 +1,1 @@
+"""One module for each egretctl command."""
--- /dev/null
+++ b/tests/lib/__init__.py
@@ -0,0 +1,1 @@
+"""Helpers and builders of test data."""
--- /dev/null
+++ b/tools/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the platform's services, workers and runners."""
