Add the peer network

Cause: instances forward requests and confirm views over streams that may go silent, lose answers or carry frames of other versions. A frame that was not yet written is withdrawn at a timeout, so the call is reported as not sent.

--- /dev/null
+++ b/src/egretloft/_internal/peers/connection.py
@@ -0,0 +1,145 @@
+"""One stream to or from another instance, with a bounded outgoing buffer."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from returns.result import Failure
+
+from egretloft._internal.metrics import Metrics
+from egretloft._internal.peers.frames import (
+    FATAL_FAULTS,
+    Frame,
+    create_frame_decoder,
+)
+from egretloft._internal.platform.protocols import Clock
+
+MAX_OUTGOING_FRAMES = 256
+READ_BYTES = 64 * 1024
+# The transport's own buffer is kept small, so that MAX_OUTGOING_FRAMES bounds what
+# waits for a slow peer and a frame that was not written can still be withdrawn.
+TRANSPORT_BUFFER_BYTES = 64 * 1024
+
+
+@dataclass(slots=True, eq=False)
+class Outgoing:
+    """A frame in the outgoing buffer."""
+
+    data: bytes
+    written: bool = False
+
+
+class Connection:
+    """A stream that is read by ``serve`` and written in the order of ``offer``."""
+
+    def __init__(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        clock: Clock,
+        metrics: Metrics,
+    ) -> None:
+        self.reader = reader
+        self.writer = writer
+        self.clock = clock
+        self.metrics = metrics
+        self.instance_id = ""  # known after the peer's hello
+        self.calls_in_progress = 0
+        self.opened_at = clock.monotonic()
+        self.last_received = self.opened_at
+        self.closed = False
+        self.outgoing: deque[Outgoing] = deque()
+        self.wakeup = asyncio.Event()
+        self.room = asyncio.Event()
+        writer.transport.set_write_buffer_limits(high=TRANSPORT_BUFFER_BYTES)
+
+    def offer(self, data: bytes) -> Outgoing | None:
+        """Buffer a frame; ``None`` when the buffer is full or the stream closed."""
+        if self.closed or len(self.outgoing) >= MAX_OUTGOING_FRAMES:
+            return None
+        outgoing = Outgoing(data)
+        self.outgoing.append(outgoing)
+        self.wakeup.set()
+        return outgoing
+
+    async def offer_when_room(self, data: bytes) -> None:
+        """Buffer a frame, waiting for room; dropped when the stream closes."""
+        while self.offer(data) is None and not self.closed:
+            self.room.clear()
+            await self.room.wait()
+
+    def withdraw(self, outgoing: Outgoing) -> bool:
+        """Take back a frame; true when no byte of it was written."""
+        if not outgoing.written and outgoing in self.outgoing:
+            self.outgoing.remove(outgoing)
+            self.room.set()
+        return not outgoing.written
+
+    def close(self) -> None:
+        """Close the stream at once; frames in the buffer are dropped."""
+        if self.closed:
+            return
+        self.closed = True
+        self.wakeup.set()
+        self.room.set()
+        self.writer.transport.abort()
+
+    async def serve(self, on_frame: Callable[[Frame], None]) -> None:
+        """Read and write until the stream ends or a fatal frame fault."""
+        writing = asyncio.create_task(self._write())
+        try:
+            await self._read(on_frame)
+        finally:
+            self.close()
+            writing.cancel()
+            await asyncio.gather(writing, return_exceptions=True)
+
+    async def _read(self, on_frame: Callable[[Frame], None]) -> None:
+        decoder = create_frame_decoder()
+        while not self.closed:
+            try:
+                data = await self.reader.read(READ_BYTES)
+            except OSError:
+                return
+            if not data:
+                return
+            # Part of a frame counts as well: a large frame on a slow link is no
+            # silence.
+            self.last_received = self.clock.monotonic()
+            for result in decoder.feed(data):
+                if isinstance(result, Failure):
+                    fault = result.failure()
+                    self.metrics.count("peer_frames_refused", reason=fault.value)
+                    if fault in FATAL_FAULTS:
+                        return
+                    continue
+                on_frame(result.unwrap())
+                if self.closed:
+                    return
+
+    async def _write(self) -> None:
+        try:
+            while not self.closed:
+                while self.outgoing:
+                    outgoing = self.outgoing.popleft()
+                    outgoing.written = True
+                    self.room.set()
+                    self.writer.write(outgoing.data)
+                    await self.writer.drain()
+                self.wakeup.clear()
+                await self.wakeup.wait()
+        except OSError:
+            self.close()
+
+
+def create_connection(
+    reader: asyncio.StreamReader,
+    writer: asyncio.StreamWriter,
+    clock: Clock,
+    metrics: Metrics,
+) -> Connection:
+    """Return a connection over an open stream."""
+    return Connection(reader, writer, clock, metrics)
