Test the operators' tool and add the HTTP application

Cause: exit codes and output are an interface that scripts rely on. Change: tests with a fake client; application with health checks, body limit and typed answers for errors.

--- /dev/null
+++ b/src/egretloft/_internal/http/app.py
@@ -0,0 +1,72 @@
+"""The daemon's HTTP application: limits, errors and health checks."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+
+import structlog
+from aiohttp import web
+
+from egretloft._internal.http.responses import refusal_response
+from egretloft._internal.metrics import Metrics
+from egretloft._internal.models.outcomes import Reason, not_run, outcome_unknown
+
+log = structlog.get_logger(__name__)
+
+MAX_BODY_BYTES = 1024 * 1024
+
+Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
+
+
+def create_app(metrics: Metrics, is_ready: Callable[[], bool]) -> web.Application:
+    """Return an application with health checks and no resources yet."""
+
+    @web.middleware
+    async def answer_errors(
+        request: web.Request, handler: Handler
+    ) -> web.StreamResponse:
+        try:
+            return await handler(request)
+        except web.HTTPRequestEntityTooLarge:
+            return refusal_response(
+                not_run(
+                    Reason.TOO_LARGE, f"the body is larger than {MAX_BODY_BYTES} bytes"
+                ),
+                metrics,
+            )
+        except web.HTTPException as error:
+            if error.status < 400:
+                raise
+            # No handler ran: the path or the method is unknown.
+            metrics.count("refusals", reason="http")
+            return web.json_response(
+                {
+                    "outcome": "not_run",
+                    "reason": "http",
+                    "message": f"{request.method} {request.path}: {error.reason}",
+                    "hint": "see docs/design.md, section 11",
+                },
+                status=error.status,
+            )
+        except Exception:
+            # A defect: the caller learns that the outcome is unknown, the trace goes
+            # to the log only.
+            metrics.count("handler_errors")
+            log.exception("handler failed", path=request.path)
+            return refusal_response(
+                outcome_unknown(Reason.FAILED, "internal error"), metrics
+            )
+
+    async def health(request: web.Request) -> web.Response:
+        return web.json_response({"status": "alive"})
+
+    async def ready(request: web.Request) -> web.Response:
+        ready_now = is_ready()
+        return web.json_response(
+            {"status": "ready" if ready_now else "not_ready"},
+            status=200 if ready_now else 503,
+        )
+
+    app = web.Application(client_max_size=MAX_BODY_BYTES, middlewares=[answer_errors])
+    app.add_routes([web.get("/healthz", health), web.get("/readyz", ready)])
+    return app
--- /dev/null
+++ b/tests/unit/commands/test_commands.py
@@ -0,0 +1,132 @@
+"""The operators' tool: calls made, output and exit codes."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+from click.testing import CliRunner, Result
+from returns.result import Failure, Success
+from syrupy.assertion import SnapshotAssertion
+
+from egretloft._internal.client import ClientFailure
+from egretloft.cli import ctl
+
+PROFILE = {
+    "name": "org-a",
+    "organisation": "org-a",
+    "region": "region-1",
+    "zones": ["zone-1"],
+    "guarantees": [{"count": 1, "accelerators": 8, "adjacency": "worker"}],
+    "limits": {"max_accelerators": 0},
+    "services": ["service-1"],
+    "version": 7,
+}
+
+Invoke = Callable[..., Result]
+
+
+class FakeClient:
+    """Answers from a dict by method and path, and records the calls."""
+
+    def __init__(self) -> None:
+        self.answers: dict[tuple[str, str], Any] = {}
+        self.calls: list[tuple[str, str, Any, Any]] = []
+
+    def call(self, method: str, path: str, body: Any = None, params: Any = None) -> Any:
+        self.calls.append((method, path, body, params))
+        answer = self.answers[method, path]
+        if isinstance(answer, list):
+            answer = answer.pop(0) if len(answer) > 1 else answer[0]
+        return Failure(answer) if isinstance(answer, ClientFailure) else Success(answer)
+
+
+@pytest.fixture
+def client(monkeypatch: pytest.MonkeyPatch) -> FakeClient:
+    fake = FakeClient()
+    monkeypatch.setattr(ctl, "create_client", lambda servers, timeout: fake)
+    return fake
+
+
+def invoke(*arguments: str) -> Result:
+    return CliRunner().invoke(ctl.main, list(arguments))
+
+
+def test_help_names_commands_and_exit_codes(snapshot: SnapshotAssertion) -> None:
+    """Guards against a change of the documented interface that goes unnoticed."""
+    assert invoke("--help").output == snapshot
+
+
+def test_profile_change_keeps_other_fields(client: FakeClient) -> None:
+    """Guards against a change of one field that resets the others."""
+    client.answers["GET", "/v1/profiles/org-a"] = dict(PROFILE)
+    client.answers["PUT", "/v1/profiles/org-a"] = {"version": 8}
+    result = invoke("profile", "change", "org-a", "--guarantee", "2x16@rack")
+    assert result.exit_code == 0, result.output
+    body = client.calls[-1][2]
+    assert body["expected_version"] == 7
+    assert body["zones"] == ["zone-1"]
+    shape = {"count": 2, "accelerators": 16, "adjacency": "rack"}
+    assert list(body["guarantees"]) == [shape]
+
+
+@pytest.mark.parametrize("value", ["2x16", "x16@rack", "2x16@moon", "-1x2@rack", ""])
+def test_wrong_guarantee_is_refused_with_what_is_allowed(
+    client: FakeClient, value: str
+) -> None:
+    """Guards against a malformed shape that reaches the daemon."""
+    result = invoke("profile", "change", "org-a", f"--guarantee={value}")
+    assert result.exit_code == 2
+    assert "COUNTxACCELERATORS@ADJACENCY" in result.output
+    assert client.calls == []
+
+
+@pytest.mark.parametrize(
+    ("outcome", "code"), [("not_run", 1), ("unknown", 3), ("unreachable", 4)]
+)
+def test_exit_code_tells_not_run_from_unknown(
+    client: FakeClient, outcome: str, code: int
+) -> None:
+    """Guards against scripts that repeat a change that may have been made."""
+    client.answers["POST", "/v1/zones/kurume/take-out"] = ClientFailure(
+        outcome, "store_unavailable", "no answer", "list the zones"
+    )
+    result = invoke("zone", "take-out", "kurume")
+    assert result.exit_code == code
+    assert f"{outcome} (store_unavailable): no answer" in result.output
+    assert "hint: list the zones" in result.output
+
+
+def test_wait_ends_with_the_outcome_of_the_job(
+    client: FakeClient, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a failed job that a script takes for a completed one."""
+    monkeypatch.setattr("egretloft.commands.job.POLL_SECONDS", 0)
+    client.answers["GET", "/v1/jobs/j1"] = [
+        {"job_id": "j1", "state": "running"},
+        {"job_id": "j1", "state": "failed"},
+    ]
+    assert invoke("job", "wait", "j1").exit_code == 6
+
+
+def test_json_output_is_the_answer(client: FakeClient) -> None:
+    """Guards against table text in the output that scripts read."""
+    client.answers["GET", "/v1/zones"] = {"zones": [], "version": 3}
+    result = invoke("--output", "json", "zone", "list")
+    assert result.output == '{\n  "zones": [],\n  "version": 3\n}\n'
+
+
+def test_server_must_be_an_ip_and_port() -> None:
+    """Guards against a wrong address that shows only as a timeout."""
+    result = invoke("--server", "localhost:80", "status")
+    assert result.exit_code == 2
+    assert "IP:PORT" in result.output
+
+
+@pytest.mark.parametrize("shell", ["bash", "zsh", "fish"])
+def test_completion_script(shell: str) -> None:
+    """Guards against a completion script without the program's name."""
+    result = invoke("completion", shell)
+    assert result.exit_code == 0
+    assert "_EGRETCTL_COMPLETE" in result.output
