--- a/tools/standins/target.py
+++ b/tools/standins/target.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import weakref
 from abc import ABC, abstractmethod
 from collections import Counter
 from collections.abc import Awaitable, Callable
@@ -16,6 +15,7 @@
 from standins.faults import Down, FaultState
 
 Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
+
 # How often a waiting request looks whether it may go on.
 POLL_SECONDS = 0.02
 # Requests and objects above this size are refused by the server.
@@ -36,9 +36,9 @@
         self.fault_state = FaultState()
         self.calls: Counter[str] = Counter()
         # Connections that have carried a request other than a control request.
-        self.connections: weakref.WeakSet[RequestHandler] = weakref.WeakSet()
+        self.connections: set[RequestHandler] = set()
         self.max_connections = 0
-        self.silent: weakref.WeakSet[RequestHandler] = weakref.WeakSet()
+        self.silent: set[RequestHandler] = set()
         self.siblings: dict[str, Target] = {target_id: self}
         self.runner: web.AppRunner | None = None
         self.crashed = False
@@ -105,7 +105,10 @@
 
     def open_connections(self) -> int:
         """Return how many connections with requests are open."""
-        return sum(1 for item in self.connections if item.transport is not None)
+        closed = {item for item in self.connections if item.transport is None}
+        self.connections -= closed
+        self.silent -= closed
+        return len(self.connections)
 
     @web.middleware
     async def _faulty(self, request: web.Request, handler: Handler) -> Any:
@@ -158,15 +161,15 @@
 
     async def _wait_while_silent(self, request: web.Request) -> None:
         # A silent connection stays silent for good; it ends when the caller closes it.
-        while request.protocol in self.silent:
-            if request.transport is None or request.transport.is_closing():
-                raise ConnectionLostError
+        if request.protocol not in self.silent:
+            return
+        while request.transport is not None and not request.transport.is_closing():
             await asyncio.sleep(POLL_SECONDS)
+        raise ConnectionLostError
 
     def silence(self) -> None:
         """Make all connections that are open now silent for good."""
-        for connection in self.connections:
-            self.silent.add(connection)
+        self.silent |= self.connections
 
     async def _get_control(self, request: web.Request) -> web.Response:
         if request.query.get("targets") == "all":
