Add the service-request path

Requests need a way from the receiving instance to a runner that keeps the slot limit, the start window and at-most-once execution in every failure.

--- /dev/null
+++ b/src/egretloft/_internal/requests/dispatch.py
@@ -0,0 +1,522 @@
+"""The owner's side: admission of forwarded requests and dispatch to runners."""
+
+from __future__ import annotations
+
+import asyncio
+import math
+from collections.abc import Coroutine
+from dataclasses import dataclass
+from typing import Any
+
+import structlog
+from returns.result import Failure, Success
+
+from egretloft._internal.metrics import Metrics
+from egretloft._internal.models.outcomes import (
+    Reason,
+    Refusal,
+    not_run,
+    outcome_unknown,
+)
+from egretloft._internal.models.topology import InstanceKind
+from egretloft._internal.platform.protocols import (
+    CLOCK_ERROR_SECONDS,
+    CallFailure,
+    CallFailureKind,
+    Clock,
+    RunnerClient,
+    RunnerRequest,
+)
+from egretloft._internal.requests.admission import (
+    FairQueue,
+    RunTimes,
+    Work,
+    create_fair_queue,
+)
+from egretloft._internal.requests.interfaces import Ownership, Topology, View
+from egretloft._internal.requests.messages import (
+    COMPLETED,
+    MAX_ANSWER_BYTES,
+    Forward,
+    Reply,
+    refusal_reply,
+)
+from egretloft._internal.requests.retry_budget import RetryBudget, create_retry_budget
+from egretloft._internal.requests.runner_health import (
+    HealthRules,
+    RunnerState,
+    choose_runner,
+    create_runner_state,
+)
+
+log = structlog.get_logger(__name__)
+
+# A runner refuses a request that arrives later than this after the owner's checks.
+START_WINDOW_SECONDS = 0.5
+# After this time a request that was sent has either started or never will.
+SETTLED_SECONDS = START_WINDOW_SECONDS + CLOCK_ERROR_SECONDS
+STATUS_TIMEOUT_SECONDS = 1.0
+STATUS_PERIOD_SECONDS = 0.5
+# A timeout counts against a runner only if the request had this long to run.
+SHORTEST_FAIR_RUN_SECONDS = 0.5
+FAIR_RUN_TIMES = 3.0
+
+
+@dataclass(slots=True, frozen=True)
+class GroupLoad:
+    """Load of a runner group as its owner reports it."""
+
+    free: int
+    queued: int
+    slots: int
+    run_seconds: float
+
+
+class RunnerGroup:
+    """Admits requests to the runners of a service in a zone, for one epoch."""
+
+    def __init__(
+        self,
+        partition: str,
+        service: str,
+        zone: str,
+        epoch: int,
+        ownership: Ownership,
+        view: View,
+        topology: Topology,
+        client: RunnerClient,
+        clock: Clock,
+        metrics: Metrics,
+        run_times: RunTimes,
+        queue: FairQueue,
+        budget: RetryBudget,
+    ) -> None:
+        self.partition = partition
+        self.service = service
+        self.zone = zone
+        self.epoch = epoch
+        self.ownership = ownership
+        self.view = view
+        self.topology = topology
+        self.client = client
+        self.clock = clock
+        self.metrics = metrics
+        self.run_times = run_times
+        self.queue = queue
+        self.budget = budget
+        self.health = HealthRules()
+        self.runners: dict[str, RunnerState] = {}
+        self.tasks: set[asyncio.Task[None]] = set()
+        # Attempts in progress, and those of non-idempotent requests until no copy of
+        # the forward can start any more: a forward that arrives twice runs once.
+        self.seen: dict[str, float] = {}
+        self.in_progress = 0
+        self.closed = False
+        self.last_sent_at = -SETTLED_SECONDS
+
+    async def submit(self, forward: Forward) -> Reply:
+        """Run one attempt and return its outcome.
+
+        The reply to a request that expires in the queue is ``not_run``.
+        """
+        now = self.clock.monotonic()
+        wall = self.clock.wall() - CLOCK_ERROR_SECONDS
+        deadline = now + min(forward.remaining_seconds, forward.deadline_at - wall)
+        start_by = now + min(forward.start_seconds, forward.start_by - wall)
+        start_by = min(start_by, deadline)
+        refusal = self._refuse(forward, now, start_by)
+        if refusal is not None:
+            if not forward.idempotent:
+                self.seen.setdefault(forward.attempt_id, start_by + CLOCK_ERROR_SECONDS)
+            return self._refusal_reply(forward, refusal, 0)
+        self.seen[forward.attempt_id] = math.inf
+        self.in_progress += 1
+        try:
+            return await self._queue(forward, now, deadline, start_by)
+        finally:
+            self.in_progress -= 1
+            if forward.idempotent:
+                del self.seen[forward.attempt_id]
+            else:
+                self.seen[forward.attempt_id] = start_by + 2 * CLOCK_ERROR_SECONDS
+
+    async def _queue(
+        self, forward: Forward, now: float, deadline: float, start_by: float
+    ) -> Reply:
+        loop = asyncio.get_running_loop()
+        work = Work(forward, deadline, start_by, loop.create_future())
+        dropped = self.queue.add(work)
+        if dropped is not None:
+            self._finish(dropped, not_run(Reason.QUEUE_FULL, "the queue is full"))
+        if not work.future.done():
+            work.timer = loop.call_later(work.start_by - now, self._expire, work)
+            self.pump()
+        try:
+            return await work.future
+        finally:
+            # A receiver that went away leaves nothing queued.
+            self._drop(work)
+
+    def tick(self) -> None:
+        """Follow the instance list, poll loads and send what can be sent."""
+        now = self.clock.monotonic()
+        self._follow_topology()
+        for runner in list(self.runners.values()):
+            unsure = not runner.known or runner.foreign > 0
+            if (
+                unsure
+                and not runner.polling
+                and now - runner.polled_at >= STATUS_PERIOD_SECONDS
+            ):
+                runner.polling = True
+                runner.polled_at = now
+                self._spawn(self._poll(runner))
+        self.seen = {key: until for key, until in self.seen.items() if until > now}
+        self.pump()
+
+    def pump(self) -> None:
+        """Send queued requests while a runner is free."""
+        while self.queue.size:
+            refusal = self.check_group()
+            if refusal is not None:
+                self._refuse_queue(refusal)
+                return
+            now = self.clock.monotonic()
+            runner = choose_runner(self.runners.values(), now)
+            if runner is None:
+                return
+            work = self.queue.take(now)
+            if work is None:
+                return
+            self._stop_timer(work)
+            if now >= work.start_by:
+                self._finish_late(work)
+                continue
+            work.attempts += 1
+            # The slot is taken here, not in the task, so that the next turn of this
+            # loop sees it.
+            runner.sent_at[work.forward.attempt_id] = now
+            self._spawn(self._send(work, runner))
+
+    def check_group(self) -> Refusal | None:
+        """Return why nothing may be sent to this group's runners now."""
+        epoch = self.ownership.holds(self.partition)
+        if epoch is None or epoch.number != self.epoch:
+            return not_run(Reason.NOT_OWNER, "this instance is not the owner")
+        if not self.view.is_fresh():
+            return not_run(Reason.STALE_VIEW, "the owner's view is not fresh")
+        if not self.view.zone_in_service(self.zone):
+            return not_run(Reason.NO_TARGET, f"zone {self.zone} is out of service")
+        return None
+
+    def load(self) -> GroupLoad:
+        """Return the load for the heartbeat."""
+        now = self.clock.monotonic()
+        usable = [
+            runner
+            for runner in self.runners.values()
+            if not self.closed
+            and runner.known
+            and not runner.leaving
+            and now >= runner.blocked_until
+        ]
+        return GroupLoad(
+            free=sum(runner.free(now) for runner in usable),
+            queued=self.queue.size,
+            slots=sum(min(runner.slots, int(runner.allowed)) for runner in usable),
+            run_seconds=self.run_times.group,
+        )
+
+    def close(self) -> None:
+        """Admit nothing more; queued work is still sent."""
+        self.closed = True
+
+    def hand_back(self) -> None:
+        """Refuse all queued work, so that its receivers send it elsewhere."""
+        self._refuse_queue(not_run(Reason.DRAINING, "the owner is stopping"))
+
+    def is_settled(self) -> bool:
+        """Return whether a successor would see all our requests in runner loads."""
+        now = self.clock.monotonic()
+        return self.queue.size == 0 and now - self.last_sent_at >= SETTLED_SECONDS
+
+    def _refuse(self, forward: Forward, now: float, latest: float) -> Refusal | None:
+        # A second copy of a forward may not hide that the first copy runs.
+        if forward.attempt_id in self.seen:
+            return outcome_unknown(Reason.IN_PROGRESS, "this attempt came before")
+        if self.closed:
+            return not_run(Reason.DRAINING, "the owner is stopping")
+        refusal = self.check_group()
+        if refusal is not None:
+            return refusal
+        if latest <= now:
+            return self._late(forward)
+        profile = self.view.profiles.get(forward.profile)
+        if profile is None or self.zone not in profile.zones:
+            return not_run(
+                Reason.NO_TARGET, f"zone {self.zone} is not in the profile's zones"
+            )
+        return None
+
+    def _late(self, forward: Forward) -> Refusal:
+        if forward.start_seconds < forward.remaining_seconds:
+            return not_run(Reason.DEADLINE_BEFORE_START, "the start time has passed")
+        return not_run(Reason.DEADLINE_PASSED, "the deadline passed in the queue")
+
+    def _expire(self, work: Work) -> None:
+        if self.queue.remove(work):
+            self._finish_late(work)
+
+    def _finish_late(self, work: Work) -> None:
+        self.metrics.count("requests_expired_unsent")
+        self._finish(work, self._late(work.forward))
+
+    def _drop(self, work: Work) -> None:
+        self._stop_timer(work)
+        self.queue.remove(work)
+
+    def _stop_timer(self, work: Work) -> None:
+        if work.timer is not None:
+            work.timer.cancel()
+            work.timer = None
+
+    def _refuse_queue(self, refusal: Refusal) -> None:
+        for work in self.queue.clear():
+            self._finish(work, refusal)
+
+    def _finish(self, work: Work, outcome: Refusal | Reply) -> None:
+        self._stop_timer(work)
+        if work.future.done():
+            return
+        if isinstance(outcome, Refusal):
+            outcome = self._refusal_reply(work.forward, outcome, work.attempts)
+        work.future.set_result(outcome)
+
+    def _refusal_reply(
+        self, forward: Forward, refusal: Refusal, attempts: int
+    ) -> Reply:
+        self.metrics.count("forwards_refused", reason=refusal.reason.value)
+        return refusal_reply(forward.attempt_id, refusal, attempts)
+
+    async def _send(self, work: Work, runner: RunnerState) -> None:
+        attempt_id = work.forward.attempt_id
+        try:
+            outcome = await self._run(work, runner)
+        except BaseException:
+            self._finish(work, outcome_unknown(Reason.TARGET_LOST, "internal error"))
+            raise
+        finally:
+            # After an exception nothing is known, so the slot stays taken.
+            if runner.sent_at.pop(attempt_id, None) is not None:
+                self._hold_slot(runner)
+        if outcome is not None:
+            self._finish(work, outcome)
+        self.pump()
+
+    async def _run(self, work: Work, runner: RunnerState) -> Refusal | Reply | None:
+        forward = work.forward
+        attempt_id = forward.attempt_id
+        # The clocks are read before the checks: if this process is frozen between a
+        # check and the sending, the runner refuses the late start.
+        sent_at = self.clock.monotonic()
+        start_before = self.clock.wall() + START_WINDOW_SECONDS
+        refusal = self.check_group()
+        if refusal is not None:
+            del runner.sent_at[attempt_id]
+            return refusal
+        if work.future.done():
+            del runner.sent_at[attempt_id]
+            return None
+        runner.leaving = runner.leaving or self.topology.is_leaving(runner.runner_id)
+        if runner.leaving or sent_at >= work.start_by:
+            del runner.sent_at[attempt_id]
+            work.attempts -= 1
+            return self._requeue(work)
+        runner.sent_at[attempt_id] = sent_at
+        self.last_sent_at = sent_at
+        timeout = work.deadline - sent_at
+        try:
+            result = await asyncio.wait_for(
+                self.client.run(
+                    runner.address,
+                    RunnerRequest(
+                        attempt_id, forward.service, forward.payload, start_before
+                    ),
+                    timeout,
+                ),
+                timeout,
+            )
+        except TimeoutError:
+            result = Failure(CallFailure(CallFailureKind.UNKNOWN, "no answer in time"))
+        now = self.clock.monotonic()
+        if isinstance(result, Success):
+            del runner.sent_at[attempt_id]
+            self.health.record_success(runner, forward.organisation, now)
+            self.run_times.record(forward.organisation, now - sent_at)
+            return self._completed(work, runner, result.unwrap())
+        return self._failed(work, runner, result.failure(), sent_at, now)
+
+    def _completed(
+        self, work: Work, runner: RunnerState, answer: bytes
+    ) -> Refusal | Reply:
+        if len(answer) > MAX_ANSWER_BYTES:
+            return outcome_unknown(
+                Reason.TOO_LARGE,
+                f"the request ran, but its answer is over {MAX_ANSWER_BYTES} bytes",
+            )
+        return Reply(
+            attempt_id=work.forward.attempt_id,
+            outcome=COMPLETED,
+            answer=answer,
+            runner=runner.runner_id,
+            zone=self.zone,
+            attempts=work.attempts,
+        )
+
+    def _failed(
+        self,
+        work: Work,
+        runner: RunnerState,
+        failure: CallFailure,
+        sent_at: float,
+        now: float,
+    ) -> Refusal | Reply | None:
+        forward = work.forward
+        self.metrics.count("runner_failures", kind=failure.kind.value)
+        fair_run = max(
+            SHORTEST_FAIR_RUN_SECONDS,
+            FAIR_RUN_TIMES * self.run_times.of(forward.organisation),
+        )
+        if now < work.deadline or work.deadline - sent_at >= fair_run:
+            self.health.record_failure(
+                runner,
+                self.runners.values(),
+                forward.organisation,
+                failure.kind is not CallFailureKind.NOT_SENT,
+                now,
+            )
+        if failure.kind is CallFailureKind.UNKNOWN:
+            # The runner may still work on it, so ``_send`` keeps the slot taken.
+            if now >= work.deadline:
+                return outcome_unknown(
+                    Reason.DEADLINE_PASSED, "the deadline passed while it ran"
+                )
+            return outcome_unknown(Reason.TARGET_LOST, failure.message)
+        del runner.sent_at[forward.attempt_id]
+        if work.attempts < forward.attempts_left and self.budget.spend():
+            self.metrics.count("request_retries", reason=failure.kind.value)
+            return self._requeue(work)
+        reason = (
+            Reason.TARGET_UNREACHABLE
+            if failure.kind is CallFailureKind.NOT_SENT
+            else Reason.TARGET_REFUSED
+        )
+        return not_run(reason, failure.message)
+
+    def _requeue(self, work: Work) -> Refusal | None:
+        """Queue work again that certainly did not run."""
+        remaining = work.start_by - self.clock.monotonic()
+        if remaining <= 0:
+            return self._late(work.forward)
+        work.timer = asyncio.get_running_loop().call_later(
+            remaining, self._expire, work
+        )
+        self.queue.add_first(work)
+        return None
+
+    def _hold_slot(self, runner: RunnerState) -> None:
+        runner.foreign += 1
+        runner.foreign_until = self.clock.monotonic() + SETTLED_SECONDS
+
+    def _follow_topology(self) -> None:
+        listed = {
+            record.instance_id: record
+            for record in self.topology.runners.values()
+            if record.kind is InstanceKind.RUNNER
+            and record.service == self.service
+            and record.zone == self.zone
+        }
+        for runner_id, record in listed.items():
+            runner = self.runners.get(runner_id)
+            if runner is None or runner.address != record.address:
+                runner = self.runners[runner_id] = create_runner_state(record)
+            runner.leaving = runner.said_leaving or self.topology.is_leaving(runner_id)
+        for runner_id in [key for key in self.runners if key not in listed]:
+            del self.runners[runner_id]
+
+    async def _poll(self, runner: RunnerState) -> None:
+        started = self.clock.monotonic()
+        try:
+            result = await asyncio.wait_for(
+                self.client.status(runner.address), STATUS_TIMEOUT_SECONDS
+            )
+        except TimeoutError:
+            return
+        finally:
+            runner.polling = False
+        if not isinstance(result, Success):
+            return
+        status = result.unwrap()
+        runner.said_leaving = runner.said_leaving or status.leaving
+        runner.leaving = runner.leaving or status.leaving
+        # Our requests that were settled before the poll and are still unanswered are
+        # part of the runner's own count.
+        ours = sum(
+            sent_at <= started - SETTLED_SECONDS for sent_at in runner.sent_at.values()
+        )
+        foreign = max(0, status.in_use - ours)
+        if not runner.known:
+            runner.known = True
+            runner.foreign = foreign
+        elif started >= runner.foreign_until:
+            runner.foreign = min(runner.foreign, foreign)
+        self.pump()
+
+    def _spawn(self, coroutine: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(coroutine)
+        self.tasks.add(task)
+        task.add_done_callback(self._task_done)
+
+    def _task_done(self, task: asyncio.Task[None]) -> None:
+        self.tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            self.metrics.count("runner_group_errors")
+            log.error("runner group task failed", exc_info=task.exception())
+
+
+def partition_of(service: str, zone: str) -> str:
+    """Return the partition that admits requests of a service in a zone."""
+    return f"runners/{service}/{zone}"
+
+
+def create_runner_group(
+    service: str,
+    zone: str,
+    epoch: int,
+    *,
+    ownership: Ownership,
+    view: View,
+    topology: Topology,
+    client: RunnerClient,
+    clock: Clock,
+    metrics: Metrics,
+) -> RunnerGroup:
+    """Return the group of an epoch; it sends once its runners' loads are known."""
+    run_times = RunTimes()
+    group = RunnerGroup(
+        partition_of(service, zone),
+        service,
+        zone,
+        epoch,
+        ownership,
+        view,
+        topology,
+        client,
+        clock,
+        metrics,
+        run_times,
+        create_fair_queue(run_times),
+        create_retry_budget(clock),
+    )
+    group.tick()
+    return group
--- /dev/null
+++ b/src/egretloft/_internal/requests/once.py
@@ -0,0 +1,279 @@
+"""Non-idempotent requests: claim the key, forward once, store the answer."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Coroutine
+from typing import Any
+
+import msgspec
+import structlog
+from returns.result import Failure, Result, Success
+
+from egretloft._internal.metrics import Metrics
+from egretloft._internal.models.outcomes import (
+    OutcomeKind,
+    Reason,
+    Refusal,
+    not_run,
+    outcome_unknown,
+)
+from egretloft._internal.models.requests import (
+    Answer,
+    RecordState,
+    RequestRecord,
+    ServiceRequest,
+)
+from egretloft._internal.platform.protocols import Clock
+from egretloft._internal.requests.delivery import Delivery
+from egretloft._internal.requests.interfaces import PeerNetwork, View
+from egretloft._internal.requests.key_memory import KeyMemory
+from egretloft._internal.requests.messages import (
+    KEY_QUERY_TYPE,
+    KeyQuery,
+    KeyReply,
+    encode_message,
+)
+from egretloft._internal.requests.records import (
+    Claim,
+    ClaimFailureKind,
+    RequestRecords,
+    body_digest,
+    record_key,
+    store_unavailable,
+)
+
+log = structlog.get_logger(__name__)
+
+# The limit for the time from the claim until the request is sent to a runner.
+START_SECONDS = 2.0
+# The caller gets its answer after this time even if the answer is not stored yet.
+STORE_WAIT_SECONDS = 1.0
+QUERY_TIMEOUT_SECONDS = 0.5
+FIRST_PAUSE_SECONDS = 0.05
+LONGEST_PAUSE_SECONDS = 0.5
+
+
+class OncePath:
+    """Runs each key at most once, whatever fails."""
+
+    def __init__(
+        self,
+        instance_id: str,
+        view: View,
+        network: PeerNetwork,
+        records: RequestRecords,
+        delivery: Delivery,
+        memory: KeyMemory,
+        clock: Clock,
+        metrics: Metrics,
+    ) -> None:
+        self.instance_id = instance_id
+        self.view = view
+        self.network = network
+        self.records = records
+        self.delivery = delivery
+        self.memory = memory
+        self.clock = clock
+        self.metrics = metrics
+        # Request ids of this instance's claims whose row may still change.
+        self.open_claims: set[str] = set()
+        # The last write of each open claim, by request id.
+        self.settling: dict[str, asyncio.Task[bool]] = {}
+
+    async def run(
+        self, request: ServiceRequest, deadline: float
+    ) -> tuple[Result[Answer, Refusal], bool]:
+        """Return the outcome, and whether this submission itself ran the request."""
+        self.open_claims.add(request.request_id)
+        result = await self._claim_and_run(request, deadline)
+        if request.request_id not in self.settling:
+            self.open_claims.discard(request.request_id)
+        return result
+
+    async def _claim_and_run(
+        self, request: ServiceRequest, deadline: float
+    ) -> tuple[Result[Answer, Refusal], bool]:
+        while True:
+            remaining = deadline - self.clock.monotonic()
+            if remaining <= 0:
+                refusal = not_run(Reason.DEADLINE_PASSED, "the deadline has passed")
+                return await self.refuse(request, refusal), False
+            claim = await self.records.claim(request, remaining)
+            if isinstance(claim, Failure):
+                failure = claim.failure()
+                if failure.kind is ClaimFailureKind.RELEASED:
+                    await asyncio.sleep(FIRST_PAUSE_SECONDS)
+                    continue
+                if failure.kind is ClaimFailureKind.NOT_WRITTEN:
+                    refusal = not_run(Reason.STORE_UNAVAILABLE, failure.message)
+                    return await self.refuse(request, refusal), False
+                if failure.kind is ClaimFailureKind.UNKNOWN:
+                    self._settle(request, self.records.abandon(request))
+                return Failure(store_unavailable(failure.message)), False
+            held = claim.unwrap()
+            if isinstance(held, Claim):
+                return await self._run_claimed(request, held, deadline), True
+            result = await self._repeat(request, held, deadline)
+            if result is not None:
+                return result, False
+
+    async def refuse(
+        self, request: ServiceRequest, refusal: Refusal
+    ) -> Result[Answer, Refusal]:
+        """Refuse a submission that claimed nothing.
+
+        A former submission of the key may have run, so ``not_run`` is kept only if
+        that is excluded; a stored answer is returned.
+        """
+        key = record_key(request)
+        found = await self.records.read(key)
+        if isinstance(found, Success):
+            row = found.unwrap()
+            if row is not None:
+                record = row[0]
+                if record.body_digest != body_digest(request):
+                    return Failure(key_reused())
+                if record.state is RecordState.ANSWERED:
+                    return await self.records.load_answer(record)
+                return Failure(
+                    outcome_unknown(refusal.reason, "the key was used before")
+                )
+            # A claim that another instance is writing at this moment shows only in
+            # that instance's memory.
+            if await self._is_unseen(key, sure=False):
+                return Failure(refusal)
+        elif await self._is_unseen(key, sure=True):
+            return Failure(refusal)
+        return Failure(
+            outcome_unknown(
+                refusal.reason,
+                f"{refusal.message}; the key may have been used before",
+                "repeat the request with the same key",
+            )
+        )
+
+    def answer_query(self, query: KeyQuery) -> KeyReply:
+        """Tell another instance about a key."""
+        return KeyReply(not self.memory.was_seen(query.key), self.memory.is_sure())
+
+    async def _is_unseen(self, key: str, sure: bool) -> bool:
+        """Ask all members; ``sure`` also excludes members that went away."""
+        own = KeyReply(not self.memory.was_seen(key, 1), self.memory.is_sure())
+        others = [name for name in self.view.members if name != self.instance_id]
+        query = encode_message(KeyQuery(key))
+        results = await asyncio.gather(
+            *(
+                self.network.call(name, KEY_QUERY_TYPE, query, QUERY_TIMEOUT_SECONDS)
+                for name in others
+            )
+        )
+        replies = [own]
+        for result in results:
+            if isinstance(result, Failure):
+                return False
+            try:
+                replies.append(msgspec.convert(result.unwrap(), KeyReply))
+            except msgspec.ValidationError:
+                return False
+        return all(reply.unseen and (reply.sure or not sure) for reply in replies)
+
+    async def _run_claimed(
+        self, request: ServiceRequest, claim: Claim, deadline: float
+    ) -> Result[Answer, Refusal]:
+        start_by = min(deadline, self.clock.monotonic() + START_SECONDS)
+        result = await self.delivery.deliver(request, deadline, start_by)
+        if isinstance(result, Success):
+            settle = self.records.store_answer(claim, result.unwrap())
+        elif result.failure().kind is OutcomeKind.NOT_RUN:
+            settle = self.records.release(claim)
+        else:
+            settle = self.records.mark_unknown(claim)
+        task = self._settle(request, settle)
+        remaining = deadline - self.clock.monotonic()
+        await asyncio.wait({task}, timeout=max(0, min(remaining, STORE_WAIT_SECONDS)))
+        return result
+
+    async def _repeat(
+        self, request: ServiceRequest, record: RequestRecord, deadline: float
+    ) -> Result[Answer, Refusal] | None:
+        """Return the outcome of a held key, or ``None`` if it was released."""
+        key = record_key(request)
+        if record.body_digest != body_digest(request):
+            return Failure(key_reused())
+        self.metrics.count("request_repeats")
+        pause = FIRST_PAUSE_SECONDS
+        refusal = outcome_unknown(
+            Reason.IN_PROGRESS, "the first request with this key has no answer yet"
+        )
+        while True:
+            if record.state is RecordState.ANSWERED:
+                return await self.records.load_answer(record)
+            if record.state is RecordState.UNKNOWN or not self._is_held(key, record):
+                return Failure(
+                    outcome_unknown(
+                        Reason.TARGET_LOST,
+                        "the outcome of the first request with this key is unknown",
+                    )
+                )
+            remaining = deadline - self.clock.monotonic()
+            if remaining <= 0:
+                return Failure(refusal)
+            await asyncio.sleep(min(pause, remaining))
+            pause = min(2 * pause, LONGEST_PAUSE_SECONDS)
+            found = await self.records.read(key)
+            if isinstance(found, Failure):
+                refusal = store_unavailable(found.failure())
+                continue
+            row = found.unwrap()
+            if row is None:
+                return None
+            record = row[0]
+
+    def _is_held(self, key: str, record: RequestRecord) -> bool:
+        if record.instance_id == self.instance_id:
+            return record.request_id in self.open_claims
+        return record.instance_id in self.view.members
+
+    def _settle(
+        self, request: ServiceRequest, write: Coroutine[Any, Any, bool]
+    ) -> asyncio.Task[bool]:
+        request_id = request.request_id
+
+        def settled(task: asyncio.Task[bool]) -> None:
+            self.settling.pop(request_id, None)
+            self.open_claims.discard(request_id)
+            if task.cancelled() or task.exception() is not None or not task.result():
+                self.metrics.count("request_records_not_settled")
+                log.warning("request record not settled", request_id=request_id)
+
+        task = asyncio.create_task(write)
+        self.settling[request_id] = task
+        task.add_done_callback(settled)
+        return task
+
+
+def key_reused() -> Refusal:
+    """Return the refusal of a key that belongs to another request."""
+    return not_run(
+        Reason.KEY_REUSED,
+        "the key was used for a request with another body",
+        "use a new key for a new request",
+    )
+
+
+def create_once_path(
+    instance_id: str,
+    *,
+    view: View,
+    network: PeerNetwork,
+    records: RequestRecords,
+    delivery: Delivery,
+    memory: KeyMemory,
+    clock: Clock,
+    metrics: Metrics,
+) -> OncePath:
+    """Return the path of non-idempotent requests."""
+    return OncePath(
+        instance_id, view, network, records, delivery, memory, clock, metrics
+    )
