Add gang scheduler with lazily bound guarantees

Every unbound guaranteed cell keeps an earmark on units that are free or hold reclaimable work. Earmarks and pinned work are disjoint, so each guarantee can be reclaimed by stopping borrowed work only.

--- /dev/null
+++ b/src/egretloft/_internal/scheduling/feasibility.py
@@ -0,0 +1,141 @@
+"""Refusal of jobs and profiles that could never be served.
+
+All checks are against every known worker, in service or out.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+
+from egretloft._internal.models.jobs import JobSpec
+from egretloft._internal.models.outcomes import Reason, Refusal, not_run
+from egretloft._internal.models.profiles import Adjacency, Profile
+from egretloft._internal.models.topology import Worker
+from egretloft._internal.scheduling.cells import Cells
+from egretloft._internal.scheduling.packing import create_guaranteed_cells, pack_all
+
+
+def check_job(
+    spec: JobSpec, profile: Profile, workers: Iterable[Worker]
+) -> Refusal | None:
+    """Return why the job could not run even on empty workers, ``None`` if it could."""
+    if profile.services and spec.service not in profile.services:
+        return not_run(
+            Reason.UNKNOWN_SERVICE,
+            f"service: {spec.service!r} is not in profile {profile.name!r}; "
+            f"allowed: {', '.join(profile.services)}",
+            "use a service of the profile or another profile",
+        )
+    limit = profile.limits.max_accelerators
+    if limit and spec.accelerators > limit:
+        return not_run(
+            Reason.LIMIT_EXCEEDED,
+            f"tasks x accelerators_per_task: {spec.accelerators}; profile "
+            f"{profile.name!r} allows at most {limit}",
+            "submit a smaller gang or raise limits.max_accelerators",
+        )
+    usable = [
+        worker
+        for worker in workers
+        if worker.region == profile.region and worker.zone in profile.zones
+    ]
+    refusal = _check_task(spec, profile, usable)
+    if refusal is not None:
+        return refusal
+    room: dict[tuple[str, ...], int] = {}
+    for worker in usable:
+        cell = _cell_of(worker, spec.adjacency)
+        room[cell] = room.get(cell, 0) + tasks_on_empty_worker(spec, worker)
+    most = max(room.values())
+    if most < spec.tasks:
+        return not_run(
+            Reason.IMPOSSIBLE,
+            f"tasks: {spec.tasks} of {spec.accelerators_per_task} accelerators, "
+            f"{spec.cores} cores and {spec.memory_gb} GB with adjacency "
+            f"{spec.adjacency.value!r}; one {spec.adjacency.value} of profile "
+            f"{profile.name!r} holds at most {most}",
+            "submit fewer tasks, smaller tasks or a wider adjacency",
+        )
+    return None
+
+
+def _check_task(
+    spec: JobSpec, profile: Profile, workers: list[Worker]
+) -> Refusal | None:
+    if not workers:
+        return not_run(
+            Reason.IMPOSSIBLE,
+            f"profile: {profile.name!r} has no worker in its zones "
+            f"{', '.join(profile.zones)}",
+            "use a profile whose zones have workers",
+        )
+    for name, value, most in (
+        (
+            "accelerators_per_task",
+            spec.accelerators_per_task,
+            max(worker.accelerators for worker in workers),
+        ),
+        ("cores", spec.cores, max(worker.cores for worker in workers)),
+        ("memory_gb", spec.memory_gb, max(worker.memory_gb for worker in workers)),
+    ):
+        if value > most:
+            return not_run(
+                Reason.IMPOSSIBLE,
+                f"{name}: {value}; the largest worker of profile "
+                f"{profile.name!r} has {most}",
+                f"submit tasks with at most {most}",
+            )
+    return None
+
+
+def _cell_of(worker: Worker, adjacency: Adjacency) -> tuple[str, ...]:
+    if adjacency is Adjacency.WORKER:
+        return (worker.zone, worker.rack, worker.worker_id)
+    if adjacency is Adjacency.RACK:
+        return (worker.zone, worker.rack)
+    return (worker.zone,)
+
+
+def tasks_on_empty_worker(spec: JobSpec, worker: Worker) -> int:
+    """Return how many tasks of the job fit on the worker when it is empty."""
+    fit = spec.tasks
+    for need, total in (
+        (spec.accelerators_per_task, worker.accelerators),
+        (spec.cores, worker.cores),
+        (spec.memory_gb, worker.memory_gb),
+    ):
+        if need:
+            fit = min(fit, total // need)
+    return fit
+
+
+def check_profiles(
+    profiles: Mapping[str, Profile] | Iterable[Profile], workers: Iterable[Worker]
+) -> Refusal | None:
+    """Return why the guarantees cannot all be kept at once, ``None`` if they can."""
+    if isinstance(profiles, Mapping):
+        profiles = profiles.values()
+    by_region: dict[str, list[Profile]] = {}
+    for profile in profiles:
+        by_region.setdefault(profile.region, []).append(profile)
+    workers = list(workers)
+    for region, members in by_region.items():
+        topology = Cells()
+        for worker in workers:
+            if worker.region == region:
+                topology.add_worker(worker)
+        cells = [cell for each in members for cell in create_guaranteed_cells(each)]
+        if pack_all(cells, topology):
+            continue
+        cell = next(each for each in cells if not each.carried)
+        total = sum(each.worker.accelerators for each in topology.workers.values())
+        wanted = sum(each.accelerators for each in cells)
+        return not_run(
+            Reason.INFEASIBLE_GUARANTEES,
+            f"guarantees: {cell.accelerators} accelerators with adjacency "
+            f"{cell.adjacency.value!r} in zones {', '.join(cell.zones)} of profile "
+            f"{cell.profile!r} cannot be packed beside the other guarantees; "
+            f"{wanted} accelerators are guaranteed and region {region!r} has {total}",
+            "reduce a guaranteed shape, widen its adjacency or add zones",
+        )
+    return None
--- /dev/null
+++ b/src/egretloft/_internal/scheduling/guarantees.py
@@ -0,0 +1,301 @@
+"""Lazy binding of guarantees to cells.
+
+Every unbound guaranteed cell has an earmark: units on workers that are free or hold
+reclaimable work. Earmarks of all cells and pinned work are disjoint, so they prove that
+every guarantee can be reclaimed at once. They move freely: pinning work where an
+earmark lies is allowed when the earmark can be packed elsewhere.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+
+from egretloft._internal.models.profiles import Adjacency, Profile
+from egretloft._internal.scheduling.cells import Cells
+from egretloft._internal.scheduling.packing import (
+    GuaranteedCell,
+    Packing,
+    create_guaranteed_cells,
+    find_packing,
+    pack_all,
+    packing_order,
+    set_earmark,
+)
+from egretloft._internal.scheduling.tables import Amount
+
+Cover = list[tuple[GuaranteedCell, Packing]]
+"""Units of guaranteed cells that a gang uses."""
+
+
+class Guarantees:
+    """Guaranteed cells of all profiles, their use and their earmarks."""
+
+    def __init__(self, topology: Cells) -> None:
+        self.topology = topology
+        self.cells: dict[str, list[GuaranteedCell]] = {}
+        self.free_units: dict[str, int] = {}
+
+    def all_cells(self) -> Iterable[GuaranteedCell]:
+        """Yield the cells of all profiles."""
+        for cells in self.cells.values():
+            yield from cells
+
+    def set_profile(self, profile: Profile) -> None:
+        """Create the cells of a profile; no gang may be bound to it."""
+        self.drop_profile(profile.name)
+        cells = create_guaranteed_cells(profile)
+        if cells:
+            self.cells[profile.name] = cells
+            self.free_units[profile.name] = sum(each.accelerators for each in cells)
+
+    def drop_profile(self, name: str) -> None:
+        """Forget a profile; no gang may be bound to it."""
+        for cell in self.cells.pop(name, ()):
+            set_earmark(cell, None, self.topology)
+        self.free_units.pop(name, None)
+
+    def repack(self) -> bool:
+        """Find a place for all earmarks anew; return whether all are carried."""
+        return pack_all(list(self.all_cells()), self.topology)
+
+    def uncarried(self) -> list[GuaranteedCell]:
+        """Return the cells that no worker carries at present."""
+        return [cell for cell in self.all_cells() if not cell.carried]
+
+    def room_for(self, profile: str) -> dict[str, int]:
+        """Return the units by worker that only the profile's own earmarks hold."""
+        own: dict[str, int] = {}
+        for cell in self.cells.get(profile, ()):
+            for worker_id, units in cell.earmark.items():
+                own[worker_id] = own.get(worker_id, 0) + units
+        return own
+
+    def bind(self, profile: str, job_id: str, needs: Mapping[str, Amount]) -> bool:
+        """Pin a gang within the guarantee of its profile, or change nothing."""
+        if profile not in self.cells:
+            return False
+        units = self._units(needs)
+        if not units or sum(units.values()) > self.free_units[profile]:
+            return False
+        cover = self._cover(profile, units)
+        if cover is None:
+            return False
+        undo: dict[int, tuple[GuaranteedCell, Packing, bool]] = {}
+        self._pin(needs, 1)
+        for cell, packing in cover:
+            self._lift(cell, undo)
+            self._use(cell, job_id, packing, 1)
+        if self._settle([cell for cell, _ in cover], units, undo):
+            return True
+        for cell, packing in cover:
+            self._use(cell, job_id, packing, -1)
+        self._pin(needs, -1)
+        self._restore(undo)
+        return False
+
+    def unbind(self, profile: str, job_id: str, needs: Mapping[str, Amount]) -> None:
+        """Give back the cells that a gang used; they can be bound elsewhere."""
+        self._pin(needs, -1)
+        for cell in self.cells.get(profile, ()):
+            packing = cell.used.get(job_id)
+            if packing is None:
+                continue
+            self._use(cell, job_id, packing, -1)
+            former, was_carried = cell.earmark, cell.carried
+            set_earmark(cell, None, self.topology)
+            if not cell.used or not was_carried:
+                # An idle cell may lie anywhere, and a compact place is preferred.
+                found = find_packing(cell, self.topology)
+                if found is not None:
+                    set_earmark(cell, found, self.topology)
+                    continue
+            merged = dict(former)
+            for worker_id, units in packing.items():
+                merged[worker_id] = merged.get(worker_id, 0) + units
+            if was_carried and self._fits(merged):
+                set_earmark(cell, merged, self.topology)
+            else:
+                self.adjust(cell)
+
+    def pin(self, needs: Mapping[str, Amount]) -> None:
+        """Pin work that lies in no guarantee and that cannot be reclaimed."""
+        self._pin(needs, 1)
+        self.repair(needs)
+
+    def unpin(self, needs: Mapping[str, Amount]) -> None:
+        """Undo ``pin``."""
+        self._pin(needs, -1)
+
+    def repair(self, worker_ids: Iterable[str]) -> None:
+        """Move earmarks off workers that cannot carry them any more."""
+        undo: dict[int, tuple[GuaranteedCell, Packing, bool]] = {}
+        if not self._settle([], worker_ids, undo):
+            self._restore(undo)
+            self.repack()
+
+    def place(self, uncarried: Iterable[GuaranteedCell]) -> None:
+        """Find places for cells that have none, moving others where that helps."""
+        for cell in sorted(uncarried, key=packing_order):
+            set_earmark(cell, find_packing(cell, self.topology), self.topology)
+        if self.uncarried():
+            self.repack()
+
+    def adjust(self, cell: GuaranteedCell) -> None:
+        """Find a place for one cell, moving others where that helps."""
+        set_earmark(cell, find_packing(cell, self.topology), self.topology)
+        if not cell.carried:
+            self.repack()
+
+    def _fits(self, packing: Packing) -> bool:
+        for worker_id, units in packing.items():
+            row = self.topology.workers.get(worker_id)
+            if row is None or row.room() < units:
+                return False
+        return True
+
+    def _units(self, needs: Mapping[str, Amount]) -> Packing:
+        workers = self.topology.workers
+        return {
+            worker_id: workers[worker_id].units(amount)
+            for worker_id, amount in needs.items()
+        }
+
+    def _pin(self, needs: Mapping[str, Amount], sign: int) -> None:
+        for worker_id, amount in needs.items():
+            row = self.topology.workers.get(worker_id)
+            if row is not None:
+                self.topology.pin(row, amount, sign)
+
+    def _use(
+        self, cell: GuaranteedCell, job_id: str, packing: Packing, sign: int
+    ) -> None:
+        if sign > 0:
+            cell.used[job_id] = packing
+        else:
+            del cell.used[job_id]
+        units = sign * sum(packing.values())
+        cell.used_units += units
+        self.free_units[cell.profile] -= units
+
+    def _lift(
+        self,
+        cell: GuaranteedCell,
+        undo: dict[int, tuple[GuaranteedCell, Packing, bool]],
+    ) -> None:
+        undo.setdefault(id(cell), (cell, cell.earmark, cell.carried))
+        set_earmark(cell, None, self.topology)
+
+    def _restore(
+        self, undo: Mapping[int, tuple[GuaranteedCell, Packing, bool]]
+    ) -> None:
+        for cell, _, _ in undo.values():
+            set_earmark(cell, None, self.topology)
+        for cell, earmark, carried in undo.values():
+            set_earmark(cell, earmark if carried else None, self.topology)
+
+    def _settle(
+        self,
+        lifted: list[GuaranteedCell],
+        worker_ids: Iterable[str],
+        undo: dict[int, tuple[GuaranteedCell, Packing, bool]],
+    ) -> bool:
+        """Pack the lifted cells and those on overfull workers; true when all fit.
+
+        Cells that were not carried before need not be carried afterwards, unless the
+        gang is bound to them.
+        """
+        rows = [
+            row
+            for worker_id in worker_ids
+            if (row := self.topology.workers.get(worker_id)) is not None
+        ]
+        overfull = {row.worker.worker_id: row for row in rows if row.room() < 0}
+        if overfull:
+            for cell in list(self.all_cells()):
+                if any(
+                    worker_id in overfull and overfull[worker_id].room() < 0
+                    for worker_id in cell.earmark
+                ):
+                    self._lift(cell, undo)
+                    lifted.append(cell)
+            if any(row.room() < 0 for row in overfull.values()):
+                return False
+        if self._pack_lifted(lifted, undo):
+            return True
+        if not overfull and not lifted:
+            return True
+        # Other earmarks may be in the way: pack all anew.
+        for cell in self.all_cells():
+            if id(cell) not in undo:
+                undo[id(cell)] = (cell, cell.earmark, cell.carried)
+            set_earmark(cell, None, self.topology)
+        return self._pack_lifted(list(self.all_cells()), undo)
+
+    def _pack_lifted(
+        self,
+        lifted: list[GuaranteedCell],
+        undo: Mapping[int, tuple[GuaranteedCell, Packing, bool]],
+    ) -> bool:
+        for cell in sorted(lifted, key=packing_order):
+            found = find_packing(cell, self.topology)
+            set_earmark(cell, found, self.topology)
+            if found is None and undo[id(cell)][2]:
+                return False
+        return True
+
+    def _cover(self, profile: str, units: Packing) -> Cover | None:
+        """Choose the cells that a gang on these workers would use."""
+        cells = [cell for cell in self.cells[profile] if cell.residual > 0]
+        total = sum(units.values())
+        whole = [
+            cell
+            for cell in cells
+            if cell.residual >= total and self._contains(cell, units)
+        ]
+        if whole:
+            # The tightest cell, one in use first: others stay whole and movable.
+            best = min(
+                whole, key=lambda cell: (cell.residual, not cell.used, cell.number)
+            )
+            return [(best, dict(units))]
+        return self._cover_parts(cells, units)
+
+    def _cover_parts(self, cells: list[GuaranteedCell], units: Packing) -> Cover | None:
+        left = {id(cell): cell.residual for cell in cells}
+        parts: dict[int, tuple[GuaranteedCell, Packing]] = {}
+        for worker_id, needed in units.items():
+            while needed:
+                best: GuaranteedCell | None = None
+                best_key = (False, 0)
+                for cell in cells:
+                    room = left[id(cell)]
+                    part = parts.get(id(cell), (cell, {}))[1]
+                    if room <= 0 or not self._contains(cell, [*part, worker_id]):
+                        continue
+                    key = (room < needed, room if room >= needed else -room)
+                    if best is None or key < best_key:
+                        best, best_key = cell, key
+                if best is None:
+                    return None
+                taken = min(needed, left[id(best)])
+                left[id(best)] -= taken
+                needed -= taken
+                part = parts.setdefault(id(best), (best, {}))[1]
+                part[worker_id] = part.get(worker_id, 0) + taken
+        return list(parts.values())
+
+    def _contains(self, cell: GuaranteedCell, worker_ids: Iterable[str]) -> bool:
+        """Return whether the cell, as far as it is fixed, can lie on the workers."""
+        places = set()
+        for worker_id in (*cell.used_workers(), *worker_ids):
+            row = self.topology.workers.get(worker_id)
+            if row is None or row.worker.zone not in cell.zones:
+                return False
+            worker = row.worker
+            if cell.adjacency is Adjacency.WORKER:
+                places.add(worker_id)
+            elif cell.adjacency is Adjacency.RACK:
+                places.add(f"{worker.zone}/{worker.rack}")
+            else:
+                places.add(worker.zone)
+        return len(places) == 1
--- /dev/null
+++ b/src/egretloft/_internal/scheduling/placement.py
@@ -0,0 +1,188 @@
+"""Choice of workers for a gang: best fit that keeps large cells whole."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable, Mapping
+
+from egretloft._internal.models.jobs import JobSpec
+from egretloft._internal.models.profiles import Adjacency
+from egretloft._internal.scheduling.cells import Cells
+from egretloft._internal.scheduling.tables import Amount, WorkerRow, Zone, task_amount
+
+TaskCounts = dict[str, int]
+"""Number of tasks by worker id."""
+
+Fit = Callable[[WorkerRow], int]
+"""How many tasks of the gang a worker can take."""
+
+# Workers of one size that are compared before the best of them is taken.
+COMPARED_WORKERS = 32
+
+
+def fit_amount(amount: Amount, accelerators: int, cores: int, memory_gb: int) -> int:
+    """Return how many tasks of the amount fit; a task that needs nothing fits once."""
+    fit = 1 << 30
+    if amount.accelerators:
+        fit = accelerators // amount.accelerators
+    if amount.cores:
+        fit = min(fit, cores // amount.cores)
+    if amount.memory_gb:
+        fit = min(fit, memory_gb // amount.memory_gb)
+    return max(0, fit)
+
+
+def free_fit(amount: Amount) -> Fit:
+    """Return the fit into what is free now."""
+
+    def fit(row: WorkerRow) -> int:
+        return fit_amount(
+            amount, row.free_accelerators, row.free_cores, row.free_memory_gb
+        )
+
+    return fit
+
+
+def needs_of(spec: JobSpec, counts: Mapping[str, int]) -> dict[str, Amount]:
+    """Return what the gang takes by worker."""
+    amount = task_amount(spec)
+    return {worker_id: amount.times(count) for worker_id, count in counts.items()}
+
+
+def find_free(
+    spec: JobSpec, zones: Iterable[str], topology: Cells, fit: Fit
+) -> TaskCounts | None:
+    """Return workers with enough free for the gang, ``None`` when there are none.
+
+    ``fit`` must not exceed what is free.
+    """
+    found = [
+        zone
+        for name in zones
+        if (zone := topology.zones.get(name)) is not None
+        and zone.in_service
+        and zone.free_accelerators >= spec.accelerators
+    ]
+    if spec.adjacency is Adjacency.WORKER or spec.tasks == 1:
+        return _find_worker(spec, found, fit)
+    best: TaskCounts | None = None
+    best_key = (0, 0)
+    for zone in found:
+        for location in zone.locations(spec.adjacency):
+            counts, left = _fill_location(spec, location, fit)
+            if counts is None:
+                continue
+            # The location that keeps the fewest whole workers, then the least, free.
+            key = (_whole_workers_left(location, counts), left)
+            if best is None or key < best_key:
+                best, best_key = counts, key
+    return best
+
+
+def _find_worker(spec: JobSpec, zones: list[Zone], fit: Fit) -> TaskCounts | None:
+    """Return the worker on which the gang leaves the fewest accelerators free."""
+    sizes = sorted(
+        {free for zone in zones for free in zone.by_free if free >= spec.accelerators}
+    )
+    for free in sizes:
+        best: WorkerRow | None = None
+        best_key = (0, 0)
+        for zone in zones:
+            compared = 0
+            for row in zone.by_free.get(free, {}).values():
+                if fit(row) < spec.tasks:
+                    continue
+                rack = zone.racks[row.worker.rack]
+                # Fuller racks and zones first, so that whole ones stay whole.
+                key = (rack.free_accelerators, zone.free_accelerators)
+                if best is None or key < best_key:
+                    best, best_key = row, key
+                compared += 1
+                if compared >= COMPARED_WORKERS:
+                    break
+        if best is not None:
+            return {best.worker.worker_id: spec.tasks}
+    return None
+
+
+def _fill_location(
+    spec: JobSpec, location: Mapping[str, WorkerRow], fit: Fit
+) -> tuple[TaskCounts | None, int]:
+    """Fill the fullest workers of the location first; also return what is left."""
+    fits = [
+        (row, count)
+        for row in location.values()
+        if row.usable and (count := fit(row)) > 0
+    ]
+    if sum(count for _, count in fits) < spec.tasks:
+        return None, 0
+    fits.sort(key=lambda item: item[0].free_accelerators)
+    counts: TaskCounts = {}
+    tasks = spec.tasks
+    for row, count in fits:
+        taken = min(count, tasks)
+        counts[row.worker.worker_id] = taken
+        tasks -= taken
+        if not tasks:
+            break
+    left = sum(row.free_accelerators for row in location.values() if row.usable)
+    return counts, left - spec.accelerators
+
+
+def _whole_workers_left(
+    location: Mapping[str, WorkerRow], counts: Mapping[str, int]
+) -> int:
+    return sum(
+        1
+        for worker_id, row in location.items()
+        if row.usable
+        and worker_id not in counts
+        and row.free_accelerators == row.worker.accelerators
+    )
+
+
+def find_cheapest(
+    spec: JobSpec,
+    zones: Iterable[str],
+    topology: Cells,
+    fit: Fit,
+    cost: Callable[[WorkerRow, Amount], float],
+) -> TaskCounts | None:
+    """Return workers for the gang at the least total cost.
+
+    ``cost(row, amount)`` is the price of having the amount on the worker.
+    """
+    amount = task_amount(spec)
+    best: TaskCounts | None = None
+    best_cost = 0.0
+    for name in zones:
+        zone = topology.zones.get(name)
+        if zone is None or not zone.in_service:
+            continue
+        if spec.adjacency is Adjacency.WORKER:
+            locations: Iterable[Mapping[str, WorkerRow]] = (
+                {worker_id: row} for worker_id, row in zone.workers.items()
+            )
+        else:
+            locations = zone.locations(spec.adjacency)
+        for location in locations:
+            fits = [
+                (cost(row, amount.times(min(count, spec.tasks))) / count, row, count)
+                for row in location.values()
+                if row.usable and (count := fit(row)) > 0
+            ]
+            if sum(count for _, _, count in fits) < spec.tasks:
+                continue
+            fits.sort(key=lambda item: (item[0], item[1].free_accelerators))
+            counts: TaskCounts = {}
+            tasks = spec.tasks
+            total = 0.0
+            for _, row, count in fits:
+                taken = min(count, tasks)
+                counts[row.worker.worker_id] = taken
+                total += cost(row, amount.times(taken))
+                tasks -= taken
+                if not tasks:
+                    break
+            if best is None or total < best_cost:
+                best, best_cost = counts, total
+    return best
--- /dev/null
+++ b/src/egretloft/_internal/scheduling/state.py
@@ -0,0 +1,337 @@
+"""The scheduler's tables and the transitions of gangs between them."""
+
+from __future__ import annotations
+
+import heapq
+from collections import Counter
+from collections.abc import Mapping
+
+from egretloft._internal.models.jobs import JobSpec, Placement, Priority, TaskPlacement
+from egretloft._internal.models.outcomes import Reason
+from egretloft._internal.models.profiles import Profile
+from egretloft._internal.scheduling.cells import Cells, device_indexes
+from egretloft._internal.scheduling.decisions import (
+    Decision,
+    EndJob,
+    StartGang,
+    StopGang,
+    StopReason,
+)
+from egretloft._internal.scheduling.estimates import Estimates
+from egretloft._internal.scheduling.guarantees import Guarantees
+from egretloft._internal.scheduling.placement import needs_of
+from egretloft._internal.scheduling.queueing import Queue
+from egretloft._internal.scheduling.reservations import Reservation
+from egretloft._internal.scheduling.settings import SchedulerSettings
+from egretloft._internal.scheduling.tables import (
+    Amount,
+    GangState,
+    JobRow,
+    WorkerRow,
+    task_amount,
+)
+
+
+class State:
+    """Tables of workers, jobs, profiles, claims and reservations."""
+
+    def __init__(self, settings: SchedulerSettings) -> None:
+        self.settings = settings
+        self.now = 0.0
+        self.cells = Cells()
+        self.guarantees = Guarantees(self.cells)
+        self.estimates = Estimates(settings.estimate_quantile)
+        self.queue = Queue()
+        self.profiles: dict[str, Profile] = {}
+        self.jobs: dict[str, JobRow] = {}
+        self.gangs: dict[str, dict[str, JobRow]] = {}
+        self.claims: dict[str, JobRow] = {}
+        self.reservations: dict[str, Reservation] = {}
+        self.reserved: dict[str, Reservation] = {}
+        self.profile_use: Counter[str] = Counter()
+        self.organisation_use: Counter[str] = Counter()
+        # Rises when a profile's work ends or its terms change.
+        self.profile_version: Counter[str] = Counter()
+        self.promotable: set[str] = set()
+        self.timers: list[tuple[float, int, str, str]] = []
+        self.timer_number = 0
+        self.decisions: list[Decision] = []
+        self.changed = False
+
+    def set_timer(self, at: float, kind: str, subject: str) -> None:
+        """Wake the scheduler at a time."""
+        self.timer_number += 1
+        heapq.heappush(self.timers, (at, self.timer_number, kind, subject))
+
+    def blocked_mark(self, spec: JobSpec) -> tuple[int, int]:
+        """Return what must change before a job that could not start is tried again."""
+        profile = self.profiles[spec.profile]
+        zones = self.cells.zones
+        freed = sum(zones[name].freed for name in profile.zones if name in zones)
+        return freed, self.profile_version[spec.profile]
+
+    def enqueue(self, row: JobRow) -> None:
+        """Let a job wait at its place, after ``not_before`` if that is set."""
+        row.state = GangState.WAITING
+        self.changed = True
+        if row.not_before > self.now:
+            self.set_timer(row.not_before, "retry", row.spec.job_id)
+            return
+        self.queue.add(row, self.expected_seconds(row))
+
+    def expected_seconds(self, row: JobRow) -> float:
+        """Return the expected run time of the next attempt."""
+        return max(1.0, self.estimates.run_seconds(row.spec) - row.kept_seconds)
+
+    def expected_end(self, job_id: str) -> float:
+        """Return when the cells of a gang are expected to be free."""
+        row = self.jobs[job_id]
+        if row.stopping or row.ending is not None:
+            return self.now + self.settings.stop_seconds
+        if row.state is GangState.STARTING:
+            return self.now + self.expected_seconds(row)
+        elapsed = max(0.0, self.now - row.started_at)
+        return self.now + self.estimates.remaining_seconds(
+            row.spec, elapsed + row.kept_seconds
+        )
+
+    def start(self, row: JobRow, counts: Mapping[str, int], covered: bool) -> None:
+        """Hold the cells of a gang and decide its start.
+
+        Work that is covered has been bound to its guarantee by the caller.
+        """
+        spec = row.spec
+        self.queue.discard(spec.job_id)
+        self.drop_reservation(spec.job_id)
+        amount = task_amount(spec)
+        tasks: list[TaskPlacement] = []
+        for worker_id, count in counts.items():
+            worker = self.cells.workers[worker_id]
+            for _ in range(count):
+                devices = self.cells.hold(worker, spec.job_id, amount)
+                tasks.append(TaskPlacement(len(tasks), worker_id, devices))
+                row.devices[worker_id] = row.devices.get(worker_id, ()) + devices
+        row.needs = needs_of(spec, counts)
+        row.attempt += 1
+        row.state = GangState.STARTING
+        row.started_at = self.now
+        row.stopping = False
+        row.covered = row.pinned = covered
+        self._count_use(row, 1)
+        self.gangs.setdefault(spec.profile, {})[spec.job_id] = row
+        self.decisions.append(StartGang(spec.job_id, row.attempt, tuple(tasks)))
+
+    def adopt(self, row: JobRow, placement: Placement) -> None:
+        """Hold the cells of a gang that runs already.
+
+        Tasks on unknown workers and devices that are held by others are left out.
+        """
+        spec = row.spec
+        amount = task_amount(spec)
+        for task in placement:
+            worker = self.cells.workers.get(task.worker_id)
+            if worker is None:
+                continue
+            mask = sum(1 << device for device in task.accelerators) & worker.free_mask
+            held = Amount(mask.bit_count(), amount.cores, amount.memory_gb)
+            self.cells.hold_devices(worker, spec.job_id, held, mask)
+            row.devices[task.worker_id] = row.devices.get(
+                task.worker_id, ()
+            ) + device_indexes(mask)
+            row.needs[task.worker_id] = worker.gangs[spec.job_id]
+        row.state = GangState.RUNNING
+        self._count_use(row, 1)
+        self.gangs.setdefault(spec.profile, {})[spec.job_id] = row
+        self.cover_or_pin(row)
+
+    def cover_or_pin(self, row: JobRow) -> None:
+        """Bind a gang to its guarantee; pin it in any case if it cannot restart."""
+        if self.guarantees.bind(row.spec.profile, row.spec.job_id, row.needs):
+            row.covered = row.pinned = True
+        elif not row.spec.restartable:
+            self.guarantees.pin(row.needs)
+            row.pinned = True
+
+    def uncover(self, row: JobRow) -> None:
+        """Make a gang reclaimable, or at least no part of its guarantee."""
+        if row.covered:
+            self.guarantees.unbind(row.spec.profile, row.spec.job_id, row.needs)
+        elif row.pinned:
+            self.guarantees.unpin(row.needs)
+        row.covered = row.pinned = False
+
+    def release(self, row: JobRow) -> None:
+        """Take back all that a gang holds or claims."""
+        spec = row.spec
+        if row.state is GangState.WAITING:
+            self.queue.discard(spec.job_id)
+            self.drop_reservation(spec.job_id)
+            return
+        if row.state is GangState.CLAIMED:
+            self._drop_claim(row)
+        else:
+            for worker_id in row.needs:
+                worker = self.cells.workers[worker_id]
+                self.cells.release(worker, spec.job_id, row.devices.get(worker_id, ()))
+            del self.gangs[spec.profile][spec.job_id]
+        self.uncover(row)
+        self._count_use(row, -1)
+        row.needs = {}
+        row.devices = {}
+        row.stopping = False
+        self.profile_version[spec.profile] += 1
+        self.promotable.add(spec.profile)
+        self.changed = True
+
+    def forget(self, row: JobRow) -> None:
+        """Drop a job that is final; its cells have been released."""
+        self.queue.discard(row.spec.job_id)
+        self.drop_reservation(row.spec.job_id)
+        del self.jobs[row.spec.job_id]
+
+    def end(self, row: JobRow, reason: Reason) -> None:
+        """End a job; one that holds cells is forgotten when they are free."""
+        if row.ending is not None:
+            return
+        self.decisions.append(EndJob(row.spec.job_id, reason))
+        if row.holds_cells:
+            row.ending = reason
+        else:
+            self.release(row)
+            self.forget(row)
+        self.changed = True
+
+    def stop(self, row: JobRow, reason: StopReason, for_job_id: str = "") -> None:
+        """Stop a gang so that it is queued again."""
+        row.stopping = True
+        self.decisions.append(StopGang(row.spec.job_id, reason, for_job_id))
+
+    def claim(self, row: JobRow, counts: Mapping[str, int], covered: bool) -> None:
+        """Claim cells for a gang and stop the borrowed work on them."""
+        spec = row.spec
+        self.queue.discard(spec.job_id)
+        self.drop_reservation(spec.job_id)
+        if covered:
+            self._cancel_uncovered_claims(counts)
+        row.needs = needs_of(spec, counts)
+        row.claimed_tasks = dict(counts)
+        row.state = GangState.CLAIMED
+        row.covered = row.pinned = covered
+        self._count_use(row, 1)
+        for worker_id, amount in row.needs.items():
+            self.cells.claim(self.cells.workers[worker_id], amount, 1)
+        self.claims[spec.job_id] = row
+        reason = (
+            StopReason.RECLAIM
+            if covered or spec.priority is not Priority.URGENT
+            else StopReason.URGENT
+        )
+        for worker_id in row.needs:
+            worker = self.cells.workers[worker_id]
+            for victim in self.victims(worker, spec, Amount(0, 0, 0)) or ():
+                self.stop(victim, reason, spec.job_id)
+
+    def victims(
+        self, worker: WorkerRow, spec: JobSpec, amount: Amount
+    ) -> list[JobRow] | None:
+        """Return borrowed gangs to stop before the amount is free on the worker.
+
+        ``None`` means that stopping all of them is not enough.
+        """
+        short = [
+            amount.accelerators - worker.free_accelerators,
+            amount.cores - worker.free_cores,
+            amount.memory_gb - worker.free_memory_gb,
+        ]
+        if max(short) <= 0:
+            return []
+        candidates: list[JobRow] = []
+        for job_id, held in worker.gangs.items():
+            row = self.jobs[job_id]
+            if row.stopping or row.ending is not None:
+                for index in range(3):
+                    short[index] -= held[index]
+            elif row.reclaimable:
+                candidates.append(row)
+        chosen: list[JobRow] = []
+        candidates.sort(key=lambda row: (self.stop_cost(row), row.spec.job_id))
+        worker_id = worker.worker.worker_id
+        for row in candidates:
+            if max(short) <= 0:
+                break
+            held = row.needs[worker_id]
+            # A gang without what is short would be stopped in vain.
+            if any(short[index] > 0 and held[index] > 0 for index in range(3)):
+                chosen.append(row)
+                for index in range(3):
+                    short[index] -= held[index]
+        return chosen if max(short) <= 0 else None
+
+    def stop_cost(self, row: JobRow) -> float:
+        """Return the accelerator-seconds that are lost when a gang is stopped."""
+        seconds = self.settings.restart_seconds
+        if not row.spec.checkpointable:
+            seconds += max(0.0, self.now - row.started_at)
+        return seconds * max(1, row.spec.accelerators)
+
+    def start_ready_claims(self) -> None:
+        """Start the claimed gangs whose cells have become free."""
+        for row in sorted(
+            self.claims.values(),
+            key=lambda row: (not row.covered, row.spec.submitted_at, row.spec.job_id),
+        ):
+            workers = [self.cells.workers[worker_id] for worker_id in row.needs]
+            if not all(worker.usable for worker in workers):
+                self.release(row)
+                self.enqueue(row)
+            elif all(
+                self._is_held_free(worker, row.needs[worker.worker.worker_id])
+                for worker in workers
+            ):
+                counts = row.claimed_tasks
+                covered = row.covered
+                self._drop_claim(row)
+                self._count_use(row, -1)
+                self.start(row, counts, covered)
+
+    def _is_held_free(self, worker: WorkerRow, amount: Amount) -> bool:
+        return (
+            worker.free_accelerators + worker.claimed_accelerators
+            >= amount.accelerators
+            and worker.free_cores + worker.claimed_cores >= amount.cores
+            and worker.free_memory_gb + worker.claimed_memory_gb >= amount.memory_gb
+        )
+
+    def _drop_claim(self, row: JobRow) -> None:
+        del self.claims[row.spec.job_id]
+        for worker_id, amount in row.needs.items():
+            self.cells.claim(self.cells.workers[worker_id], amount, -1)
+
+    def _cancel_uncovered_claims(self, counts: Mapping[str, int]) -> None:
+        for row in list(self.claims.values()):
+            if not row.covered and not row.needs.keys().isdisjoint(counts):
+                self.release(row)
+                self.enqueue(row)
+
+    def _count_use(self, row: JobRow, sign: int) -> None:
+        amount = sign * row.spec.accelerators
+        self.profile_use[row.spec.profile] += amount
+        self.organisation_use[row.spec.organisation] += amount
+
+    def reserve(self, reservation: Reservation) -> None:
+        """Keep cells for a waiting gang."""
+        self.reservations[reservation.job_id] = reservation
+        for worker_id in reservation.needs:
+            self.reserved[worker_id] = reservation
+
+    def drop_reservation(self, job_id: str) -> None:
+        """Give up a reservation, if there is one."""
+        reservation = self.reservations.pop(job_id, None)
+        if reservation is None:
+            return
+        for worker_id in reservation.needs:
+            if self.reserved.get(worker_id) is reservation:
+                del self.reserved[worker_id]
+            row = self.cells.workers.get(worker_id)
+            if row is not None:
+                self.cells.zones[row.worker.zone].freed += 1
--- /dev/null
+++ b/src/egretloft/_internal/scheduling/tables.py
@@ -0,0 +1,189 @@
+"""Entities of the scheduler, kept in tables by id."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import NamedTuple
+
+from egretloft._internal.models.jobs import JobSpec
+from egretloft._internal.models.outcomes import Reason
+from egretloft._internal.models.profiles import Adjacency
+from egretloft._internal.models.topology import Worker
+
+
+class Amount(NamedTuple):
+    """Accelerators, cores and gigabytes of memory."""
+
+    accelerators: int
+    cores: int
+    memory_gb: int
+
+    def times(self, count: int) -> Amount:
+        """Return the amount of ``count`` equal tasks."""
+        return Amount(
+            self.accelerators * count, self.cores * count, self.memory_gb * count
+        )
+
+
+def task_amount(spec: JobSpec) -> Amount:
+    """Return what one task of the job needs."""
+    return Amount(spec.accelerators_per_task, spec.cores, spec.memory_gb)
+
+
+@dataclass(slots=True)
+class WorkerRow:
+    """A worker and what is held on it.
+
+    ``free_*`` is what no gang holds and no claim waits for; it is negative while a
+    claim waits for work that is being stopped. ``pinned_*`` is held or claimed by
+    work that cannot be reclaimed. ``earmarked`` is the number of units that unbound
+    guarantees count on; it may overlap with reclaimable work. A unit is one
+    accelerator with its share of the worker's cores and memory.
+    """
+
+    worker: Worker
+    free_mask: int
+    free_accelerators: int
+    free_cores: int
+    free_memory_gb: int
+    claimed_accelerators: int = 0
+    claimed_cores: int = 0
+    claimed_memory_gb: int = 0
+    pinned_accelerators: int = 0
+    pinned_cores: int = 0
+    pinned_memory_gb: int = 0
+    earmarked: int = 0
+    gangs: dict[str, Amount] = field(default_factory=dict)
+    listed: bool = True
+    leaving: bool = False
+    in_service: bool = True
+    quarantined: bool = False
+    probation: bool = False
+    usable: bool = True
+
+    @property
+    def is_claimed(self) -> bool:
+        """Whether a claim waits for cells of this worker."""
+        return bool(
+            self.claimed_accelerators or self.claimed_cores or self.claimed_memory_gb
+        )
+
+    def units(self, amount: Amount) -> int:
+        """Return how many units of this worker the amount takes."""
+        worker = self.worker
+        total = worker.accelerators
+        return max(
+            amount.accelerators,
+            -(-amount.cores * total // worker.cores) if worker.cores else 0,
+            -(-amount.memory_gb * total // worker.memory_gb) if worker.memory_gb else 0,
+        )
+
+    def carried_units(self) -> int:
+        """Return how many units could serve guarantees beside pinned work."""
+        worker = self.worker
+        total = worker.accelerators
+        if not self.usable or self.probation or not total:
+            return 0
+        units = total - self.pinned_accelerators
+        if worker.cores:
+            units = min(
+                units, (worker.cores - self.pinned_cores) * total // worker.cores
+            )
+        if worker.memory_gb:
+            units = min(
+                units,
+                (worker.memory_gb - self.pinned_memory_gb) * total // worker.memory_gb,
+            )
+        return max(0, units)
+
+    def room(self) -> int:
+        """Return the units that pinned work and earmarks leave; may be negative."""
+        return self.carried_units() - self.earmarked
+
+
+class GangState(Enum):
+    """Where a job stands."""
+
+    WAITING = 0
+    CLAIMED = 1  # its cells are being reclaimed
+    STARTING = 2
+    RUNNING = 3
+
+
+@dataclass(slots=True)
+class JobRow:
+    """A job that is not yet final.
+
+    ``needs`` is what the gang holds or claims by worker. ``pinned`` work cannot be
+    reclaimed; ``covered`` work is pinned because it lies within its guarantee.
+    """
+
+    spec: JobSpec
+    attempt: int = 0
+    state: GangState = GangState.WAITING
+    needs: dict[str, Amount] = field(default_factory=dict)
+    devices: dict[str, tuple[int, ...]] = field(default_factory=dict)
+    claimed_tasks: dict[str, int] = field(default_factory=dict)
+    started_at: float = 0.0
+    pinned: bool = False
+    covered: bool = False
+    stopping: bool = False
+    ending: Reason | None = None
+    not_before: float = 0.0
+    # Run time that checkpoints have kept from earlier attempts.
+    kept_seconds: float = 0.0
+    failures: int = 0
+    failed_sets: set[frozenset[str]] = field(default_factory=set)
+    # Workers at which the job failed lately, passed over before ``avoid_until``.
+    avoid: set[str] = field(default_factory=set)
+    avoid_until: float = 0.0
+
+    @property
+    def holds_cells(self) -> bool:
+        """Whether members may run."""
+        return self.state in (GangState.STARTING, GangState.RUNNING)
+
+    @property
+    def reclaimable(self) -> bool:
+        """Whether the gang may be stopped for others and is not yet being stopped."""
+        return (
+            self.holds_cells
+            and not self.pinned
+            and not self.stopping
+            and self.ending is None
+        )
+
+
+@dataclass(slots=True)
+class Rack:
+    """Workers of one rack, with incremental totals over usable workers."""
+
+    name: str
+    zone: str
+    workers: dict[str, WorkerRow] = field(default_factory=dict)
+    free_accelerators: int = 0
+
+
+@dataclass(slots=True)
+class Zone:
+    """Racks of one zone; ``by_free`` holds usable workers by free accelerators."""
+
+    name: str
+    racks: dict[str, Rack] = field(default_factory=dict)
+    workers: dict[str, WorkerRow] = field(default_factory=dict)
+    by_free: dict[int, dict[str, WorkerRow]] = field(default_factory=dict)
+    free_accelerators: int = 0
+    in_service: bool = True
+    # Rises whenever cells become free or usable; a placement that failed is tried
+    # again only then.
+    freed: int = 0
+
+    def locations(self, adjacency: Adjacency) -> Iterator[dict[str, WorkerRow]]:
+        """Yield the workers of every cell of a level above a worker."""
+        if adjacency is Adjacency.ZONE:
+            yield self.workers
+        else:
+            for rack in self.racks.values():
+                yield rack.workers
