Add the path of a gang job from submission to its end

Cause: jobs had a data model but nothing that starts, renews or ends them. Change: job rows, JobService, the two-phase gang start, lease renewal, planned stop, adoption and GangOwner, with simulated time and fake workers for tests. JobRecord gets the zone of its placement, so that the account of a run does not depend on workers that have left the list.

--- /dev/null
+++ b/src/egretloft/_internal/gangs/inventory.py
@@ -0,0 +1,136 @@
+"""Task lists of the workers: which workers may be used, and tasks without a gang."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+import structlog
+from returns.result import Failure, Success
+
+from egretloft._internal.gangs.context import OwnerContext
+from egretloft._internal.gangs.entities import (
+    ACTIVE_TASK_STATES,
+    HOLDING_STATES,
+    Gang,
+    Member,
+)
+from egretloft._internal.gangs.stopping import stop_member
+from egretloft._internal.models.jobs import TaskPlacement
+from egretloft._internal.models.topology import Worker
+from egretloft._internal.platform.protocols import TaskReport
+
+log = structlog.get_logger(__name__)
+
+# Tasks without a gang are rare, so workers are asked seldom once they were listed.
+LIST_SECONDS = 30.0
+RETRY_SECONDS = 1.0
+CONCURRENT_LISTS = 100
+# Lease that a task without a gang may still be given by a call of a former owner.
+ORPHAN_LEASE_SECONDS = 15.5
+
+
+@dataclass(slots=True)
+class ListedWorker:
+    """A worker and what is known of its tasks; times are monotonic."""
+
+    worker: Worker
+    listed: bool = False
+    tried: bool = False
+    due_at: float = 0.0
+    call: asyncio.Task[None] | None = None
+
+
+class WorkerInventory:
+    """Lists the tasks of each worker and stops those that belong to no gang."""
+
+    def __init__(self, context: OwnerContext, gangs: Mapping[str, Gang]) -> None:
+        self.context = context
+        self.gangs = gangs
+        self.workers: dict[str, ListedWorker] = {}
+        # Orphans are looked for only when the job rows are loaded.
+        self.enabled = False
+        self.limit = asyncio.Semaphore(CONCURRENT_LISTS)
+
+    def tick(self) -> None:
+        """Start the calls that are due."""
+        listed = self.context.topology.workers
+        for worker_id in [w for w in self.workers if w not in listed]:
+            gone = self.workers.pop(worker_id)
+            if gone.call is not None:
+                gone.call.cancel()
+        if not self.enabled or not self.context.may_send():
+            return
+        now = self.context.clock.monotonic()
+        for worker_id, worker in listed.items():
+            entry = self.workers.setdefault(worker_id, ListedWorker(worker))
+            entry.worker = worker
+            if entry.call is None and entry.due_at <= now:
+                entry.call = asyncio.create_task(self._list(entry))
+
+    def is_listed(self, worker_id: str) -> bool:
+        """Return whether the worker's tasks are known, so that it may be used."""
+        entry = self.workers.get(worker_id)
+        return entry is not None and entry.listed
+
+    def all_tried(self) -> bool:
+        """Return whether each worker has answered or failed to answer once."""
+        listed = self.context.topology.workers
+        return all(
+            worker_id in self.workers and self.workers[worker_id].tried
+            for worker_id in listed
+        )
+
+    def close(self) -> None:
+        """End all calls."""
+        for entry in self.workers.values():
+            if entry.call is not None:
+                entry.call.cancel()
+
+    async def _list(self, entry: ListedWorker) -> None:
+        context = self.context
+        try:
+            async with self.limit:
+                if not context.may_send():
+                    return
+                result = await context.client.list_tasks(entry.worker.address)
+            now = context.clock.monotonic()
+            match result:
+                case Success(reports):
+                    orphans = [r for r in reports if self._is_orphan(r)]
+                    for report in orphans:
+                        await self._stop(entry.worker, report)
+                    entry.listed = True
+                    entry.due_at = now + LIST_SECONDS
+                case Failure(failure):
+                    context.metrics.count("list_failures", kind=failure.kind.value)
+                    entry.due_at = now + RETRY_SECONDS
+            entry.tried = True
+        finally:
+            entry.call = None
+
+    def _is_orphan(self, report: TaskReport) -> bool:
+        if report.state not in ACTIVE_TASK_STATES:
+            return False
+        gang = self.gangs.get(report.job_id)
+        return (
+            gang is None
+            or gang.record.attempt != report.attempt
+            or gang.record.state not in HOLDING_STATES
+        )
+
+    async def _stop(self, worker: Worker, report: TaskReport) -> None:
+        self.context.metrics.count("orphan_tasks")
+        log.warning("orphan task stopped", worker=worker.worker_id, task=report.task_id)
+        bound = self.context.clock.wall() + ORPHAN_LEASE_SECONDS
+        placement = TaskPlacement(
+            report.task_index, worker.worker_id, report.accelerators
+        )
+        member = Member(
+            placement,
+            report.task_id,
+            worker.address,
+            max(bound, report.lease_until),
+        )
+        await stop_member(self.context, member)
--- /dev/null
+++ b/src/egretloft/_internal/gangs/starting.py
@@ -0,0 +1,308 @@
+"""The start of a gang: all members throttled, then all released, or none."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import replace
+
+from returns.result import Failure, Success
+
+from egretloft._internal.gangs.context import (
+    COMMIT_TIMEOUT_SECONDS,
+    Change,
+    JobChange,
+    OwnerContext,
+)
+from egretloft._internal.gangs.entities import (
+    ACTIVE_TASK_STATES,
+    Gang,
+    Member,
+    member_checkpoint,
+)
+from egretloft._internal.gangs.records import (
+    epoch_check,
+    profile_check,
+    zone_check,
+)
+from egretloft._internal.gangs.renewal import LeaseRenewal
+from egretloft._internal.gangs.stopping import stop_members
+from egretloft._internal.models.jobs import JobRecord, JobState, Placement
+from egretloft._internal.models.outcomes import Reason
+from egretloft._internal.platform.protocols import (
+    CallFailureKind,
+    StoreFailureKind,
+    TaskStart,
+)
+from egretloft._internal.scheduling.events import (
+    Event,
+    GangEnded,
+    GangStarted,
+    GangStartFailed,
+)
+
+# A start that reaches its worker later than this is refused there.
+START_WINDOW_SECONDS = 2.0
+# Lease of a throttled member; it bounds how long a part of a gang can exist.
+THROTTLED_LEASE_SECONDS = 6.0
+# No release is sent in the last part of the throttled lease, because it could reach
+# some members after their lease has ended.
+RELEASE_MARGIN_SECONDS = 1.0
+# The release follows the second transaction, which checks the zone, within this time.
+RELEASE_WINDOW_SECONDS = 2.0
+RETRY_SECONDS = 0.2
+
+
+async def start_gang(
+    context: OwnerContext, gang: Gang, placement: Placement, renewal: LeaseRenewal
+) -> tuple[Event, ...]:
+    """Start a queued gang on ``placement`` and return what the scheduler is told."""
+    began_at = context.clock.wall()
+    former = gang.record
+    attempt = former.attempt + 1
+    if _cannot_start(context, former, placement):
+        return (GangStartFailed(gang.job_id, began_at),)
+    zone = context.topology.workers[placement[0].worker_id].zone
+    if not await _write_starting(context, gang, placement, zone, began_at):
+        return (GangStartFailed(gang.job_id, context.clock.wall()),)
+    gang.set_members(placement, attempt, context.topology.workers)
+    confirmed = await asyncio.gather(
+        *(_start_member(context, gang, member, began_at) for member in gang.members)
+    )
+    lease_until = began_at + THROTTLED_LEASE_SECONDS
+    second_at = context.clock.wall()
+    if all(confirmed) and await _write_running(context, gang, zone, lease_until):
+        release_before = min(
+            second_at + RELEASE_WINDOW_SECONDS, lease_until - RELEASE_MARGIN_SECONDS
+        )
+        if await renewal.release(gang, release_before):
+            return (GangStarted(gang.job_id, gang.record.started_at),)
+    return await settle_start(context, gang, released_before=former.released)
+
+
+async def settle_start(
+    context: OwnerContext, gang: Gang, *, released_before: bool
+) -> tuple[Event, ...]:
+    """Undo a start whose release was never sent; the job waits again.
+
+    Returns when every member is proved gone and the row says so.
+    """
+    await stop_members(context, gang)
+    attempt = gang.record.attempt
+    settled_at = context.clock.wall()
+
+    def change(record: JobRecord) -> JobChange | None:
+        if record.attempt != attempt or record.state not in {
+            JobState.STARTING,
+            JobState.RUNNING,
+        }:
+            return None
+        state = JobState.CANCELLED if record.cancel_requested else JobState.QUEUED
+        return JobChange(
+            replace(
+                record,
+                state=state,
+                placement=(),
+                zone="",
+                released=released_before,
+                start_window_ends_at=0.0,
+                reason=Reason.CANCELLED.value if record.cancel_requested else "",
+                ended_at=settled_at if record.cancel_requested else 0.0,
+            )
+        )
+
+    if not await context.write(gang, change):
+        return ()
+    context.metrics.count("gang_starts_failed")
+    failed = tuple(sorted(gang.failed_workers))
+    gang.clear_members()
+    now = context.clock.wall()
+    if gang.record.state is JobState.CANCELLED:
+        return (GangEnded(gang.job_id, now, JobState.CANCELLED),)
+    return (GangStartFailed(gang.job_id, now, failed),)
+
+
+def _cannot_start(
+    context: OwnerContext, record: JobRecord, placement: Placement
+) -> bool:
+    spec = record.spec
+    now = context.clock.wall()
+    return (
+        not context.may_send()
+        or record.state is not JobState.QUEUED
+        or record.cancel_requested
+        # Work that may not be repeated is started once, whatever the scheduler says.
+        or (record.released and not spec.restartable)
+        or (bool(spec.deadline_at) and not record.released and now >= spec.deadline_at)
+        or spec.profile not in context.view.profiles
+        or not placement
+        or any(
+            part.worker_id not in context.topology.workers
+            or context.topology.is_leaving(part.worker_id)
+            for part in placement
+        )
+    )
+
+
+async def _write_starting(
+    context: OwnerContext,
+    gang: Gang,
+    placement: Placement,
+    zone: str,
+    began_at: float,
+) -> bool:
+    former = gang.record
+    epoch = context.epoch()
+    if epoch is None or not context.view.zone_in_service(zone):
+        return False
+    wanted = replace(
+        former,
+        state=JobState.STARTING,
+        attempt=former.attempt + 1,
+        placement=placement,
+        zone=zone,
+        epoch=epoch.number,
+        start_window_ends_at=began_at + START_WINDOW_SECONDS,
+        reason="",
+        message="",
+    )
+    checks = (
+        epoch_check(epoch),
+        zone_check(context.view, zone),
+        profile_check(context.view, former.spec.profile),
+    )
+    async with context.commits:
+        result = await context.jobs.replace(
+            gang.row, wanted, checks, COMMIT_TIMEOUT_SECONDS
+        )
+    match result:
+        case Success(row):
+            gang.take_row(row)
+            return True
+        case Failure(failure):
+            context.metrics.count("gang_write_failures", kind=failure.kind.value)
+            if failure.kind is StoreFailureKind.CONFLICT:
+                await context.read_back(gang)
+            elif failure.kind is StoreFailureKind.UNKNOWN:
+                # Nothing was sent. The write below takes effect either way and keeps
+                # the unanswered one from taking effect later.
+                await context.write(gang, _skip_attempt(wanted.attempt))
+    return False
+
+
+def _skip_attempt(attempt: int) -> Change:
+    def change(record: JobRecord) -> JobChange | None:
+        if record.state not in {JobState.QUEUED, JobState.STARTING}:
+            return None
+        return JobChange(
+            replace(
+                record,
+                state=JobState.QUEUED,
+                attempt=attempt,
+                placement=(),
+                zone="",
+                start_window_ends_at=0.0,
+            )
+        )
+
+    return change
+
+
+async def _start_member(
+    context: OwnerContext, gang: Gang, member: Member, began_at: float
+) -> bool:
+    spec = gang.record.spec
+    start_before = began_at + START_WINDOW_SECONDS
+    lease_until = began_at + THROTTLED_LEASE_SECONDS
+    start = TaskStart(
+        task_id=member.task_id,
+        job_id=spec.job_id,
+        attempt=gang.record.attempt,
+        task_index=member.placement.task_index,
+        accelerators=member.placement.accelerators,
+        cores=spec.cores,
+        memory_gb=spec.memory_gb,
+        command=spec.command,
+        start_before=start_before,
+        lease_until=lease_until,
+        throttled=True,
+        checkpoint=member_checkpoint(gang.record, member.placement.task_index),
+    )
+    sent = False
+    may_have_started = False
+    # A repeated start of the same task id has no second effect, so an unanswered
+    # start is repeated until its window ends.
+    while _may_start(context, gang, member, start_before):
+        member.lease_bound = lease_until
+        sent = True
+        match await context.client.start(member.address, start):
+            case Success(report):
+                member.take_report(report, context.clock.wall())
+                if report.state in ACTIVE_TASK_STATES:
+                    return True
+                break
+            case Failure(failure):
+                context.metrics.count("start_failures", kind=failure.kind.value)
+                if failure.kind is CallFailureKind.REFUSED:
+                    break
+                may_have_started = (
+                    may_have_started or failure.kind is CallFailureKind.UNKNOWN
+                )
+        await context.sleep(RETRY_SECONDS)
+    if sent:
+        gang.failed_workers.add(member.placement.worker_id)
+    if not may_have_started:
+        member.gone = True
+    return False
+
+
+def _may_start(
+    context: OwnerContext, gang: Gang, member: Member, start_before: float
+) -> bool:
+    return (
+        context.may_send()
+        and context.clock.wall() < start_before
+        and context.view.zone_in_service(gang.record.zone)
+        and not context.topology.is_leaving(member.placement.worker_id)
+        and not gang.record.cancel_requested
+    )
+
+
+async def _write_running(
+    context: OwnerContext, gang: Gang, zone: str, lease_until: float
+) -> bool:
+    """Write that the gang may be released; false unless that is certain in time."""
+    last_moment = lease_until - RELEASE_MARGIN_SECONDS
+    now = context.clock.wall()
+    epoch = context.epoch()
+    record = gang.record
+    if epoch is None or record.cancel_requested or now >= last_moment:
+        return False
+    wanted = replace(record, state=JobState.RUNNING, released=True, started_at=now)
+    async with context.commits:
+        result = await context.jobs.replace(
+            gang.row,
+            wanted,
+            # The zone is checked again, so that a zone that went out since the first
+            # transaction does not see the gang begin its work.
+            (epoch_check(epoch), zone_check(context.view, zone)),
+            min(COMMIT_TIMEOUT_SECONDS, last_moment - now),
+        )
+    match result:
+        case Success(row):
+            gang.take_row(row)
+            return not gang.record.cancel_requested
+        case Failure(failure):
+            context.metrics.count("gang_write_failures", kind=failure.kind.value)
+            if failure.kind is StoreFailureKind.NOT_APPLIED:
+                return False
+    while context.clock.wall() < last_moment and context.epoch() is not None:
+        if await context.read_back(gang):
+            # A row that is still ``starting`` may change yet; the undoing write is
+            # checked against its version and settles that.
+            return (
+                gang.record.state is JobState.RUNNING
+                and gang.record.attempt == wanted.attempt
+                and not gang.record.cancel_requested
+            )
+        await context.sleep(RETRY_SECONDS)
+    return False
--- a/src/egretloft/_internal/models/jobs.py
+++ b/src/egretloft/_internal/models/jobs.py
@@ -103,3 +103,5 @@
     reason: str = ""
     message: str = ""
     results: tuple[str, ...] = ()
+    # Zone of the placement, for the account of a run whose workers are gone.
+    zone: str = ""
--- /dev/null
+++ b/tests/lib/first_fit.py
@@ -0,0 +1,87 @@
+"""A scheduler for tests: first fit by count, without guarantees."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from egretloft._internal.models.jobs import (
+    JobSpec,
+    JobState,
+    Placement,
+    TaskPlacement,
+)
+from egretloft._internal.models.topology import Worker
+from egretloft._internal.scheduling import decisions, events
+
+
+@dataclass(slots=True)
+class FirstFitScheduler:
+    """Starts queued jobs in order; ``extra`` holds decisions that a test injects."""
+
+    workers: dict[str, Worker] = field(default_factory=dict)
+    free: dict[str, set[int]] = field(default_factory=dict)
+    queued: dict[str, tuple[JobSpec, int]] = field(default_factory=dict)
+    held: dict[str, tuple[JobSpec, int, Placement]] = field(default_factory=dict)
+    out: set[str] = field(default_factory=set)
+    extra: list[decisions.Decision] = field(default_factory=list)
+    seen: list[events.Event] = field(default_factory=list)
+
+    def apply(self, event: events.Event) -> None:
+        self.seen.append(event)
+        match event:
+            case events.WorkerSeen(worker):
+                if worker.worker_id not in self.workers:
+                    self.free[worker.worker_id] = set(range(worker.accelerators))
+                self.workers[worker.worker_id] = worker
+                self.out.discard(worker.worker_id)
+            case events.WorkerGone(worker_id) | events.WorkerLeaving(worker_id):
+                self.out.add(worker_id)
+            case events.ZoneChanged(zone, in_service):
+                (self.out.discard if in_service else self.out.add)(zone)
+            case events.JobQueued(job, attempt):
+                self.queued[job.job_id] = job, attempt
+            case events.JobAdopted(job, placement, attempt, _):
+                for part in placement:
+                    self.free[part.worker_id] -= set(part.accelerators)
+                self.held[job.job_id] = job, attempt, placement
+            case events.GangStartFailed(job_id) | events.GangStopped(job_id):
+                self._release(job_id, requeue=True)
+            case events.GangEnded(job_id, _, outcome):
+                job = self.held[job_id][0]
+                failed = outcome is JobState.FAILED
+                self._release(job_id, requeue=failed and job.restartable)
+            case events.JobCancelled(job_id):
+                self.queued.pop(job_id, None)
+
+    def tick(self, now: float) -> list[decisions.Decision]:
+        made, self.extra = self.extra, []
+        for job, attempt in list(self.queued.values()):
+            placement = self._place(job)
+            if placement:
+                del self.queued[job.job_id]
+                self.held[job.job_id] = job, attempt + 1, placement
+                made.append(decisions.StartGang(job.job_id, attempt + 1, placement))
+        return made
+
+    def _place(self, job: JobSpec) -> Placement:
+        parts: list[TaskPlacement] = []
+        for worker in self.workers.values():
+            if {worker.worker_id, worker.zone} & self.out:
+                continue
+            free = sorted(self.free[worker.worker_id])
+            while len(parts) < job.tasks and len(free) >= job.accelerators_per_task:
+                taken = free[: job.accelerators_per_task]
+                free = free[job.accelerators_per_task :]
+                parts.append(TaskPlacement(len(parts), worker.worker_id, tuple(taken)))
+        if len(parts) < job.tasks:
+            return ()
+        for part in parts:
+            self.free[part.worker_id] -= set(part.accelerators)
+        return tuple(parts)
+
+    def _release(self, job_id: str, *, requeue: bool) -> None:
+        job, attempt, placement = self.held.pop(job_id)
+        for part in placement:
+            self.free[part.worker_id] |= set(part.accelerators)
+        if requeue:
+            self.queued[job_id] = job, attempt
--- /dev/null
+++ b/tests/lib/gang_world.py
@@ -0,0 +1,282 @@
+"""Gang owners, workers and a table in simulated time."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Sequence
+from dataclasses import dataclass, field, replace
+
+from returns.result import Failure, Result, Success
+
+from egretloft._internal.codec import decode
+from egretloft._internal.gangs.owner import GangOwner, create_gang_owner
+from egretloft._internal.gangs.records import (
+    JobTable,
+    create_job_table,
+    derive_job_id,
+    job_key,
+)
+from egretloft._internal.gangs.service import JobService, create_job_service
+from egretloft._internal.metrics import Metrics, create_metrics
+from egretloft._internal.models.jobs import JobRecord, JobSpec
+from egretloft._internal.models.profiles import Profile
+from egretloft._internal.models.topology import Worker
+from egretloft._internal.platform.protocols import (
+    Check,
+    Committed,
+    Row,
+    Scan,
+    StoreFailure,
+    StoreFailureKind,
+    Transaction,
+    Write,
+)
+from lib.builders import build_profile, build_workers
+from lib.fakes import MemoryTable
+from lib.first_fit import FirstFitScheduler
+from lib.simulated_time import SimulatedTime
+from lib.worker_fakes import FakeWorkerClient, FakeWorkers
+from standins.table_state import TableState
+
+REGION = "region-1"
+EPOCH_KEY = f"control/epoch/gangs/{REGION}"
+OWNER_ACTS_SECONDS = 2.0
+SUCCESSOR_WAITS_SECONDS = 3.0
+
+
+@dataclass(slots=True, frozen=True)
+class FakeEpoch:
+    number: int
+    version: int
+    key: str = EPOCH_KEY
+    partition: str = f"gangs/{REGION}"
+
+
+@dataclass(slots=True)
+class NodeTable:
+    """A table client whose calls wait while its node is frozen."""
+
+    inner: MemoryTable
+    running: asyncio.Event
+
+    async def read(self, key: str) -> Result[Row | None, StoreFailure]:
+        await self.running.wait()
+        result = await self.inner.read(key)
+        await self.running.wait()
+        return result
+
+    async def scan(self, prefix: str, after_version: int) -> Result[Scan, StoreFailure]:
+        await self.running.wait()
+        result = await self.inner.scan(prefix, after_version)
+        await self.running.wait()
+        return result
+
+    async def commit(self, transaction: Transaction) -> Result[Committed, StoreFailure]:
+        await self.running.wait()
+        result = await self.inner.commit(transaction)
+        await self.running.wait()
+        return result
+
+
+@dataclass(slots=True)
+class ReadBackWriter:
+    """Safe writes in short: one try and one read-back."""
+
+    table: NodeTable
+    name: str
+    number: int = 0
+
+    async def commit(
+        self, checks: Sequence[Check], writes: Sequence[Write], timeout_seconds: float
+    ) -> Result[Committed, StoreFailure]:
+        self.number += 1
+        operation = f"{self.name}-{self.number}"
+        result = await self.table.commit(
+            Transaction(operation, tuple(checks), tuple(writes))
+        )
+        match result:
+            case Failure(failure) if failure.kind is StoreFailureKind.UNKNOWN:
+                match await self.table.read(writes[0].key):
+                    case Success(Row() as row) if operation in row.operations:
+                        return Success(Committed(row.version))
+        return result
+
+
+@dataclass(slots=True)
+class Node:
+    """One instance; it is its own ``Ownership``, ``View`` and ``Topology``."""
+
+    name: str
+    world: World
+    running: asyncio.Event = field(default_factory=asyncio.Event)
+    table: MemoryTable = field(default_factory=MemoryTable)
+    beat_at: float = 0.0
+    dead: bool = False
+    schedulers: list[FirstFitScheduler] = field(default_factory=list)
+    metrics: Metrics = field(default_factory=create_metrics)
+    client: FakeWorkerClient = field(init=False)
+    jobs: JobTable = field(init=False)
+    owner: GangOwner = field(init=False)
+    service: JobService = field(init=False)
+
+    def __post_init__(self) -> None:
+        world = self.world
+        self.running.set()
+        self.beat_at = world.time.clock.now
+        self.table.state = world.state
+        table = NodeTable(self.table, self.running)
+        self.client = FakeWorkerClient(world.fakes, self.running)
+        writer = ReadBackWriter(table, self.name)
+        self.jobs = create_job_table(REGION, table, writer, self.metrics)
+        self.owner = create_gang_owner(
+            jobs=self.jobs,
+            clock=world.time.clock,
+            sleep=self.sleep,
+            client=self.client,
+            ownership=self,
+            view=self,
+            topology=self,
+            accounting=world.accounting,
+            metrics=self.metrics,
+            create_scheduler=self.create_scheduler,
+        )
+        self.service = create_job_service(
+            jobs=self.jobs,
+            view=self,
+            topology=self,
+            clock=world.time.clock,
+            metrics=self.metrics,
+            check_job=lambda spec, profile, workers: None,
+        )
+
+    def create_scheduler(self) -> FirstFitScheduler:
+        self.schedulers.append(FirstFitScheduler())
+        return self.schedulers[-1]
+
+    async def sleep(self, seconds: float) -> None:
+        await self.world.time.sleep(seconds)
+        await self.running.wait()
+
+    # Ownership
+    def holds(self, partition: str) -> FakeEpoch | None:
+        fresh = self.world.time.clock.now - self.beat_at <= OWNER_ACTS_SECONDS
+        return self.world.epoch if fresh and self.world.owner is self else None
+
+    # View
+    @property
+    def profiles(self) -> dict[str, Profile]:
+        return self.world.profiles
+
+    def row_version(self, key: str) -> int:
+        row = self.world.state.rows.get(key)
+        return row.version if row is not None and row.value is not None else 0
+
+    def is_fresh(self) -> bool:
+        return self.world.time.clock.now - self.beat_at <= 2.5
+
+    def zone_in_service(self, zone: str) -> bool:
+        return zone not in self.world.zones_out
+
+    # Topology
+    @property
+    def workers(self) -> dict[str, Worker]:
+        return self.world.workers
+
+    def is_leaving(self, instance_id: str) -> bool:
+        return instance_id in self.world.leaving
+
+    def freeze(self) -> None:
+        self.running.clear()
+
+    def wake(self) -> None:
+        self.running.set()
+
+
+@dataclass(slots=True)
+class RecordedRuns:
+    """Accounting that notes each run under its job and attempt."""
+
+    time: SimulatedTime
+
+    def run_rows(
+        self, record: JobRecord, started_at: float, ended_at: float
+    ) -> tuple[tuple[Check, ...], tuple[Write, ...]]:
+        key = f"usage/test/{record.spec.job_id}/{record.attempt}"
+        return (), (Write(key, f"{started_at} {ended_at}".encode()),)
+
+    async def refresh(self) -> None:
+        pass
+
+
+class World:
+    """Nodes over one table; the first live node that waits long enough succeeds."""
+
+    def __init__(self, workers: list[Worker] | None = None, nodes: int = 2) -> None:
+        self.time = SimulatedTime()
+        self.state = TableState()
+        listed = workers or build_workers()
+        self.workers = {w.worker_id: replace(w, address=w.worker_id) for w in listed}
+        self.fakes = FakeWorkers.create(self.time, listed)
+        self.accounting = RecordedRuns(self.time)
+        self.profiles = {"org-a": build_profile()}
+        self.zones_out: set[str] = set()
+        self.leaving: set[str] = set()
+        self.write("control/profile/org-a", b"profile")
+        self.write(EPOCH_KEY, b"1")
+        self.epoch = FakeEpoch(1, self.state.version)
+        self.nodes = [Node(f"node-{index}", self) for index in range(nodes)]
+        self.owner = self.nodes[0]
+        self.time.each_step.append(self._step)
+
+    def write(self, key: str, value: bytes) -> None:
+        """Write a row past all faults."""
+        number = self.state.version + 1
+        self.state.commit(Transaction(f"world-{number}", (), (Write(key, value),)))
+
+    def set_zone(self, zone: str, *, in_service: bool) -> None:
+        (self.zones_out.discard if in_service else self.zones_out.add)(zone)
+        self.write(f"control/zone/{zone}", b"in" if in_service else b"out")
+
+    def set_fault(self, fault: str, calls: int = -1) -> None:
+        for node in self.nodes:
+            node.table.fault = fault  # type: ignore[assignment]
+            node.table.fault_calls = calls
+
+    async def submit(self, spec: JobSpec, node: int = 0) -> str:
+        result = await self.nodes[node].service.submit(spec, spec.job_id)
+        result.unwrap()
+        return derive_job_id(spec.organisation, spec.job_id)
+
+    def record(self, job_id: str) -> JobRecord:
+        row = self.state.rows[job_key(REGION, job_id)]
+        assert row.value is not None
+        return decode(row.value, JobRecord).unwrap()
+
+    def runs(self, job_id: str) -> list[str]:
+        prefix = f"usage/test/{job_id}/"
+        return [key for key in self.state.rows if key.startswith(prefix)]
+
+    def scheduler(self) -> FirstFitScheduler:
+        return self.owner.schedulers[-1]
+
+    def check(self, partial_seconds: float = 0.0) -> None:
+        """Check that gangs worked whole, but for the bound after a loss."""
+        worst = max(self.fakes.longest_partial.values(), default=0.0)
+        assert worst <= partial_seconds
+        assert self.fakes.simultaneous_attempts == 0
+
+    async def _step(self) -> None:
+        now = self.time.clock.now
+        for node in self.nodes:
+            if node.dead or not node.running.is_set():
+                continue
+            waited = now - self.owner.beat_at
+            if self.owner is not node and waited >= SUCCESSOR_WAITS_SECONDS:
+                number = self.epoch.number + 1
+                self.write(EPOCH_KEY, str(number).encode())
+                self.epoch = FakeEpoch(number, self.state.version)
+                self.owner = node
+            node.beat_at = now
+            await node.owner.tick()
+        await self.time.settle()
+        await self.fakes.observe()
