--- a/tests/unit/scheduling/test_scheduler.py
+++ b/tests/unit/scheduling/test_scheduler.py
@@ -6,7 +6,7 @@
 from egretloft._internal.models.profiles import Adjacency, GuaranteedShape, Limits
 from egretloft._internal.scheduling.decisions import EndJob, StopReason
 from lib.builders import build_job, build_profile, build_workers
-from lib.gang_world import GangWorld
+from lib.scheduler_model import GangWorld
 
 
 def build_world(*profiles, workers=None) -> GangWorld:
