--- /dev/null
+++ b/src/egretloft/_internal/daemon/run.py
@@ -0,0 +1,67 @@
+"""Start, service and graceful shutdown of the daemon."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import socket
+
+import structlog
+from aiohttp import web
+
+from egretloft import __version__
+from egretloft._internal.daemon.instance import create_instance, create_routes
+from egretloft._internal.settings import Settings
+
+log = structlog.get_logger(__name__)
+
+EXIT_STOPPED = 0
+EXIT_ADDRESS = 3
+EXIT_UNFINISHED = 4
+LISTEN_BACKLOG = 512
+
+
+async def run_daemon(settings: Settings) -> int:
+    """Serve until SIGTERM or SIGINT and return the exit code."""
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    try:
+        listener = open_listener(settings.http_host, settings.http_port)
+        instance = await create_instance(settings, listener.getsockname()[1])
+    except OSError as error:
+        log.error("address cannot be bound", error=str(error))
+        return EXIT_ADDRESS
+    runner = web.AppRunner(create_routes(instance), access_log=None)
+    await runner.setup()
+    # Requests in flight were finished by the drain; what is open then is idle.
+    await web.SockSite(runner, listener, shutdown_timeout=1.0).start()
+    log.info(
+        "instance started",
+        version=__version__,
+        http=instance.member.address,
+        peers=instance.member.peer_address,
+    )
+    await instance.refresh_topology()
+    await instance.coordination.roster.join()
+    instance.subscribe_timers()
+    instance.timers.start()
+    await stop.wait()
+    log.info("planned stop begins")
+    finished = await instance.drain()
+    await runner.cleanup()
+    await instance.close()
+    log.info("planned stop ends", finished=finished)
+    return EXIT_STOPPED if finished else EXIT_UNFINISHED
+
+
+def open_listener(host: str, port: int) -> socket.socket:
+    """Return a listening socket; raises ``OSError`` if it cannot be bound."""
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    listener = socket.socket(family, socket.SOCK_STREAM)
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    listener.bind((host, port))
+    listener.listen(LISTEN_BACKLOG)
+    listener.setblocking(False)
+    return listener
--- a/src/egretloft/commands/profile.py
+++ b/src/egretloft/commands/profile.py
@@ -60,7 +60,7 @@
 def show_profile(context: Context, name: str) -> None:
     """Show one profile with its limits."""
     answer = context.call("GET", f"/v1/profiles/{name}")
-    context.show(answer, [answer], (*COLUMNS, "limits"))
+    context.show(answer, [answer["profile"]], (*COLUMNS, "limits"))
 
 
 def put_options(function: Any) -> Any:
@@ -116,8 +116,7 @@
 def change_profile(context: Context, /, name: str, **values: Any) -> None:
     """Change the named fields of a profile and keep the others."""
     current = context.call("GET", f"/v1/profiles/{name}")
-    version = current.pop("version")
-    put_profile(context, name, current, version, values)
+    put_profile(context, name, current["profile"], current["version"], values)
 
 
 def put_profile(
--- a/src/egretloft/commands/zone.py
+++ b/src/egretloft/commands/zone.py
@@ -6,7 +6,7 @@
 
 from egretloft.commands.base import Context, pass_context
 
-COLUMNS = ("zone", "in_service", "workers", "runners")
+COLUMNS = ("zone", "in_service")
 
 
 @click.group()
