--- /dev/null
+++ b/tests/lib/deployment.py
@@ -0,0 +1,298 @@
+"""The platform and the entry instances of a scaled-down deployment."""
+
+from __future__ import annotations
+
+import base64
+import itertools
+import math
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+import aiohttp
+import msgspec
+
+from egretloft._internal.models.topology import (
+    InstanceKind,
+    InstanceRecord,
+    InstanceState,
+)
+from lib.processes import (
+    ManagedProcess,
+    ProcessError,
+    choose_port,
+    create_daemon,
+    create_standin,
+)
+
+
+@dataclass(slots=True, frozen=True)
+class Deployment:
+    """Figures of a deployment, design section 1.2."""
+
+    region: str
+    zones: tuple[str, ...]
+    service: str
+    cores: int
+    memory_gb: int
+    per_rack: int
+    time_zone: str
+    accelerators: int = 8
+    slots: int = 8
+    connections: int = 64
+
+
+DEPLOYMENTS = {
+    "bureau": Deployment(
+        region="kyushu-north",
+        zones=("kurume", "tosu", "omuta", "yame"),
+        service="salon-desk",
+        cores=64,
+        memory_gb=256,
+        per_rack=6,
+        time_zone="Asia/Tokyo",
+    ),
+    "software-house": Deployment(
+        region="is-sudvestur",
+        zones=("rvk-a", "hfj-b", "kef-c"),
+        service="kvotabok",
+        cores=32,
+        memory_gb=64,
+        per_rack=8,
+        time_zone="Atlantic/Reykjavik",
+    ),
+}
+
+
+@dataclass(slots=True)
+class Entry:
+    """One entry instance."""
+
+    instance_id: str
+    zone: str
+    address: str
+    process: ManagedProcess
+    draining: bool = False
+
+    @property
+    def usable(self) -> bool:
+        """Whether the balancer would send requests to it."""
+        return self.process.running and not self.process.frozen and not self.draining
+
+
+@dataclass(slots=True)
+class Platform:
+    """Stand-in processes and entry instances, and calls that control them."""
+
+    deployment: Deployment
+    directory: Path
+    session: aiohttp.ClientSession
+    processes: dict[str, ManagedProcess] = field(default_factory=dict)
+    # Control address of each stand-in process, and the process of each target.
+    controls: dict[str, str] = field(default_factory=dict)
+    addresses: dict[str, str] = field(default_factory=dict)
+    targets: dict[str, str] = field(default_factory=dict)
+    entries: dict[str, Entry] = field(default_factory=dict)
+
+    async def start(self, workers: int, runners: int, lag_seconds: float) -> None:
+        """Start all stand-ins."""
+        deployment = self.deployment
+        await self._start_standin("table", "table")
+        await self._start_standin("objects", "objects")
+        await self._start_standin(
+            "instances", "instances", "--lag-seconds", str(lag_seconds)
+        )
+        common = ["--region", deployment.region]
+        common += ["--instances-address", self.addresses["instances"]]
+        for zone in deployment.zones:
+            common += ["--zone", zone]
+        if workers:
+            await self._start_standin(
+                "workers",
+                "worker",
+                *common,
+                *("--count", str(workers)),
+                *("--cores", str(deployment.cores)),
+                *("--memory-gb", str(deployment.memory_gb)),
+                *("--accelerators", str(deployment.accelerators)),
+                *("--per-rack", str(deployment.per_rack)),
+            )
+        if runners:
+            await self._start_standin(
+                "runners",
+                "runner",
+                *common,
+                *("--count", str(runners)),
+                *("--service", deployment.service),
+                *("--slots", str(deployment.slots)),
+                *("--connections", str(deployment.connections)),
+            )
+
+    async def _start_standin(self, name: str, module: str, *options: str) -> None:
+        process = create_standin(name, module, self.directory, options)
+        self.processes[name] = process
+        process.start()
+        line = msgspec.convert(await process.wait_for_line(), ReadyLine)
+        self.controls[name] = line.control
+        self.targets |= dict.fromkeys(line.targets, name)
+        self.addresses |= line.targets
+
+    async def start_entry(self, instance_id: str, zone: str) -> None:
+        """Start an entry instance and list it; does not wait until it is ready."""
+        http_port, peer_port = choose_port(), choose_port()
+        deployment = self.deployment
+        options = {
+            "region": deployment.region,
+            "zone": zone,
+            "http-host": "127.0.0.1",
+            "http-port": str(http_port),
+            "peer-host": "127.0.0.1",
+            "peer-port": str(peer_port),
+            "table-address": self.addresses["table"],
+            "objects-address": self.addresses["objects"],
+            "instances-address": self.addresses["instances"],
+            "account-time-zone": deployment.time_zone,
+            "log-level": "info",
+        }
+        process = create_daemon(instance_id, self.directory, options)
+        entry = Entry(instance_id, zone, f"127.0.0.1:{http_port}", process)
+        self.entries[instance_id] = entry
+        process.start()
+        await self.list_entry(entry, InstanceState.LIVE)
+
+    async def restart_entry(self, entry: Entry) -> None:
+        """Start an entry instance that has ended, or kill it first."""
+        entry.process.kill()
+        entry.draining = False
+        entry.process.start()
+        await self.list_entry(entry, InstanceState.LIVE)
+
+    async def wait_until_ready(self, entry: Entry) -> None:
+        """Wait for the readiness of an entry instance."""
+        await entry.process.wait_for_http(
+            self.session, f"http://{entry.address}/readyz"
+        )
+
+    async def list_entry(self, entry: Entry, state: InstanceState) -> None:
+        """Put an entry instance into the instance list."""
+        record = InstanceRecord(
+            instance_id=entry.instance_id,
+            kind=InstanceKind.ENTRY,
+            state=state,
+            address=entry.address,
+            region=self.deployment.region,
+            zone=entry.zone,
+        )
+        await self._call("POST", self.addresses["instances"], "/instances", [record])
+
+    async def unlist(self, instance_id: str) -> None:
+        """Remove an instance from the instance list."""
+        path = f"/instances/{instance_id}"
+        await self._call("DELETE", self.addresses["instances"], path)
+
+    async def set_target_state(self, target_id: str, state: InstanceState) -> None:
+        """Mark a worker or runner in the instance list; a runner also reports it."""
+        path = f"/instances/{target_id}/state"
+        await self._call("POST", self.addresses["instances"], path, {"state": state})
+        if self.targets[target_id] == "runners":
+            leaving = state is InstanceState.LEAVING
+            await self.control(target_id, {"leaving": leaving})
+
+    async def control(self, name: str, changes: dict[str, object]) -> None:
+        """Set faults of one target, or of all targets of a stand-in process."""
+        process = name if name in self.controls else self.targets[name]
+        targets = "all" if name in self.controls else [name]
+        body = {"targets": targets, **changes}
+        await self._call("POST", self.controls[process], "/control", body)
+
+    async def facts(self, name: str) -> dict[str, dict[str, Any]]:
+        """Return the recorded facts of all targets of a stand-in process."""
+        if name not in self.controls:
+            return {}
+        answer: dict[str, dict[str, Any]] = await self._call(
+            "GET", self.controls[name], "/control"
+        )
+        return answer
+
+    async def rows(self, prefix: str) -> dict[str, Any]:
+        """Return the decoded rows of the table under the prefix."""
+        path = f"/control/rows?prefix={prefix}"
+        rows = await self._call("GET", self.addresses["table"], path)
+        return {
+            row["key"]: msgspec.msgpack.decode(base64.b64decode(row["value"]))
+            for row in rows
+            if row["value"] is not None
+        }
+
+    async def _call(
+        self, method: str, address: str, path: str, body: object = None
+    ) -> Any:
+        data = None if body is None else msgspec.json.encode(body)
+        url = f"http://{address}{path}"
+        async with self.session.request(method, url, data=data) as answer:
+            content = await answer.read()
+            if answer.status != 200:
+                raise ProcessError(f"{method} {url}: {answer.status} {content!r}")
+            return msgspec.json.decode(content)
+
+    def stop(self) -> None:
+        """End all processes."""
+        for entry in self.entries.values():
+            entry.process.kill()
+        for process in self.processes.values():
+            process.kill()
+
+    def tails(self) -> str:
+        """Return the last log lines of all processes."""
+        processes = [entry.process for entry in self.entries.values()]
+        return "\n".join(
+            process.tail() for process in [*processes, *self.processes.values()]
+        )
+
+
+class ReadyLine(msgspec.Struct):
+    """The line that a stand-in prints when it is ready."""
+
+    control: str
+    targets: dict[str, str]
+
+
+@dataclass(slots=True, frozen=True)
+class GangTask:
+    """Working time of one gang member, as its worker recorded it."""
+
+    task_index: int
+    state: str
+    intervals: tuple[tuple[float, float], ...]
+    ended_at: float
+
+
+def partial_seconds(tasks: list[GangTask], size: int) -> float:
+    """Return for how long a part of a gang worked without the rest of it.
+
+    A member that finished counts as present from then on. If the gang is over and a
+    member never worked, the time counts as infinite.
+    """
+    working = [task for task in tasks if task.intervals]
+    if not working:
+        return 0.0
+    missing = len({task.task_index for task in working}) < size
+    if missing and all(task.state != "running" for task in working):
+        return math.inf
+    times = sorted(
+        {time for task in working for pair in task.intervals for time in pair}
+    )
+    partial = 0.0
+    for begin, end in itertools.pairwise(times):
+        middle = (begin + end) / 2
+        active = [
+            any(first <= middle < last for first, last in task.intervals)
+            for task in working
+        ]
+        present = [
+            is_active or (task.state == "finished" and task.ended_at <= middle)
+            for is_active, task in zip(active, working, strict=True)
+        ]
+        if any(active) and (missing or not all(present)):
+            partial += end - begin
+    return partial
--- /dev/null
+++ b/tests/lib/scenario_runner.py
@@ -0,0 +1,51 @@
+"""Runs a scenario file against processes of this checkout."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import random
+from pathlib import Path
+
+import aiohttp
+
+from lib import scenario_expectations  # noqa: F401  Registers the expectations.
+from lib.scenario_parser import parse_scenario
+from lib.scenario_steps import STEPS
+from lib.scenario_world import World
+
+DEFAULT_LIMIT_SECONDS = 90.0
+SEED_VARIABLE = "EGRETLOFT_SCENARIO_SEED"
+
+
+def choose_seed(declared: int | None) -> int:
+    """Return the seed of the environment, of the file, or a random one."""
+    if SEED_VARIABLE in os.environ:
+        return int(os.environ[SEED_VARIABLE])
+    return declared if declared is not None else random.SystemRandom().randrange(2**32)
+
+
+async def run_scenario(path: Path, directory: Path) -> None:
+    """Carry out the steps; raise if one fails or the time is up.
+
+    The seed and, after a failure, the last log lines are printed.
+    """
+    scenario = parse_scenario(path.read_text())
+    seed = choose_seed(scenario.seed)
+    print(f"{path.name}: {SEED_VARIABLE}={seed}, output in {directory}")
+    limit = scenario.limit_seconds or DEFAULT_LIMIT_SECONDS
+    connector = aiohttp.TCPConnector(limit=0)
+    async with aiohttp.ClientSession(connector=connector) as session:
+        world = World(directory, session, random.Random(seed))
+        try:
+            async with asyncio.timeout(limit):
+                for step in scenario.steps:
+                    print(f"line {step.line}: {step.name}")
+                    await STEPS[step.name](world, step)
+                    world.check_background()
+        except BaseException:
+            if world.platform is not None:
+                print(world.platform.tails())
+            raise
+        finally:
+            await world.close()
--- a/tools/standins/table.py
+++ b/tools/standins/table.py
@@ -11,7 +11,7 @@
 from egretloft._internal.platform.protocols import Transaction
 from standins.server import run
 from standins.table_state import TableState
-from standins.target import Target
+from standins.target import Target, json_response
 
 T = TypeVar("T")
 
@@ -42,6 +42,7 @@
             web.post("/table/read", self.read),
             web.post("/table/scan", self.scan),
             web.post("/table/commit", self.commit),
+            web.get("/control/rows", self.rows),
         ]
 
     async def read(self, request: web.Request) -> web.Response:
@@ -68,6 +69,15 @@
             return _answer({"error": "conflict", "message": "a check failed"}, 409)
         return _answer(committed)
 
+    async def rows(self, request: web.Request) -> web.Response:
+        """Answer tests with the rows under ``prefix``, free of faults.
+
+        The values are base64 text.
+        """
+        prefix = request.query.get("prefix", "")
+        rows = self.state.rows.values()
+        return json_response([row for row in rows if row.key.startswith(prefix)])
+
     async def body(self, request: web.Request, type_: type[T]) -> T | web.Response:
         """Return the decoded body, or the refusal of a malformed one."""
         try:
--- a/tools/standins/target.py
+++ b/tools/standins/target.py
@@ -112,7 +112,7 @@
 
     @web.middleware
     async def _faulty(self, request: web.Request, handler: Handler) -> Any:
-        if request.path == "/control":
+        if request.path.split("/")[1] == "control":
             return await handler(request)
         operation = request.path.rsplit("/", 1)[-1]
         self.calls[operation] += 1
