Test the stand-in processes and make crashes take effect before the answer

Cause: a test that crashed a worker through the control port could still reach it. Change: control requests through another port are answered after the crash.

--- a/tools/standins/target.py
+++ b/tools/standins/target.py
@@ -211,6 +211,11 @@
                 self.siblings[name].control(changes)
             except (msgspec.ValidationError, ValueError) as error:
                 return json_response({"error": str(error)}, 400)
+        if self.target_id not in names:
+            # The answer does not go through a port that a crash closes, so it can
+            # wait until the crash has happened.
+            for name in names:
+                await asyncio.gather(*self.siblings[name].background)
         return json_response({"changed": names})
 
     def control(self, changes: dict[str, Any]) -> None:
@@ -223,7 +228,7 @@
                 self.silence()
             elif name == "crash":
                 # A crash closes the port at which the control request may have come,
-                # so it happens after the answer.
+                # so it happens a little later, after the answer.
                 task = asyncio.create_task(self._crash_soon(bool(value)))
                 self.background.add(task)
                 task.add_done_callback(self.background.discard)
