--- a/tools/standins/target.py
+++ b/tools/standins/target.py
@@ -56,6 +56,10 @@
     def facts(self) -> dict[str, object]:
         """Return what was recorded, as plain data for JSON."""
 
+    def is_maintenance(self, request: web.Request) -> bool:
+        """Return whether the request is one of the tests, which no fault concerns."""
+        return request.path.split("/")[1] == "control"
+
     def on_crash(self) -> None:
         """Forget what a machine forgets when it crashes."""
         self.silent.clear()
@@ -112,7 +116,7 @@
 
     @web.middleware
     async def _faulty(self, request: web.Request, handler: Handler) -> Any:
-        if request.path == "/control":
+        if self.is_maintenance(request):
             return await handler(request)
         operation = request.path.rsplit("/", 1)[-1]
         self.calls[operation] += 1
@@ -211,6 +215,11 @@
                 self.siblings[name].control(changes)
             except (msgspec.ValidationError, ValueError) as error:
                 return json_response({"error": str(error)}, 400)
+        if self.target_id not in names:
+            # The answer does not go through a port that a crash closes, so it can
+            # wait until the crash has happened.
+            for name in names:
+                await asyncio.gather(*self.siblings[name].background)
         return json_response({"changed": names})
 
     def control(self, changes: dict[str, Any]) -> None:
@@ -223,7 +232,7 @@
                 self.silence()
             elif name == "crash":
                 # A crash closes the port at which the control request may have come,
-                # so it happens after the answer.
+                # so it happens a little later, after the answer.
                 task = asyncio.create_task(self._crash_soon(bool(value)))
                 self.background.add(task)
                 task.add_done_callback(self.background.discard)
