--- a/src/egretloft/_internal/coordination/view.py
+++ b/src/egretloft/_internal/coordination/view.py
@@ -182,7 +182,7 @@
 
     # The store
 
-    def _highest_known(self) -> int:
+    def highest_known(self) -> int:
         """Return the highest store version that this instance has heard of."""
         highest = max(self.as_of, self.membership.writer.highest_version)
         for instance_id in self.members:
@@ -197,7 +197,7 @@
 
     async def _scan(self) -> bool:
         sent = self.clock.monotonic()
-        expected = self._highest_known()
+        expected = self.highest_known()
         changes = self.membership.changes
         self.scan_sent = sent
         try:
--- a/src/egretloft/_internal/coordination/writer.py
+++ b/src/egretloft/_internal/coordination/writer.py
@@ -37,6 +37,12 @@
     uncertain: bool = False
 
 
+def creates_rows(transaction: Transaction) -> bool:
+    """Return whether every written row that is checked must be absent."""
+    written = {write.key for write in transaction.writes}
+    return not any(c.version for c in transaction.checks if c.key in written)
+
+
 class SafeWriter:
     """Commits transactions and learns the outcome of its own lost answers.
 
@@ -68,6 +74,10 @@
         that all its rows have been written again since. ``NOT_APPLIED`` is returned
         at once and only if no attempt may have taken effect.
 
+        A transaction whose written rows are all checked as absent is applied at
+        most once only if no one deletes these rows again while a delayed attempt
+        may still arrive; a version number in one of the checks rules that out.
+
         Raises ``ValueError`` when no written row is also checked: a delayed
         first attempt could then take effect after its own repetition.
         """
@@ -119,9 +129,20 @@
             self.metrics.count("store_commit_retries", reason=kind.value)
             await asyncio.sleep(delay * self.generator.uniform(0.5, 1.0))
             delay = min(LAST_RETRY_SECONDS, delay * 2)
-
-    async def _read_back(self, transaction: Transaction) -> CommitResult | None:
-        """Return whether an earlier attempt took effect, ``None`` if not known."""
+            if progress.uncertain and creates_rows(transaction):
+                # If the created rows were deleted since, the checks hold again and
+                # a second attempt would succeed as well.
+                known = await self._read_back(transaction, may_refute=False)
+                if known is not None:
+                    return known
+
+    async def _read_back(
+        self, transaction: Transaction, may_refute: bool = True
+    ) -> CommitResult | None:
+        """Return whether an earlier attempt took effect, ``None`` if not known.
+
+        Without ``may_refute`` only an attempt that took effect is reported.
+        """
         checked = {check.key: check.version for check in transaction.checks}
         overwritten = False
         refuted = False
@@ -136,8 +157,10 @@
                     return Success(Committed(row.version))
                 # Its own version may still be learned from another row.
                 overwritten = True
-            elif not overwritten and self._shows_all_writers(
-                row, checked.get(write.key)
+            elif (
+                may_refute
+                and not overwritten
+                and self._shows_all_writers(row, checked.get(write.key))
             ):
                 refuted = await self._is_current(write.key, row)
                 break
