--- /dev/null
+++ b/tests/unit/requests/test_owner.py
@@ -0,0 +1,319 @@
+"""Runner groups: slots, start window, health and queue under failures."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+
+import pytest
+from returns.result import Failure, Result, Success
+
+from egretloft._internal.models.outcomes import OutcomeKind, Reason, Refusal
+from egretloft._internal.models.requests import Answer
+from egretloft._internal.requests.dispatch import SETTLED_SECONDS
+from lib.builders import build_profile
+from lib.request_world import SERVICE, Runner, World
+from lib.virtual_time import run_virtual
+
+GROUP = f"runners/{SERVICE}/zone-1"
+
+
+def refusal_of(result: Result[Answer, Refusal]) -> Refusal:
+    assert isinstance(result, Failure), result
+    return result.failure()
+
+
+def first_runner(world: World) -> Runner:
+    return next(iter(world.runners.values()))
+
+
+async def submit_many(world: World, count: int, deadline: float = 5.0) -> list:
+    receivers = len(world.instances)
+    return await asyncio.gather(
+        *(world.submit(n % receivers, deadline=deadline) for n in range(count))
+    )
+
+
+def test_owner_frozen_between_check_and_send_starts_nothing() -> None:
+    """Guards against work that starts after the owner's checks have become stale."""
+
+    async def main() -> None:
+        world = World()
+        await world.start()
+        world[0].client.freeze_seconds = 1.0
+        result = await world.submit(0)
+        assert refusal_of(result).kind is OutcomeKind.NOT_RUN
+        assert first_runner(world).arrivals > 0
+        assert not world.total_runs()
+
+    run_virtual(main())
+
+
+@pytest.mark.parametrize("event", ["zone_out", "leaving", "stale", "lost"])
+def test_nothing_is_sent_after_the_owner_may_no_longer_send(event: str) -> None:
+    """Guards against queued work that is sent without a check at the sending."""
+
+    async def main() -> None:
+        world = World(instances=2, run_seconds=lambda: 1.0)
+        await world.start()
+        sent = [asyncio.create_task(world.submit(1)) for _ in range(8)]
+        await asyncio.sleep(0.1)
+        queued = [asyncio.create_task(world.submit(1)) for _ in range(8)]
+        await asyncio.sleep(0.4)
+        assert world.total_runs().total() == 8
+        if event == "zone_out":
+            world.zones_out.add("zone-1")
+        elif event == "leaving":
+            world.topology.leaving.add("zone-1-runner-0")
+        elif event == "stale":
+            world[0].view.fresh = False
+        else:
+            world.owners[GROUP] = ("nobody", 2)
+        assert all(result.unwrap() for result in await asyncio.gather(*sent))
+        for result in await asyncio.gather(*queued):
+            assert refusal_of(result).kind is OutcomeKind.NOT_RUN
+        assert world.total_runs().total() == 8
+
+    run_virtual(main())
+
+
+def test_slots_hold_with_nine_receivers() -> None:
+    """Guards against a ninth request on a runner, however many instances send."""
+
+    async def main() -> None:
+        world = World(instances=9, runners_per_zone=2)
+        await world.start()
+        results = await submit_many(world, 70)
+        assert all(isinstance(result, Success) for result in results)
+        assert [runner.most_in_use for runner in world.runners.values()] == [8, 8]
+
+    run_virtual(main())
+
+
+def test_slots_hold_across_a_change_of_owner() -> None:
+    """Guards against a new owner that forgets what the former one has at runners."""
+
+    async def main() -> None:
+        world = World(instances=2, runners_per_zone=2, run_seconds=lambda: 4.0)
+        await world.start()
+        sent = [asyncio.create_task(world.submit(0, deadline=20)) for _ in range(12)]
+        await asyncio.sleep(2)
+        world.owners[GROUP] = ("entry-1", 2)
+        results = await submit_many(world, 20, deadline=20)
+        assert all(isinstance(result, Success) for result in results)
+        await asyncio.gather(*sent)
+        assert max(runner.most_in_use for runner in world.runners.values()) == 8
+
+    run_virtual(main())
+
+
+def test_slots_of_unknown_outcomes_stay_taken_until_the_runner_is_free() -> None:
+    """Guards against overload of a runner that still works on expired requests."""
+
+    async def main() -> None:
+        world = World(run_seconds=lambda: 3.0)
+        await world.start()
+        for _ in range(6):
+            await submit_many(world, 8, deadline=0.5)
+        assert first_runner(world).most_in_use == 8
+        await asyncio.sleep(5)
+        assert isinstance(await world.submit(0), Success)
+
+    run_virtual(main())
+
+
+def test_forward_that_arrives_twice_runs_once() -> None:
+    """Guards against a doubled frame, whose second reply must not say ``not_run``."""
+
+    async def main() -> None:
+        world = World(instances=2)
+        await world.start()
+        service = world[0].service
+        bodies: list[dict] = []
+        original = service.handle_forward
+
+        async def record(peer: str, body: dict) -> dict:
+            bodies.append(body)
+            return await original(peer, body)
+
+        service.handle_forward = record  # type: ignore[method-assign]
+        submit = asyncio.create_task(world.submit(1, idempotent=False))
+        await asyncio.sleep(0.05)
+        during = await original("entry-1", bodies[0])
+        answer = await submit
+        after = await original("entry-1", bodies[0])
+        await asyncio.sleep(10)
+        late = await original("entry-1", bodies[0])
+        assert isinstance(answer, Success)
+        assert [during["outcome"], after["outcome"]] == ["unknown", "unknown"]
+        assert late["outcome"] == "not_run"
+        assert world.total_runs().total() == 1
+
+    run_virtual(main())
+
+
+@pytest.mark.parametrize("mode", ["fail", "hang", "refuse", "dead"])
+def test_bad_runner_does_not_attract_load_and_returns_slowly(mode: str) -> None:
+    """Guards against the runner that fails fastest getting the most requests."""
+
+    async def main() -> None:
+        world = World(runners_per_zone=4)
+        await world.start()
+        bad = first_runner(world)
+        await submit_many(world, 40)
+        bad.mode, bad.arrivals = mode, 0
+        completed = 0
+        for _ in range(50):
+            results = await submit_many(world, 16, deadline=1.0)
+            completed += sum(isinstance(result, Success) for result in results)
+        assert completed >= 0.95 * 800
+        # An even share would be 200 requests.
+        assert bad.arrivals <= 20
+        # A restart ends what hung.
+        bad.mode, bad.arrivals, bad.in_use = "ok", 0, 0
+        await asyncio.sleep(61)
+        await submit_many(world, 32)
+        assert bad.most_in_use <= 8
+        assert 0 < bad.arrivals < 8
+
+    run_virtual(main())
+
+
+def test_requests_that_fail_everywhere_do_not_block_the_runners() -> None:
+    """Guards against one organisation's bad requests taking runners from others."""
+
+    async def main() -> None:
+        world = World(runners_per_zone=4)
+        world.profiles["org-b"] = build_profile("org-b")
+        await world.start()
+        await submit_many(world, 32)
+        execute = Runner.execute
+        for runner in world.runners.values():
+
+            async def run(request, runner=runner):  # type: ignore[no-untyped-def]
+                poison = request.payload == b"poison"
+                runner.mode = "fail" if poison else "ok"
+                return await execute(runner, request)
+
+            runner.execute = run  # type: ignore[method-assign]
+        for _ in range(20):
+            await asyncio.gather(
+                *(world.submit(organisation="org-b", payload="poison") for _ in "12")
+            )
+        results = await submit_many(world, 32)
+        assert all(isinstance(result, Success) for result in results)
+
+    run_virtual(main())
+
+
+def test_overload_is_refused_and_goodput_holds() -> None:
+    """Guards against an unbounded queue and against work on expired requests."""
+
+    async def main() -> None:
+        world = World(instances=3, runners_per_zone=2)
+        await world.start()
+        generator = random.Random(5)
+        tasks = []
+        longest = 0
+        # 160 requests a second can be served; 480 a second arrive for 10 s.
+        for number in range(4800):
+            await asyncio.sleep(generator.expovariate(480))
+            submit = world.submit(number % 3, deadline=1.0)
+            tasks.append(asyncio.create_task(submit))
+            load = world[0].service.group_load(GROUP)
+            assert load is not None
+            longest = max(longest, load.queued)
+        results = await asyncio.gather(*tasks)
+        completed = sum(isinstance(result, Success) for result in results)
+        assert completed >= 0.97 * 1600
+        refusals = [refusal_of(r) for r in results if isinstance(r, Failure)]
+        # A runner was reached for none of these, so nothing may be called unknown
+        # but what expired while it ran.
+        assert {refusal.reason for refusal in refusals} <= {
+            Reason.QUEUE_FULL,
+            Reason.RETRY_BUDGET_SPENT,
+            Reason.DEADLINE_PASSED,
+        }
+        unknown = sum(refusal.kind is OutcomeKind.UNKNOWN for refusal in refusals)
+        assert unknown <= 0.01 * len(results)
+        assert longest <= 64
+        assert world.total_runs().total() <= completed + unknown
+
+    run_virtual(main())
+
+
+def test_organisations_share_an_overloaded_group() -> None:
+    """Guards against one organisation's burst shutting the others out."""
+
+    async def main() -> None:
+        world = World()
+        world.profiles["org-b"] = build_profile("org-b")
+        await world.start()
+        flood = [asyncio.create_task(world.submit(deadline=3)) for _ in range(300)]
+        await asyncio.sleep(0.01)
+        started = world.clock.monotonic()
+        results = await asyncio.gather(
+            *(world.submit(organisation="org-b") for _ in range(16))
+        )
+        assert all(isinstance(result, Success) for result in results)
+        # Two rounds of 8 slots at half the capacity, after those already running.
+        assert world.clock.monotonic() - started < 0.6
+        await asyncio.gather(*flood)
+
+    run_virtual(main())
+
+
+def test_planned_stop_cuts_off_no_request() -> None:
+    """Guards against work lost, cut off or run in excess when an owner stops."""
+
+    async def main() -> None:
+        world = World(instances=3, runners_per_zone=2, run_seconds=lambda: 0.5)
+        await world.start()
+        released_at = 0.0
+
+        async def release() -> None:
+            nonlocal released_at
+            released_at = world.clock.monotonic()
+            world.owners[GROUP] = ("entry-1", 2)
+
+        submits = []
+        drain: asyncio.Task[bool] | None = None
+        for number in range(120):
+            # Callers stop using the stopping instance when its readiness ends.
+            receiver = 1 + number % 2 if number > 40 else number % 3
+            submit = world.submit(receiver, idempotent=number % 4 > 0)
+            submits.append(asyncio.create_task(submit))
+            await asyncio.sleep(0.04)
+            if number == 60:
+                drain = asyncio.create_task(world[0].service.drain(release))
+        assert drain is not None
+        assert await drain
+        results = await asyncio.gather(*submits)
+        refused = [refusal_of(r) for r in results if isinstance(r, Failure)]
+        assert refused == []
+        assert world.total_runs().total() == 120
+        assert max(runner.most_in_use for runner in world.runners.values()) <= 8
+        assert released_at > 0
+        stopped = await world.submit(0)
+        assert refusal_of(stopped).reason is Reason.DRAINING
+
+    run_virtual(main())
+
+
+def test_drain_keeps_ownership_while_a_start_window_is_open() -> None:
+    """Guards against a successor that reads a runner's load before a start arrives."""
+
+    async def main() -> None:
+        world = World(run_seconds=lambda: 0.05)
+        await world.start()
+        await world.submit(0)
+        sent_at = world.clock.monotonic()
+        released: list[float] = []
+
+        async def release() -> None:
+            released.append(world.clock.monotonic())
+
+        assert await world[0].service.drain(release)
+        assert released[0] - sent_at >= SETTLED_SECONDS - 0.1
+
+    run_virtual(main())
