Report group load with each reply and test routing in a simulation

Heartbeats are up to 0.2 s old; in a burst a group fills in less, and the receivers of the zone kept to a queue that was already long. Replies now carry the owner's load report, and the router uses the newer of the two.

--- a/src/egretloft/_internal/requests/messages.py
+++ b/src/egretloft/_internal/requests/messages.py
@@ -48,7 +48,8 @@
     """The owner's answer to one attempt.
 
     ``outcome`` is ``completed`` or a refusal's kind. ``attempts`` is the number of
-    times the owner sent the request to a runner.
+    times the owner sent the request to a runner. ``load`` is the group's load
+    report at the time of the reply, empty if there is none.
     """
 
     attempt_id: str
@@ -59,6 +60,7 @@
     runner: str = ""
     zone: str = ""
     attempts: int = 0
+    load: tuple[float, ...] = ()
 
     @property
     def refusal(self) -> Refusal | None:
--- a/src/egretloft/_internal/requests/routing.py
+++ b/src/egretloft/_internal/requests/routing.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from collections.abc import Callable, Collection, Mapping
 from dataclasses import dataclass
@@ -38,10 +39,14 @@
 
 
 @dataclass(slots=True)
-class SentSinceReport:
-    """What this instance sent to a group since the owner's last report."""
+class KnownLoad:
+    """The last load report of a group, and what was sent to the group since.
 
-    report: Any = None
+    ``heartbeat`` is the report in the owner's last heartbeat that was seen.
+    """
+
+    heartbeat: Any = None
+    load: GroupLoad | None = None
     sent: int = 0
 
 
@@ -69,7 +74,7 @@
         self.own_load = own_load
         self.generator = generator
         self.link_seconds = link_seconds
-        self.since_report: dict[str, SentSinceReport] = {}
+        self.known: dict[str, KnownLoad] = {}
 
     def choose(
         self, service: str, profile: Profile, avoid: Collection[str] = ()
@@ -104,7 +109,18 @@
 
     def count_sent(self, route: Route) -> None:
         """Count a forward that the owner's last report does not show yet."""
-        self.since_report.setdefault(route.partition, SentSinceReport()).sent += 1
+        self.known.setdefault(route.partition, KnownLoad()).sent += 1
+
+    def take_report(self, route: Route, report: Any) -> None:
+        """Take the report that came with a reply.
+
+        Heartbeats are up to 0.2 s old; under a burst, a group fills in less.
+        """
+        load = decode_load(report)
+        if load is not None:
+            known = self.known.setdefault(route.partition, KnownLoad())
+            known.load = load
+            known.sent = 0
 
     def _route(self, service: str, zone: str) -> Route | None:
         partition = partition_of(service, zone)
@@ -144,24 +160,28 @@
         heartbeat = self.network.last_heartbeat(route.owner_id) or {}
         groups = heartbeat.get(HEARTBEAT_FIELD)
         report = groups.get(route.partition) if isinstance(groups, Mapping) else None
-        since = self.since_report.setdefault(route.partition, SentSinceReport())
+        known = self.known.setdefault(route.partition, KnownLoad())
         # Each heartbeat brings a new object, also when the figures are the same.
-        if report is not since.report:
-            since.report = report
-            since.sent = 0
-        return decode_load(report), since.sent
+        if report is not known.heartbeat:
+            known.heartbeat = report
+            known.load = decode_load(report)
+            known.sent = 0
+        return known.load, known.sent
 
 
-def encode_load(load: GroupLoad) -> list[float]:
-    """Return a load report for the heartbeat."""
-    return [load.free, load.queued, load.slots, load.run_seconds]
+def encode_load(load: GroupLoad) -> tuple[float, ...]:
+    """Return a load report for heartbeats and replies."""
+    return load.free, load.queued, load.slots, load.run_seconds
 
 
 def decode_load(report: Any) -> GroupLoad | None:
     """Return a load report, ``None`` if there is none or it is malformed."""
     if not isinstance(report, list | tuple) or len(report) != 4:
         return None
-    if not all(isinstance(value, int | float) and value >= 0 for value in report):
+    if not all(
+        isinstance(value, int | float) and math.isfinite(value) and value >= 0
+        for value in report
+    ):
         return None
     free, queued, slots, run_seconds = report
     return GroupLoad(
--- a/src/egretloft/_internal/requests/service.py
+++ b/src/egretloft/_internal/requests/service.py
@@ -141,7 +141,8 @@
                 f"{self.instance_id} does not own {partition}",
             )
             return refusal_reply(forward.attempt_id, refusal)
-        return await group.submit(forward)
+        reply = await group.submit(forward)
+        return msgspec.structs.replace(reply, load=encode_load(group.load()))
 
     async def handle_forward(
         self, instance_id: str, body: Mapping[str, Any]
--- a/tests/lib/request_world.py
+++ b/tests/lib/request_world.py
@@ -81,6 +81,7 @@
     most_in_use: int = 0
     arrivals: int = 0
     runs: Counter[bytes] = field(default_factory=Counter)
+    run_seconds_of: Callable[[bytes], float] | None = None
     answer: Callable[[bytes], bytes] = lambda payload: b"answer to " + payload
 
     async def execute(self, request: RunnerRequest) -> Result[bytes, CallFailure]:
@@ -93,7 +94,10 @@
         self.in_use += 1
         self.most_in_use = max(self.most_in_use, self.in_use)
         failing = self.mode in {"fail", "break_off"}
-        seconds = 0.001 if self.mode == "fail" else self.run_seconds()
+        seconds = self.run_seconds()
+        if self.run_seconds_of is not None:
+            seconds = self.run_seconds_of(request.payload)
+        seconds = 0.001 if self.mode == "fail" else seconds
         await asyncio.sleep(NEVER_SECONDS if self.mode == "hang" else seconds)
         self.in_use -= 1
         if failing:
--- /dev/null
+++ b/tests/unit/requests/test_parts.py
@@ -0,0 +1,170 @@
+"""Budget, queue, memory and routing on their own."""
+
+from __future__ import annotations
+
+import asyncio
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from egretloft._internal.requests.admission import (
+    QUEUE_LIMIT,
+    RunTimes,
+    Work,
+    create_fair_queue,
+)
+from egretloft._internal.requests.dispatch import GroupLoad
+from egretloft._internal.requests.key_memory import MEMORY_SECONDS, create_key_memory
+from egretloft._internal.requests.messages import Forward
+from egretloft._internal.requests.retry_budget import CAPACITY, create_retry_budget
+from egretloft._internal.requests.routing import decode_load, encode_load
+from lib.fakes import ManualClock
+from lib.request_world import SERVICE, World
+from lib.virtual_time import run_virtual
+
+
+def build_work(organisation: str, deadline: float = 100.0) -> Work:
+    forward = Forward(
+        attempt_id="a",
+        organisation=organisation,
+        profile=organisation,
+        service=SERVICE,
+        zone="zone-1",
+        idempotent=True,
+        payload=b"",
+        remaining_seconds=1.0,
+        start_seconds=1.0,
+        deadline_at=1.0,
+        start_by=1.0,
+        attempts_left=1,
+    )
+    future = asyncio.Future(loop=asyncio.new_event_loop())
+    future.get_loop().close()
+    return Work(forward, deadline, deadline, future)
+
+
+@given(st.lists(st.floats(0.0, 2.0), max_size=60), st.integers(0, 50))
+def test_budget_never_exceeds_its_rate(pauses: list[float], requests: int) -> None:
+    """Guards against retries above the larger of 10% and 3/s beyond the bucket."""
+    clock = ManualClock()
+    budget = create_retry_budget(clock)
+    spent = earned = elapsed = 0.0
+    for pause in pauses:
+        clock.advance(pause)
+        elapsed += pause
+        for _ in range(requests):
+            budget.count_request()
+            earned += 0.1
+        while budget.spend():
+            spent += 1
+        assert budget.tokens <= CAPACITY
+    assert spent <= 3 + 3 * elapsed + earned
+    if not requests:
+        assert spent <= 3 + 3 * elapsed
+
+
+def test_budget_rates_do_not_add_up() -> None:
+    """Guards against 3/s being granted on top of the 10%."""
+    clock = ManualClock()
+    budget = create_retry_budget(clock)
+    spent = 0
+    for _ in range(100_000):
+        clock.advance(0.001)
+        budget.count_request()
+        spent += budget.spend()
+    assert 10_000 <= spent <= 10_010
+
+
+def test_queue_is_bounded_and_fair_when_full() -> None:
+    """Guards against a full queue that keeps out an organisation with little in it."""
+    queue = create_fair_queue(RunTimes())
+    for _ in range(QUEUE_LIMIT):
+        assert queue.add(build_work("org-a")) is None
+    for _ in range(QUEUE_LIMIT // 2):
+        dropped = queue.add(build_work("org-b"))
+        assert dropped is not None
+        assert dropped.forward.organisation == "org-a"
+    dropped = queue.add(build_work("org-b"))
+    assert dropped is not None
+    assert dropped.forward.organisation == "org-b"
+    assert queue.size == QUEUE_LIMIT
+
+
+def test_queue_shares_run_time_not_requests() -> None:
+    """Guards against an organisation of long requests taking most of the slots."""
+    run_times = RunTimes()
+    for _ in range(200):
+        run_times.record("org-a", 0.4)
+        run_times.record("org-b", 0.1)
+    queue = create_fair_queue(run_times)
+    for _ in range(30):
+        queue.add(build_work("org-a"))
+        queue.add(build_work("org-b"))
+    served = [queue.take(0.0) for _ in range(25)]
+    names = [work.forward.organisation for work in served if work is not None]
+    assert 4 <= names.count("org-a") <= 6
+
+
+def test_urgent_work_overtakes_but_hopeless_work_does_not() -> None:
+    """Guards against slots spent on requests that cannot make their deadline."""
+    queue = create_fair_queue(RunTimes(group=0.1))
+    first, urgent = build_work("org-a"), build_work("org-a", deadline=0.2)
+    hopeless = build_work("org-a", deadline=0.05)
+    for work in (first, hopeless, urgent):
+        queue.add(work)
+    assert [queue.take(0.0) for _ in range(3)] == [urgent, first, hopeless]
+
+
+def test_key_memory_is_unsure_after_a_loss() -> None:
+    """Guards against ``not_run`` by an instance that may have forgotten a key."""
+    clock = ManualClock()
+    memory = create_key_memory(clock)
+    memory.follow_members({"a", "b"})
+    memory.begin("k")
+    assert memory.was_seen("k")
+    assert not memory.was_seen("k", own_submissions=1)
+    memory.end("k", maybe_ran=True)
+    assert memory.was_seen("k", own_submissions=1)
+    memory.begin("l")
+    memory.end("l", maybe_ran=False)
+    assert not memory.was_seen("l")
+    assert memory.is_sure()
+    memory.follow_members({"a"})
+    assert not memory.is_sure()
+    clock.advance(MEMORY_SECONDS)
+    memory.prune()
+    assert memory.is_sure()
+    assert not memory.was_seen("k")
+
+
+@given(st.lists(st.floats() | st.integers(), min_size=4, max_size=4) | st.text())
+def test_any_load_report_is_read_or_ignored(report: object) -> None:
+    """Guards against a peer's malformed heartbeat ending the routing."""
+    load = decode_load(report)
+    assert load is None or load.run_seconds > 0
+    assert decode_load(encode_load(GroupLoad(1, 2, 3, 0.5))) == GroupLoad(1, 2, 3, 0.5)
+
+
+def test_far_group_is_chosen_only_if_the_queue_costs_more_than_the_link() -> None:
+    """Guards against paying for a link that does not shorten the wait."""
+
+    async def main() -> None:
+        world = World(("zone-1", "zone-2"), instances=2)
+        await world.start()
+        router = world[0].service.delivery.router
+        profile = world.profiles["org-a"]
+        own = GroupLoad(free=0, queued=0, slots=8, run_seconds=0.01)
+
+        def chosen() -> str:
+            return router.choose(SERVICE, profile).unwrap().zone
+
+        router.own_load = lambda partition: own
+        assert chosen() == "zone-1"
+        own = GroupLoad(free=0, queued=30, slots=8, run_seconds=0.01)
+        assert chosen() == "zone-2"
+        # What was sent since the far owner's report counts as queued there.
+        for _ in range(60):
+            router.count_sent(router.choose(SERVICE, profile).unwrap())
+        assert chosen() == "zone-1"
+
+    run_virtual(main())
