--- a/src/egretloft/_internal/gangs/ending.py
+++ b/src/egretloft/_internal/gangs/ending.py
@@ -35,17 +35,27 @@
             return None
         return JobChange(replace(record, state=JobState.STOPPING, reason=reason))
 
+    def with_checkpoint(record: JobRecord) -> JobChange | None:
+        if record.state is not JobState.STOPPING or _ends_anyway(gang):
+            return None
+        return JobChange(replace(record, checkpoint=checkpoint))
+
+    checkpoint = ""
     if gang.record.state is JobState.RUNNING:
         await context.write(gang, to_stopping)
         if context.abandoned:
             return ()
-    checkpoint = ""
     if (
         gang.record.state is JobState.STOPPING
         and gang.record.spec.checkpointable
         and not _ends_anyway(gang)
     ):
         checkpoint = await checkpoint_members(context, gang)
+        if checkpoint:
+            # Written before the members stop, so that a successor knows its name.
+            await context.write(gang, with_checkpoint)
+            if context.abandoned:
+                return ()
     return await end_gang(context, gang, renewal, checkpoint)
 
 
--- a/src/egretloft/_internal/gangs/renewal.py
+++ b/src/egretloft/_internal/gangs/renewal.py
@@ -11,6 +11,7 @@
 
 from egretloft._internal.gangs.context import OwnerContext
 from egretloft._internal.gangs.entities import Gang, Member
+from egretloft._internal.models.jobs import JobState
 from egretloft._internal.platform.protocols import (
     CallFailure,
     Renewal,
@@ -162,7 +163,11 @@
         self._forget(member)
         if not gang.renewing:
             return
-        if report.state is not TaskState.FINISHED:
+        # A former owner may already have stopped members of a gang that it stopped.
+        planned = (
+            gang.record.state is JobState.STOPPING and report.state is TaskState.STOPPED
+        )
+        if report.state is not TaskState.FINISHED and not planned:
             gang.mark_broken(member.placement.worker_id)
             self.context.metrics.count(
                 "gang_members_ended_early", state=report.state.value
--- a/src/egretloft/_internal/gangs/session.py
+++ b/src/egretloft/_internal/gangs/session.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from dataclasses import replace
+from functools import partial
 from typing import Any
 
 import structlog
@@ -45,7 +46,7 @@
 # Period of the scan for new jobs and cancellations: two reads a second.
 SCAN_SECONDS = 0.5
 
-Operation = Coroutine[Any, Any, tuple[Event, ...]]
+Operation = Callable[[], Coroutine[Any, Any, tuple[Event, ...]]]
 
 
 class OwnerSession:
@@ -127,25 +128,19 @@
             return
         gang = adopt(self.context, row, self.renewal)
         self.gangs[job_id] = gang
-        if self.scheduling:
-            self.scheduler.apply(adoption_event(gang))
-            self._review(gang)
+        for member in gang.members:
+            self.watch.needed_workers.add(member.placement.worker_id)
+        # Told in the state in which the job was found, before the events of its
+        # operations, which may end while the workers are still being listed.
+        self._apply((adoption_event(gang),))
+        self._review(gang)
 
     def _begin_scheduling(self) -> None:
-        for gang in self.gangs.values():
-            for member in gang.members:
-                self.watch.needed_workers.add(member.placement.worker_id)
         for event in self.watch.changes():
             self.scheduler.apply(event)
-        adopted = list(self.gangs.values())
-        for gang in adopted:
-            self.scheduler.apply(adoption_event(gang))
         self.scheduling = True
         held, self.held_events = self.held_events, []
-        for event in held:
-            self.scheduler.apply(event)
-        for gang in adopted:
-            self._review(gang)
+        self._apply(tuple(held))
 
     def _review(self, gang: Gang) -> None:
         """Start the operation that the state of an idle gang calls for."""
@@ -158,11 +153,16 @@
             if gang.record.cancel_requested:
                 self.cancelled.add(gang.job_id)
             elif gang.end_reason is not None:
-                self._operate(gang, self._end_queued(gang, gang.end_reason))
+                self._operate(gang, partial(self._end_queued, gang, gang.end_reason))
         elif state is JobState.STARTING:
             self._operate(
                 gang,
-                settle_start(self.context, gang, released_before=gang.record.released),
+                partial(
+                    settle_start,
+                    self.context,
+                    gang,
+                    released_before=gang.record.released,
+                ),
             )
         elif (
             gang.broken
@@ -170,11 +170,13 @@
             or gang.record.cancel_requested
             or gang.end_reason is not None
         ):
-            self._operate(gang, end_gang(self.context, gang, self.renewal))
+            self._operate(gang, partial(end_gang, self.context, gang, self.renewal))
         elif state is JobState.STOPPING or gang.stop_requested:
             self._operate(
                 gang,
-                stop_gang(self.context, gang, self.renewal, gang.record.reason),
+                partial(
+                    stop_gang, self.context, gang, self.renewal, gang.record.reason
+                ),
             )
 
     def _member_changed(self, gang: Gang) -> None:
@@ -208,7 +210,13 @@
             if gang.operation is None and gang.record.state is JobState.RUNNING:
                 self._operate(
                     gang,
-                    stop_gang(self.context, gang, self.renewal, decision.reason.value),
+                    partial(
+                        stop_gang,
+                        self.context,
+                        gang,
+                        self.renewal,
+                        decision.reason.value,
+                    ),
                 )
         elif isinstance(decision, EndJob):
             gang.end_reason = decision.reason
@@ -225,7 +233,8 @@
             self.scheduler.apply(GangStartFailed(gang.job_id, now, unlisted))
             return
         self._operate(
-            gang, start_gang(self.context, gang, decision.placement, self.renewal)
+            gang,
+            partial(start_gang, self.context, gang, decision.placement, self.renewal),
         )
 
     def _cancel_queued(self) -> None:
@@ -285,7 +294,7 @@
 
     async def _carry_through(self, gang: Gang, operation: Operation) -> None:
         try:
-            events = await operation
+            events = await operation()
         finally:
             gang.operation = None
         if gang.record.state is JobState.QUEUED:
--- a/tests/lib/worker_fakes.py
+++ b/tests/lib/worker_fakes.py
@@ -167,6 +167,8 @@
     longest_partial: dict[tuple[str, int], float] = field(default_factory=dict)
     worked: dict[str, set[int]] = field(default_factory=dict)
     simultaneous_attempts: int = 0
+    # Times at which two working tasks shared an accelerator.
+    shared_accelerators: int = 0
 
     @classmethod
     def create(cls, time: SimulatedTime, workers: list[Worker]) -> FakeWorkers:
@@ -178,10 +180,13 @@
         now = self.time.clock.wall()
         working: dict[tuple[str, int], int] = {}
         for worker in self.workers.values():
+            taken: list[int] = []
             for task_id in worker.working():
                 start = worker.tasks[task_id].start
+                taken.extend(start.accelerators)
                 key = start.job_id, start.attempt
                 working[key] = working.get(key, 0) + 1
+            self.shared_accelerators += len(taken) - len(set(taken))
         jobs = [job_id for job_id, _ in working]
         self.simultaneous_attempts += len(jobs) - len(set(jobs))
         for key, count in working.items():
