--- a/src/egretloft/_internal/gangs/context.py
+++ b/src/egretloft/_internal/gangs/context.py
@@ -108,7 +108,13 @@
                     self.abandoned = True
                     return False
                 attempted.append(wanted.record)
-                kind = await self._try(gang, wanted, epoch)
+                kind = await self.replace(
+                    gang,
+                    wanted.record,
+                    (epoch_check(epoch), *wanted.checks),
+                    COMMIT_TIMEOUT_SECONDS,
+                    wanted.writes,
+                )
                 if kind is None:
                     return True
                 known = kind is StoreFailureKind.NOT_APPLIED
@@ -132,18 +138,26 @@
                 return False
         return False
 
-    async def _try(
-        self, gang: Gang, wanted: JobChange, epoch: Epoch
+    async def replace(
+        self,
+        gang: Gang,
+        record: JobRecord,
+        checks: tuple[Check, ...],
+        timeout_seconds: float,
+        writes: tuple[Write, ...] = (),
     ) -> StoreFailureKind | None:
+        """Write ``record`` over the gang's row once; ``None`` if that succeeded.
+
+        ``UNKNOWN`` also stands for a write that took effect and was written over by
+        another instance since; the row has to be read back in both cases.
+        """
         async with self.commits:
             result = await self.jobs.replace(
-                gang.row,
-                wanted.record,
-                (epoch_check(epoch), *wanted.checks),
-                COMMIT_TIMEOUT_SECONDS,
-                wanted.writes,
+                gang.row, record, checks, timeout_seconds, writes
             )
         match result:
+            case Success(JobRow(version=0)):
+                return StoreFailureKind.UNKNOWN
             case Success(row):
                 gang.take_row(row)
                 return None
--- a/src/egretloft/_internal/gangs/starting.py
+++ b/src/egretloft/_internal/gangs/starting.py
@@ -170,23 +170,14 @@
         zone_check(context.view, zone),
         profile_check(context.view, former.spec.profile),
     )
-    async with context.commits:
-        result = await context.jobs.replace(
-            gang.row, wanted, checks, COMMIT_TIMEOUT_SECONDS
-        )
-    match result:
-        case Success(row):
-            gang.take_row(row)
-            return True
-        case Failure(failure):
-            context.metrics.count("gang_write_failures", kind=failure.kind.value)
-            if failure.kind is StoreFailureKind.CONFLICT:
-                await context.read_back(gang)
-            elif failure.kind is StoreFailureKind.UNKNOWN:
-                # Nothing was sent. The write below takes effect either way and keeps
-                # the unanswered one from taking effect later.
-                await context.write(gang, _skip_attempt(wanted.attempt))
-    return False
+    kind = await context.replace(gang, wanted, checks, COMMIT_TIMEOUT_SECONDS)
+    if kind is StoreFailureKind.CONFLICT:
+        await context.read_back(gang)
+    elif kind is StoreFailureKind.UNKNOWN:
+        # Nothing was sent. The write below takes effect either way and keeps the
+        # unanswered one from taking effect later.
+        await context.write(gang, _skip_attempt(wanted.attempt))
+    return kind is None
 
 
 def _skip_attempt(attempt: int) -> Change:
@@ -278,23 +269,18 @@
     if epoch is None or record.cancel_requested or now >= last_moment:
         return False
     wanted = replace(record, state=JobState.RUNNING, released=True, started_at=now)
-    async with context.commits:
-        result = await context.jobs.replace(
-            gang.row,
-            wanted,
-            # The zone is checked again, so that a zone that went out since the first
-            # transaction does not see the gang begin its work.
-            (epoch_check(epoch), zone_check(context.view, zone)),
-            min(COMMIT_TIMEOUT_SECONDS, last_moment - now),
-        )
-    match result:
-        case Success(row):
-            gang.take_row(row)
-            return not gang.record.cancel_requested
-        case Failure(failure):
-            context.metrics.count("gang_write_failures", kind=failure.kind.value)
-            if failure.kind is StoreFailureKind.NOT_APPLIED:
-                return False
+    kind = await context.replace(
+        gang,
+        wanted,
+        # The zone is checked again, so that a zone that went out since the first
+        # transaction does not see the gang begin its work.
+        (epoch_check(epoch), zone_check(context.view, zone)),
+        min(COMMIT_TIMEOUT_SECONDS, last_moment - now),
+    )
+    if kind is None:
+        return not gang.record.cancel_requested
+    if kind is StoreFailureKind.NOT_APPLIED:
+        return False
     while context.clock.wall() < last_moment and context.epoch() is not None:
         if await context.read_back(gang):
             # A row that is still ``starting`` may change yet; the undoing write is
