Keep guaranteed cells whole while they are partly used

A cell now keeps its whole extent while it is bound. Units are counted by gang in fractions of an accelerator, so that unbinding gives back exactly what binding took. Work that cannot restart is refused at submit when it fits no guarantee.

--- a/src/egretloft/_internal/scheduling/cells.py
+++ b/src/egretloft/_internal/scheduling/cells.py
@@ -160,10 +160,12 @@
                 self.zones[row.worker.zone].freed += 1
 
     def pin(self, row: WorkerRow, amount: Amount, sign: int) -> None:
-        """Add (1) or drop (-1) an amount that cannot be reclaimed."""
-        row.pinned_accelerators += sign * amount.accelerators
-        row.pinned_cores += sign * amount.cores
-        row.pinned_memory_gb += sign * amount.memory_gb
+        """Add (1) or drop (-1) an amount that cannot be reclaimed.
+
+        Units are added up by gang, so that unpinning gives back exactly what pinning
+        took.
+        """
+        row.pinned_units += sign * row.units(amount)
 
     def _index(self, row: WorkerRow, sign: int) -> None:
         zone = self.zones[row.worker.zone]
--- a/src/egretloft/_internal/scheduling/dispatch.py
+++ b/src/egretloft/_internal/scheduling/dispatch.py
@@ -7,9 +7,12 @@
 from __future__ import annotations
 
 import heapq
-from collections.abc import Iterable
+import math
+from collections.abc import Iterable, Iterator
+from enum import Enum
 
 from egretloft._internal.models.jobs import JobSpec, Priority
+from egretloft._internal.scheduling.packing import Packing
 from egretloft._internal.scheduling.placement import (
     Fit,
     TaskCounts,
@@ -22,14 +25,24 @@
 from egretloft._internal.scheduling.reservations import Reservation, earliest_start
 from egretloft._internal.scheduling.state import State
 from egretloft._internal.scheduling.tables import (
+    UNITS_PER_ACCELERATOR,
     Amount,
     JobRow,
     WorkerRow,
     task_amount,
 )
 
-# A cost that no useful stop has; places that cannot be freed are passed over.
-IMPOSSIBLE_COST = 1e15
+
+class Heed(Enum):
+    """Whose reservations a placement keeps."""
+
+    ALL = 0
+    OWN_PROFILE = 1
+    NONE = 2
+
+
+def _least(first: Fit, second: Fit) -> Fit:
+    return lambda worker: min(first(worker), second(worker))
 
 
 class Dispatcher:
@@ -114,17 +127,16 @@
     def _zones(self, spec: JobSpec) -> tuple[str, ...]:
         return self.state.profiles[spec.profile].zones
 
-    def _free_fit(self, row: JobRow, heed: str) -> Fit:
+    def _free_fit(self, row: JobRow, heed: Heed) -> Fit:
         """Return the fit into free cells.
 
-        ``heed`` names the reservations that are kept: ``"all"``, or ``"own"`` for
-        those of the job's own profile only. Work that ends in time may use them, and
-        so may jobs that are older than the holder.
+        Work that ends in time may use reserved cells, and so may jobs that are older
+        than the holder of the reservation.
         """
         state = self.state
         spec = row.spec
         amount = task_amount(spec)
-        reserved = state.reserved
+        reserved = state.reserved if heed is not Heed.NONE else {}
         ends_at = state.now + state.expected_seconds(row) if reserved else 0.0
         avoid = row.avoid if state.now < row.avoid_until else ()
         place = queue_place(spec)
@@ -142,7 +154,7 @@
                 if (
                     ends_at > reservation.backfill_until
                     and queue_place(holder) < place
-                    and (heed == "all" or holder.profile == spec.profile)
+                    and (heed is Heed.ALL or holder.profile == spec.profile)
                 ):
                     kept = reservation.needs[worker_id]
                     accelerators -= kept.accelerators
@@ -152,49 +164,61 @@
 
         return fit
 
-    def _own_room_fit(self, row: JobRow) -> Fit:
-        """Return the fit into cells that the guarantees of others do not need."""
-        state = self.state
+    def _room_fit(self, row: JobRow, own: Packing, others: bool) -> Fit:
+        """Return the fit into earmarked units of the job's own profile.
+
+        With ``others`` also into units that no guarantee needs.
+        """
         spec = row.spec
         amount = task_amount(spec)
-        own = state.guarantees.room_for(spec.profile)
-        avoid = row.avoid if state.now < row.avoid_until else ()
+        avoid = row.avoid if self.state.now < row.avoid_until else ()
 
         def fit(worker: WorkerRow) -> int:
             worker_id = worker.worker.worker_id
             if worker_id in avoid or (worker.probation and worker.gangs):
                 return 0
-            room = worker.room() + own.get(worker_id, 0)
+            room = own.get(worker_id, 0)
+            if others:
+                room += worker.room()
+            if room <= 0:
+                return 0
             units = worker.units(amount)
-            return max(0, room) // units if units else spec.tasks
+            return room // units if units else spec.tasks
 
         return fit
 
+    def _room_fits(self, row: JobRow) -> Iterator[Fit]:
+        """Yield fits from the widest choice of cells to the safest."""
+        guarantees = self.state.guarantees
+        profile = row.spec.profile
+        yield self._room_fit(row, guarantees.earmarks(profile), True)
+        units = row.spec.accelerators * UNITS_PER_ACCELERATOR
+        for own in guarantees.earmarks_for(profile, units):
+            yield self._room_fit(row, own, False)
+
     def _bind(self, row: JobRow, counts: TaskCounts | None) -> bool:
         return counts is not None and self.state.guarantees.bind(
             row.spec.profile, row.spec.job_id, needs_of(row.spec, counts)
         )
 
-    def _find_bound_free(self, row: JobRow) -> TaskCounts | None:
+    def find_bound_free(self, row: JobRow) -> TaskCounts | None:
         """Bind the gang to free cells and return them, or change nothing."""
         spec = row.spec
         cells = self.state.cells
         zones = self._zones(spec)
-        counts = find_free(spec, zones, cells, self._free_fit(row, "all"))
-        if counts is not None and self._bind(row, counts):
-            return counts
-        free = self._free_fit(row, "own")
-        room = self._own_room_fit(row)
-        counts = find_free(
-            spec, zones, cells, lambda worker: min(free(worker), room(worker))
-        )
+        counts = find_free(spec, zones, cells, self._free_fit(row, Heed.ALL))
         if counts is not None and self._bind(row, counts):
             return counts
+        free = self._free_fit(row, Heed.OWN_PROFILE)
+        for room in self._room_fits(row):
+            counts = find_free(spec, zones, cells, _least(free, room))
+            if counts is not None and self._bind(row, counts):
+                return counts
         return None
 
     def _has_headroom(self, spec: JobSpec) -> bool:
         free = self.state.guarantees.free_units.get(spec.profile, 0)
-        return free > 0 and free >= spec.accelerators
+        return free > 0 and free >= spec.accelerators * UNITS_PER_ACCELERATOR
 
     def _try_guaranteed(self, row: JobRow) -> bool:
         """Start or claim within the guarantee."""
@@ -203,7 +227,7 @@
             return False
         if not self._has_headroom(spec):
             return not spec.restartable and self._try_uncovering(row)
-        counts = self._find_bound_free(row)
+        counts = self.find_bound_free(row)
         if counts is not None:
             self.state.start(row, counts, True)
             return True
@@ -213,22 +237,23 @@
         """Claim cells within the guarantee that hold borrowed work."""
         spec = row.spec
         state = self.state
-        counts = find_cheapest(
-            spec,
-            self._zones(spec),
-            state.cells,
-            self._own_room_fit(row),
-            lambda worker, amount: self._reclaim_cost(worker, spec, amount),
-        )
-        if counts is None or not self._bind(row, counts):
-            return False
-        state.claim(row, counts, True)
-        return True
+        for room in self._room_fits(row):
+            counts = find_cheapest(
+                spec,
+                self._zones(spec),
+                state.cells,
+                room,
+                lambda worker, amount: self._reclaim_cost(worker, spec, amount),
+            )
+            if counts is not None and self._bind(row, counts):
+                state.claim(row, counts, True)
+                return True
+        return False
 
     def _reclaim_cost(self, worker: WorkerRow, spec: JobSpec, amount: Amount) -> float:
         victims = self.state.victims(worker, spec, amount)
         if victims is None:
-            return IMPOSSIBLE_COST
+            return math.inf
         return sum(self.state.stop_cost(victim) for victim in victims)
 
     def _uncover_own(self, row: JobRow) -> list[JobRow]:
@@ -263,7 +288,7 @@
         """
         uncovered = self._uncover_own(row)
         if uncovered and self._has_headroom(row.spec):
-            counts = self._find_bound_free(row)
+            counts = self.find_bound_free(row)
             if counts is not None:
                 self.state.start(row, counts, True)
                 return True
@@ -275,7 +300,7 @@
         if not spec.restartable or not self._within_limit(spec):
             return False
         counts = find_free(
-            spec, self._zones(spec), self.state.cells, self._free_fit(row, "all")
+            spec, self._zones(spec), self.state.cells, self._free_fit(row, Heed.ALL)
         )
         if counts is None:
             return False
@@ -289,13 +314,13 @@
             return False
         headroom = self._has_headroom(spec)
         if headroom:
-            counts = self._find_bound_free(row)
+            counts = self.find_bound_free(row)
             if counts is not None:
                 state.start(row, counts, True)
                 return True
         if spec.restartable:
             counts = find_free(
-                spec, self._zones(spec), state.cells, self._free_fit(row, "none")
+                spec, self._zones(spec), state.cells, self._free_fit(row, Heed.NONE)
             )
             if counts is not None:
                 state.start(row, counts, False)
--- a/src/egretloft/_internal/scheduling/feasibility.py
+++ b/src/egretloft/_internal/scheduling/feasibility.py
@@ -12,7 +12,11 @@
 from egretloft._internal.models.profiles import Adjacency, Profile
 from egretloft._internal.models.topology import Worker
 from egretloft._internal.scheduling.cells import Cells
+from egretloft._internal.scheduling.dispatch import Dispatcher
 from egretloft._internal.scheduling.packing import create_guaranteed_cells, pack_all
+from egretloft._internal.scheduling.settings import SchedulerSettings
+from egretloft._internal.scheduling.state import State
+from egretloft._internal.scheduling.tables import UNITS_PER_ACCELERATOR, JobRow
 
 
 def check_job(
@@ -56,7 +60,33 @@
             f"{profile.name!r} holds at most {most}",
             "submit fewer tasks, smaller tasks or a wider adjacency",
         )
-    return None
+    return None if spec.restartable else _check_guarantee(spec, profile, usable)
+
+
+def _check_guarantee(
+    spec: JobSpec, profile: Profile, workers: list[Worker]
+) -> Refusal | None:
+    """Refuse work that cannot restart and that no guarantee could ever hold."""
+    state = State(SchedulerSettings())
+    for worker in workers:
+        state.cells.add_worker(worker)
+    state.profiles[profile.name] = profile
+    state.guarantees.set_profile(profile)
+    state.guarantees.repack()
+    if Dispatcher(state).find_bound_free(JobRow(spec)) is not None:
+        return None
+    shapes = ", ".join(
+        f"{shape.count} x {shape.accelerators} ({shape.adjacency.value})"
+        for shape in profile.guarantees
+    )
+    return not_run(
+        Reason.IMPOSSIBLE,
+        "idempotent, checkpointable: both false; such work runs only within the "
+        f"guarantee, and profile {profile.name!r} guarantees {shapes or 'nothing'}; "
+        f"this gang has {spec.tasks} tasks of {spec.accelerators_per_task} "
+        f"accelerators, {spec.cores} cores and {spec.memory_gb} GB",
+        "make the job idempotent or checkpointable, or submit a smaller gang",
+    )
 
 
 def _check_task(
@@ -129,12 +159,12 @@
             continue
         cell = next(each for each in cells if not each.carried)
         total = sum(each.worker.accelerators for each in topology.workers.values())
-        wanted = sum(each.accelerators for each in cells)
+        wanted = sum(each.size for each in cells) // UNITS_PER_ACCELERATOR
         return not_run(
             Reason.INFEASIBLE_GUARANTEES,
-            f"guarantees: {cell.accelerators} accelerators with adjacency "
-            f"{cell.adjacency.value!r} in zones {', '.join(cell.zones)} of profile "
-            f"{cell.profile!r} cannot be packed beside the other guarantees; "
+            f"guarantees: {cell.size // UNITS_PER_ACCELERATOR} accelerators with "
+            f"adjacency {cell.adjacency.value!r} in zones {', '.join(cell.zones)} of "
+            f"profile {cell.profile!r} cannot be packed beside the other guarantees; "
             f"{wanted} accelerators are guaranteed and region {region!r} has {total}",
             "reduce a guaranteed shape, widen its adjacency or add zones",
         )
--- a/src/egretloft/_internal/scheduling/guarantees.py
+++ b/src/egretloft/_internal/scheduling/guarantees.py
@@ -1,14 +1,14 @@
 """Lazy binding of guarantees to cells.
 
-Every unbound guaranteed cell has an earmark: units on workers that are free or hold
-reclaimable work. Earmarks of all cells and pinned work are disjoint, so they prove that
-every guarantee can be reclaimed at once. They move freely: pinning work where an
-earmark lies is allowed when the earmark can be packed elsewhere.
+Every guaranteed cell has an extent, and its unused part is an earmark: units on workers
+that are free or hold reclaimable work. Earmarks of all cells and pinned work are
+disjoint, so they prove that every guarantee can be reclaimed at once. They move freely:
+pinning work where an earmark lies is allowed when that cell can be packed elsewhere.
 """
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Iterator, Mapping
 
 from egretloft._internal.models.profiles import Adjacency, Profile
 from egretloft._internal.scheduling.cells import Cells
@@ -16,16 +16,22 @@
     GuaranteedCell,
     Packing,
     create_guaranteed_cells,
-    find_packing,
+    find_extent,
     pack_all,
     packing_order,
-    set_earmark,
+    set_extent,
 )
 from egretloft._internal.scheduling.tables import Amount
 
 Cover = list[tuple[GuaranteedCell, Packing]]
 """Units of guaranteed cells that a gang uses."""
 
+Undo = dict[int, tuple[GuaranteedCell, Packing, bool]]
+"""Former extents of cells that were moved, and whether they were carried."""
+
+# Guaranteed cells that are tried for a gang that would fit in each of them.
+CELLS_TRIED = 3
+
 
 class Guarantees:
     """Guaranteed cells of all profiles, their use and their earmarks."""
@@ -46,12 +52,12 @@
         cells = create_guaranteed_cells(profile)
         if cells:
             self.cells[profile.name] = cells
-            self.free_units[profile.name] = sum(each.accelerators for each in cells)
+            self.free_units[profile.name] = sum(each.size for each in cells)
 
     def drop_profile(self, name: str) -> None:
         """Forget a profile; no gang may be bound to it."""
         for cell in self.cells.pop(name, ()):
-            set_earmark(cell, None, self.topology)
+            set_extent(cell, None, self.topology)
         self.free_units.pop(name, None)
 
     def repack(self) -> bool:
@@ -62,35 +68,53 @@
         """Return the cells that no worker carries at present."""
         return [cell for cell in self.all_cells() if not cell.carried]
 
-    def room_for(self, profile: str) -> dict[str, int]:
-        """Return the units by worker that only the profile's own earmarks hold."""
-        own: dict[str, int] = {}
+    def earmarks(self, profile: str) -> Packing:
+        """Return the units by worker that the profile's cells have earmarked."""
+        own: Packing = {}
         for cell in self.cells.get(profile, ()):
             for worker_id, units in cell.earmark.items():
                 own[worker_id] = own.get(worker_id, 0) + units
         return own
 
+    def earmarks_for(self, profile: str, units: int) -> Iterator[Packing]:
+        """Yield earmarks of single cells that hold the units, then of all cells."""
+        cells = [
+            cell
+            for cell in self.cells.get(profile, ())
+            if cell.carried and cell.residual >= units
+        ]
+        cells.sort(key=lambda cell: (cell.residual, not cell.used, cell.number))
+        for cell in cells[:CELLS_TRIED]:
+            yield cell.earmark
+        yield self.earmarks(profile)
+
     def bind(self, profile: str, job_id: str, needs: Mapping[str, Amount]) -> bool:
         """Pin a gang within the guarantee of its profile, or change nothing."""
         if profile not in self.cells:
             return False
-        units = self._units(needs)
+        workers = self.topology.workers
+        units = {
+            worker_id: workers[worker_id].units(amount)
+            for worker_id, amount in needs.items()
+        }
         if not units or sum(units.values()) > self.free_units[profile]:
             return False
-        cover = self._cover(profile, units)
-        if cover is None:
-            return False
-        undo: dict[int, tuple[GuaranteedCell, Packing, bool]] = {}
+        for worker_id, taken in units.items():
+            row = workers[worker_id]
+            if row.usable and row.pinned_units + taken > row.total_units:
+                return False
         self._pin(needs, 1)
-        for cell, packing in cover:
-            self._lift(cell, undo)
-            self._use(cell, job_id, packing, 1)
-        if self._settle([cell for cell, _ in cover], units, undo):
-            return True
-        for cell, packing in cover:
-            self._use(cell, job_id, packing, -1)
+        for cover in self._covers(profile, units):
+            undo: Undo = {}
+            for cell, packing in cover:
+                self._lift(cell, undo)
+                self._use(cell, job_id, packing, 1)
+            if self._settle([cell for cell, _ in cover], units, undo):
+                return True
+            for cell, packing in cover:
+                self._use(cell, job_id, packing, -1)
+            self._restore(undo)
         self._pin(needs, -1)
-        self._restore(undo)
         return False
 
     def unbind(self, profile: str, job_id: str, needs: Mapping[str, Amount]) -> None:
@@ -98,24 +122,10 @@
         self._pin(needs, -1)
         for cell in self.cells.get(profile, ()):
             packing = cell.used.get(job_id)
-            if packing is None:
-                continue
-            self._use(cell, job_id, packing, -1)
-            former, was_carried = cell.earmark, cell.carried
-            set_earmark(cell, None, self.topology)
-            if not cell.used or not was_carried:
-                # An idle cell may lie anywhere, and a compact place is preferred.
-                found = find_packing(cell, self.topology)
-                if found is not None:
-                    set_earmark(cell, found, self.topology)
-                    continue
-            merged = dict(former)
-            for worker_id, units in packing.items():
-                merged[worker_id] = merged.get(worker_id, 0) + units
-            if was_carried and self._fits(merged):
-                set_earmark(cell, merged, self.topology)
-            else:
-                self.adjust(cell)
+            if packing is not None:
+                self._use(cell, job_id, packing, -1)
+                set_extent(cell, cell.extent if cell.carried else None, self.topology)
+        self.repair(needs)
 
     def pin(self, needs: Mapping[str, Amount]) -> None:
         """Pin work that lies in no guarantee and that cannot be reclaimed."""
@@ -128,7 +138,7 @@
 
     def repair(self, worker_ids: Iterable[str]) -> None:
         """Move earmarks off workers that cannot carry them any more."""
-        undo: dict[int, tuple[GuaranteedCell, Packing, bool]] = {}
+        undo: Undo = {}
         if not self._settle([], worker_ids, undo):
             self._restore(undo)
             self.repack()
@@ -136,30 +146,10 @@
     def place(self, uncarried: Iterable[GuaranteedCell]) -> None:
         """Find places for cells that have none, moving others where that helps."""
         for cell in sorted(uncarried, key=packing_order):
-            set_earmark(cell, find_packing(cell, self.topology), self.topology)
+            set_extent(cell, find_extent(cell, self.topology), self.topology)
         if self.uncarried():
             self.repack()
 
-    def adjust(self, cell: GuaranteedCell) -> None:
-        """Find a place for one cell, moving others where that helps."""
-        set_earmark(cell, find_packing(cell, self.topology), self.topology)
-        if not cell.carried:
-            self.repack()
-
-    def _fits(self, packing: Packing) -> bool:
-        for worker_id, units in packing.items():
-            row = self.topology.workers.get(worker_id)
-            if row is None or row.room() < units:
-                return False
-        return True
-
-    def _units(self, needs: Mapping[str, Amount]) -> Packing:
-        workers = self.topology.workers
-        return {
-            worker_id: workers[worker_id].units(amount)
-            for worker_id, amount in needs.items()
-        }
-
     def _pin(self, needs: Mapping[str, Amount], sign: int) -> None:
         for worker_id, amount in needs.items():
             row = self.topology.workers.get(worker_id)
@@ -180,24 +170,22 @@
     def _lift(
         self,
         cell: GuaranteedCell,
-        undo: dict[int, tuple[GuaranteedCell, Packing, bool]],
+        undo: Undo,
     ) -> None:
-        undo.setdefault(id(cell), (cell, cell.earmark, cell.carried))
-        set_earmark(cell, None, self.topology)
+        undo.setdefault(id(cell), (cell, cell.extent, cell.carried))
+        set_extent(cell, None, self.topology)
 
-    def _restore(
-        self, undo: Mapping[int, tuple[GuaranteedCell, Packing, bool]]
-    ) -> None:
+    def _restore(self, undo: Undo) -> None:
         for cell, _, _ in undo.values():
-            set_earmark(cell, None, self.topology)
-        for cell, earmark, carried in undo.values():
-            set_earmark(cell, earmark if carried else None, self.topology)
+            set_extent(cell, None, self.topology)
+        for cell, extent, carried in undo.values():
+            set_extent(cell, extent if carried else None, self.topology)
 
     def _settle(
         self,
         lifted: list[GuaranteedCell],
         worker_ids: Iterable[str],
-        undo: dict[int, tuple[GuaranteedCell, Packing, bool]],
+        undo: Undo,
     ) -> bool:
         """Pack the lifted cells and those on overfull workers; true when all fit.
 
@@ -227,24 +215,24 @@
         # Other earmarks may be in the way: pack all anew.
         for cell in self.all_cells():
             if id(cell) not in undo:
-                undo[id(cell)] = (cell, cell.earmark, cell.carried)
-            set_earmark(cell, None, self.topology)
+                undo[id(cell)] = (cell, cell.extent, cell.carried)
+            set_extent(cell, None, self.topology)
         return self._pack_lifted(list(self.all_cells()), undo)
 
     def _pack_lifted(
         self,
         lifted: list[GuaranteedCell],
-        undo: Mapping[int, tuple[GuaranteedCell, Packing, bool]],
+        undo: Undo,
     ) -> bool:
         for cell in sorted(lifted, key=packing_order):
-            found = find_packing(cell, self.topology)
-            set_earmark(cell, found, self.topology)
+            found = find_extent(cell, self.topology)
+            set_extent(cell, found, self.topology)
             if found is None and undo[id(cell)][2]:
                 return False
         return True
 
-    def _cover(self, profile: str, units: Packing) -> Cover | None:
-        """Choose the cells that a gang on these workers would use."""
+    def _covers(self, profile: str, units: Packing) -> Iterator[Cover]:
+        """Yield the cells that a gang on these workers could use."""
         cells = [cell for cell in self.cells[profile] if cell.residual > 0]
         total = sum(units.values())
         whole = [
@@ -252,13 +240,13 @@
             for cell in cells
             if cell.residual >= total and self._contains(cell, units)
         ]
-        if whole:
-            # The tightest cell, one in use first: others stay whole and movable.
-            best = min(
-                whole, key=lambda cell: (cell.residual, not cell.used, cell.number)
-            )
-            return [(best, dict(units))]
-        return self._cover_parts(cells, units)
+        # The tightest cell, one in use first: others stay whole and movable.
+        whole.sort(key=lambda cell: (cell.residual, not cell.used, cell.number))
+        for cell in whole[:CELLS_TRIED]:
+            yield [(cell, dict(units))]
+        parts = self._cover_parts(cells, units)
+        if parts is not None and len(parts) > 1:
+            yield parts
 
     def _cover_parts(self, cells: list[GuaranteedCell], units: Packing) -> Cover | None:
         left = {id(cell): cell.residual for cell in cells}
@@ -287,7 +275,7 @@
     def _contains(self, cell: GuaranteedCell, worker_ids: Iterable[str]) -> bool:
         """Return whether the cell, as far as it is fixed, can lie on the workers."""
         places = set()
-        for worker_id in (*cell.used_workers(), *worker_ids):
+        for worker_id in (*cell.used_by_worker(), *worker_ids):
             row = self.topology.workers.get(worker_id)
             if row is None or row.worker.zone not in cell.zones:
                 return False
--- a/src/egretloft/_internal/scheduling/health.py
+++ b/src/egretloft/_internal/scheduling/health.py
@@ -34,9 +34,11 @@
         self.longest_seconds = longest_seconds
         self.workers: dict[str, WorkerHealth] = {}
 
-    def record_success(self, worker_id: str) -> None:
-        """Clear the evidence against a worker."""
-        self.workers.pop(worker_id, None)
+    def record_success(self, worker_id: str, now: float) -> None:
+        """Clear the evidence against a worker; a quarantine runs to its end."""
+        health = self.workers.get(worker_id)
+        if health is not None and now >= health.quarantined_until:
+            del self.workers[worker_id]
 
     def record_failure(
         self, worker_id: str, job_id: str, job_sets: int, now: float
@@ -62,7 +64,7 @@
 
     def end_quarantine(self, worker_id: str) -> None:
         """Let one probe gang decide about the worker."""
-        self.workers[worker_id].probation = True
+        self.workers.setdefault(worker_id, WorkerHealth()).probation = True
 
     def is_bad_job(
         self,
--- a/src/egretloft/_internal/scheduling/packing.py
+++ b/src/egretloft/_internal/scheduling/packing.py
@@ -1,7 +1,8 @@
 """Packing of guaranteed cells into the topology.
 
 A cell with adjacency ``worker`` is a part of one worker. A larger cell consists of
-whole workers of one rack or zone, and of a part of one more worker for the rest.
+whole workers of one rack or zone, and of a part of one more worker for the rest, so
+that tasks of any size find their place in it.
 Packing is a best-fit heuristic: a packing that is found is valid, but one may exist
 that is not found.
 """
@@ -13,7 +14,7 @@
 
 from egretloft._internal.models.profiles import Adjacency, Profile
 from egretloft._internal.scheduling.cells import Cells
-from egretloft._internal.scheduling.tables import WorkerRow
+from egretloft._internal.scheduling.tables import UNITS_PER_ACCELERATOR, WorkerRow
 
 Packing = dict[str, int]
 """Units by worker id."""
@@ -21,31 +22,36 @@
 
 @dataclass(slots=True)
 class GuaranteedCell:
-    """One of the ``count`` cells of a guaranteed shape.
+    """One of the ``count`` cells of a guaranteed shape; ``size`` is in units.
 
     ``used`` holds the units that gangs of the organisation take from the cell, by job
-    and worker. ``earmark`` is where the rest of the cell can be had; ``carried`` says
-    whether there is such a place.
+    and worker. ``extent`` is where the whole cell lies, used or not, while it is
+    ``carried``. The unused part of the extent is its earmark.
     """
 
     profile: str
     number: int
-    accelerators: int
+    size: int
     adjacency: Adjacency
     zones: tuple[str, ...]
     used: dict[str, Packing] = field(default_factory=dict)
     used_units: int = 0
+    extent: Packing = field(default_factory=dict)
     earmark: Packing = field(default_factory=dict)
     carried: bool = False
 
     @property
     def residual(self) -> int:
         """Units that no gang uses."""
-        return self.accelerators - self.used_units
+        return self.size - self.used_units
 
-    def used_workers(self) -> dict[str, None]:
-        """Return the workers on which the cell is in use, in order of use."""
-        return {worker_id: None for units in self.used.values() for worker_id in units}
+    def used_by_worker(self) -> Packing:
+        """Return the units in use, in order of use."""
+        total: Packing = {}
+        for units in self.used.values():
+            for worker_id, taken in units.items():
+                total[worker_id] = total.get(worker_id, 0) + taken
+        return total
 
 
 def create_guaranteed_cells(profile: Profile) -> list[GuaranteedCell]:
@@ -57,7 +63,7 @@
                 GuaranteedCell(
                     profile.name,
                     len(cells),
-                    shape.accelerators,
+                    shape.accelerators * UNITS_PER_ACCELERATOR,
                     shape.adjacency,
                     profile.zones,
                 )
@@ -65,11 +71,12 @@
     return cells
 
 
-def packing_order(cell: GuaranteedCell) -> tuple[int, int, int, str, int]:
+def packing_order(cell: GuaranteedCell) -> tuple[bool, int, int, int, str, int]:
     """Order cells by how hard they are to pack, hardest first."""
     spread = {Adjacency.WORKER: 2, Adjacency.RACK: 1, Adjacency.ZONE: 0}
     return (
-        -cell.residual,
+        not cell.used,
+        -cell.size,
         len(cell.zones),
         -spread[cell.adjacency],
         cell.profile,
@@ -79,64 +86,61 @@
 
 def rule_order(cell: GuaranteedCell) -> tuple[str, int, int]:
     """Order cells by the rule for zones that are out: by name, then smaller first."""
-    return cell.profile, cell.accelerators, cell.number
+    return cell.profile, cell.size, cell.number
 
 
-def find_packing(cell: GuaranteedCell, topology: Cells) -> Packing | None:
-    """Return a place for the unused units of the cell beside all earmarks."""
-    needed = cell.residual
-    if needed <= 0:
-        return {}
-    fixed = cell.used_workers()
+def find_extent(cell: GuaranteedCell, topology: Cells) -> Packing | None:
+    """Return a place for the cell around its used units and beside all earmarks."""
+    used = cell.used_by_worker()
     if cell.adjacency is Adjacency.WORKER:
-        return _pack_worker(cell, needed, fixed, topology)
+        return _find_worker(cell, used, topology)
     best: Packing | None = None
     best_left = 0
-    for location in _locations(cell, fixed, topology):
-        found = _pack_location(needed, fixed, location)
+    for location in _locations(cell, used, topology):
+        found = _find_in_location(cell, used, location)
         if found is None:
             continue
-        left = sum(row.room() for row in location.values()) - needed
+        left = sum(row.room() for row in location.values())
         if best is None or left < best_left:
             best, best_left = found, left
     return best
 
 
-def _pack_worker(
-    cell: GuaranteedCell, needed: int, fixed: Mapping[str, None], topology: Cells
+def _find_worker(
+    cell: GuaranteedCell, used: Packing, topology: Cells
 ) -> Packing | None:
-    if fixed:
-        worker_id = next(iter(fixed))
-        row = topology.workers.get(worker_id)
-        if row is not None and row.room() >= needed:
-            return {worker_id: needed}
+    if used:
+        ((worker_id, units),) = used.items()
+        if topology.workers[worker_id].room() >= cell.size - units:
+            return {worker_id: cell.size}
         return None
     best: WorkerRow | None = None
-    best_key = (0, 0)
+    best_key = (0, False)
     for zone_name in cell.zones:
         zone = topology.zones.get(zone_name)
         if zone is None:
             continue
         for row in zone.workers.values():
             room = row.room()
-            if room >= needed:
-                key = (room, row.free_accelerators < needed)
+            if room >= cell.size:
+                key = (
+                    room,
+                    row.free_accelerators * UNITS_PER_ACCELERATOR < cell.size,
+                )
                 if best is None or key < best_key:
                     best, best_key = row, key
-    return None if best is None else {best.worker.worker_id: needed}
+    return None if best is None else {best.worker.worker_id: cell.size}
 
 
 def _locations(
-    cell: GuaranteedCell, fixed: Mapping[str, None], topology: Cells
+    cell: GuaranteedCell, used: Packing, topology: Cells
 ) -> Iterable[dict[str, WorkerRow]]:
-    if fixed:
-        row = topology.workers.get(next(iter(fixed)))
-        if row is None:
-            return []
-        zone = topology.zones[row.worker.zone]
+    if used:
+        worker = topology.workers[next(iter(used))].worker
+        zone = topology.zones[worker.zone]
         if cell.adjacency is Adjacency.ZONE:
             return [zone.workers]
-        return [zone.racks[row.worker.rack].workers]
+        return [zone.racks[worker.rack].workers]
     return [
         location
         for name in cell.zones
@@ -145,70 +149,89 @@
     ]
 
 
-def _pack_location(
-    needed: int, fixed: Mapping[str, None], location: Mapping[str, WorkerRow]
+def _find_in_location(
+    cell: GuaranteedCell, used: Packing, location: Mapping[str, WorkerRow]
 ) -> Packing | None:
-    packing: Packing = {}
-    for worker_id in fixed:
-        row = location.get(worker_id)
-        taken = min(needed, row.room()) if row is not None else 0
-        if taken > 0:
-            packing[worker_id] = taken
-            needed -= taken
-    if not needed:
-        return packing
+    extent: Packing = {}
+    needed = cell.size
+    part: str | None = None
+    for worker_id, units in used.items():
+        row = location[worker_id]
+        if not row.usable:
+            # The gang runs to its end there; the rest of the worker is lost.
+            extent[worker_id] = units
+        elif row.room() + units == row.total_units and needed >= row.total_units:
+            extent[worker_id] = row.total_units
+        elif part is None:
+            part = worker_id
+            continue
+        else:
+            return None
+        needed -= extent[worker_id]
+    if needed < 0:
+        return None
     whole = [
         row
         for worker_id, row in location.items()
-        if worker_id not in fixed
-        and row.worker.accelerators
-        and row.room() == row.worker.accelerators
+        if worker_id not in used and row.total_units and row.room() == row.total_units
     ]
     # Large workers first; among equals those that are free now.
-    whole.sort(key=lambda row: (-row.room(), -row.free_accelerators))
+    whole.sort(key=lambda row: (-row.total_units, -row.free_accelerators))
+    least = used[part] if part is not None else 0
     for row in whole:
-        if row.worker.accelerators <= needed:
-            packing[row.worker.worker_id] = row.worker.accelerators
-            needed -= row.worker.accelerators
-            if not needed:
-                return packing
-    rest: WorkerRow | None = None
-    for worker_id, row in location.items():
-        if (
-            worker_id not in packing
-            and row.room() >= needed
-            and (rest is None or row.room() < rest.room())
-        ):
-            rest = row
-    if rest is None:
-        return None
-    packing[rest.worker.worker_id] = needed
-    return packing
-
-
-def set_earmark(cell: GuaranteedCell, packing: Packing | None, topology: Cells) -> None:
-    """Replace the earmark of the cell; ``None`` means that it is not carried."""
+        if needed - row.total_units >= least:
+            extent[row.worker.worker_id] = row.total_units
+            needed -= row.total_units
+    if part is not None:
+        if needed < least or location[part].room() < needed - least:
+            return None
+        extent[part] = needed
+    elif needed:
+        rest: WorkerRow | None = None
+        for worker_id, row in location.items():
+            room = row.room()
+            if (
+                worker_id not in extent
+                and room >= needed
+                and (rest is None or room < rest.room())
+            ):
+                rest = row
+        if rest is None:
+            return None
+        extent[rest.worker.worker_id] = needed
+    return extent
+
+
+def set_extent(cell: GuaranteedCell, extent: Packing | None, topology: Cells) -> None:
+    """Move the cell, with its earmark; ``None`` means that it is not carried."""
     for worker_id, units in cell.earmark.items():
         row = topology.workers.get(worker_id)
         if row is not None:
             row.earmarked -= units
-    cell.earmark = packing or {}
-    cell.carried = packing is not None
-    for worker_id, units in cell.earmark.items():
-        topology.workers[worker_id].earmarked += units
+    cell.extent = extent or {}
+    cell.carried = extent is not None
+    cell.earmark = {}
+    if extent is None:
+        return
+    used = cell.used_by_worker()
+    for worker_id, units in extent.items():
+        unused = units - used.get(worker_id, 0)
+        if unused:
+            cell.earmark[worker_id] = unused
+            topology.workers[worker_id].earmarked += unused
 
 
 def pack_all(cells: Iterable[GuaranteedCell], topology: Cells) -> bool:
-    """Earmark a place for every cell; return whether all have one.
+    """Find a place for every cell; return whether all have one.
 
     When not all can be carried, the rule for zones that are out decides which are.
     """
     cells = list(cells)
     for order in (packing_order, rule_order):
         for cell in cells:
-            set_earmark(cell, None, topology)
+            set_extent(cell, None, topology)
         for cell in sorted(cells, key=order):
-            set_earmark(cell, find_packing(cell, topology), topology)
+            set_extent(cell, find_extent(cell, topology), topology)
         if all(cell.carried for cell in cells):
             return True
     return False
--- a/src/egretloft/_internal/scheduling/placement.py
+++ b/src/egretloft/_internal/scheduling/placement.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable, Iterable, Mapping
 
 from egretloft._internal.models.jobs import JobSpec
@@ -149,11 +150,12 @@
 ) -> TaskCounts | None:
     """Return workers for the gang at the least total cost.
 
-    ``cost(row, amount)`` is the price of having the amount on the worker.
+    ``cost(row, amount)`` is the price of having the amount on the worker, infinite
+    when it cannot be had.
     """
     amount = task_amount(spec)
     best: TaskCounts | None = None
-    best_cost = 0.0
+    best_cost = math.inf
     for name in zones:
         zone = topology.zones.get(name)
         if zone is None or not zone.in_service:
@@ -165,11 +167,13 @@
         else:
             locations = zone.locations(spec.adjacency)
         for location in locations:
-            fits = [
-                (cost(row, amount.times(min(count, spec.tasks))) / count, row, count)
-                for row in location.values()
-                if row.usable and (count := fit(row)) > 0
-            ]
+            fits: list[tuple[float, WorkerRow, int]] = []
+            for row in location.values():
+                count = min(fit(row), spec.tasks) if row.usable else 0
+                if count > 0:
+                    price = cost(row, amount.times(count))
+                    if price < math.inf:
+                        fits.append((price / count, row, count))
             if sum(count for _, _, count in fits) < spec.tasks:
                 continue
             fits.sort(key=lambda item: (item[0], item[1].free_accelerators))
@@ -183,6 +187,6 @@
                 tasks -= taken
                 if not tasks:
                     break
-            if best is None or total < best_cost:
+            if total < best_cost:
                 best, best_cost = counts, total
     return best
--- a/src/egretloft/_internal/scheduling/scheduler.py
+++ b/src/egretloft/_internal/scheduling/scheduler.py
@@ -21,7 +21,12 @@
 from egretloft._internal.scheduling.health import Health
 from egretloft._internal.scheduling.settings import SchedulerSettings
 from egretloft._internal.scheduling.state import State
-from egretloft._internal.scheduling.tables import GangState, JobRow, WorkerRow
+from egretloft._internal.scheduling.tables import (
+    UNITS_PER_ACCELERATOR,
+    GangState,
+    JobRow,
+    WorkerRow,
+)
 
 # Borrowed gangs that one tick tries to move under their guarantee.
 PROMOTIONS_PER_TICK = 4
@@ -85,6 +90,7 @@
             state.start_ready_claims()
             self._promote()
             self.dispatcher.run()
+            state.start_ready_claims()
         decisions, state.decisions = state.decisions, []
         return decisions
 
@@ -93,7 +99,10 @@
         missing: dict[str, int] = {}
         for cell in self.state.guarantees.uncarried():
             missing[cell.profile] = missing.get(cell.profile, 0) + cell.residual
-        return missing
+        return {
+            profile: -(-units // UNITS_PER_ACCELERATOR)
+            for profile, units in missing.items()
+        }
 
     def _fire_timers(self) -> None:
         state = self.state
@@ -125,8 +134,7 @@
         if self.overfull:
             guarantees.repair(self.overfull)
             self.overfull.clear()
-            self.repack_wanted = True
-        if self.repack_wanted:
+        if self.repack_wanted or guarantees.uncarried():
             self._place_uncarried()
         for worker_id in list(self.unlisted):
             worker = state.cells.workers.get(worker_id)
@@ -332,7 +340,7 @@
         counted = self._usable(event.failed_workers or workers)
         if event.outcome is JobState.COMPLETED:
             for worker_id in workers:
-                self._count_success(worker_id)
+                self._count_success(worker_id, event.at)
             if row.state is GangState.RUNNING:
                 state.estimates.observe(
                     row.spec, row.kept_seconds + max(0.0, event.at - row.started_at)
@@ -409,8 +417,8 @@
         row = self.state.cells.workers.get(worker_id)
         return row is not None and row.quarantined
 
-    def _count_success(self, worker_id: str) -> None:
-        self.health.record_success(worker_id)
+    def _count_success(self, worker_id: str, at: float) -> None:
+        self.health.record_success(worker_id, at)
         row = self.state.cells.workers.get(worker_id)
         if row is not None and row.probation:
             row.probation = False
--- a/src/egretloft/_internal/scheduling/state.py
+++ b/src/egretloft/_internal/scheduling/state.py
@@ -174,6 +174,8 @@
                 worker = self.cells.workers[worker_id]
                 self.cells.release(worker, spec.job_id, row.devices.get(worker_id, ()))
             del self.gangs[spec.profile][spec.job_id]
+            if row.stopping or row.ending is not None:
+                self._withdraw_decisions(spec.job_id)
         self.uncover(row)
         self._count_use(row, -1)
         row.needs = {}
@@ -183,6 +185,14 @@
         self.promotable.add(spec.profile)
         self.changed = True
 
+    def _withdraw_decisions(self, job_id: str) -> None:
+        """Drop stops that were decided but not yet told when the gang ended."""
+        self.decisions = [
+            decision
+            for decision in self.decisions
+            if not isinstance(decision, StopGang | EndJob) or decision.job_id != job_id
+        ]
+
     def forget(self, row: JobRow) -> None:
         """Drop a job that is final; its cells have been released."""
         self.queue.discard(row.spec.job_id)
@@ -254,7 +264,13 @@
             elif row.reclaimable:
                 candidates.append(row)
         chosen: list[JobRow] = []
-        candidates.sort(key=lambda row: (self.stop_cost(row), row.spec.job_id))
+        candidates.sort(
+            key=lambda row: (
+                row.spec.priority is Priority.URGENT,
+                self.stop_cost(row),
+                row.spec.job_id,
+            )
+        )
         worker_id = worker.worker.worker_id
         for row in candidates:
             if max(short) <= 0:
--- a/src/egretloft/_internal/scheduling/tables.py
+++ b/src/egretloft/_internal/scheduling/tables.py
@@ -12,6 +12,10 @@
 from egretloft._internal.models.profiles import Adjacency
 from egretloft._internal.models.topology import Worker
 
+# Guarantees are counted in fractions of an accelerator, so that work which needs few
+# cores and no accelerator takes little of a guarantee. Divisible by 1 to 16, 32 and 64.
+UNITS_PER_ACCELERATOR = 2_882_880
+
 
 class Amount(NamedTuple):
     """Accelerators, cores and gigabytes of memory."""
@@ -37,10 +41,10 @@
     """A worker and what is held on it.
 
     ``free_*`` is what no gang holds and no claim waits for; it is negative while a
-    claim waits for work that is being stopped. ``pinned_*`` is held or claimed by
-    work that cannot be reclaimed. ``earmarked`` is the number of units that unbound
-    guarantees count on; it may overlap with reclaimable work. A unit is one
-    accelerator with its share of the worker's cores and memory.
+    claim waits for work that is being stopped. ``pinned_units`` are held or claimed
+    by work that cannot be reclaimed. ``earmarked`` units are what unbound guarantees
+    count on; they may overlap with reclaimable work. ``UNITS_PER_ACCELERATOR`` units
+    are one accelerator with its share of the worker's cores and memory.
     """
 
     worker: Worker
@@ -51,9 +55,7 @@
     claimed_accelerators: int = 0
     claimed_cores: int = 0
     claimed_memory_gb: int = 0
-    pinned_accelerators: int = 0
-    pinned_cores: int = 0
-    pinned_memory_gb: int = 0
+    pinned_units: int = 0
     earmarked: int = 0
     gangs: dict[str, Amount] = field(default_factory=dict)
     listed: bool = True
@@ -70,33 +72,26 @@
             self.claimed_accelerators or self.claimed_cores or self.claimed_memory_gb
         )
 
+    @property
+    def total_units(self) -> int:
+        """Units of the whole worker."""
+        return self.worker.accelerators * UNITS_PER_ACCELERATOR
+
     def units(self, amount: Amount) -> int:
         """Return how many units of this worker the amount takes."""
         worker = self.worker
-        total = worker.accelerators
+        total = self.total_units
         return max(
-            amount.accelerators,
+            amount.accelerators * UNITS_PER_ACCELERATOR,
             -(-amount.cores * total // worker.cores) if worker.cores else 0,
             -(-amount.memory_gb * total // worker.memory_gb) if worker.memory_gb else 0,
         )
 
     def carried_units(self) -> int:
         """Return how many units could serve guarantees beside pinned work."""
-        worker = self.worker
-        total = worker.accelerators
-        if not self.usable or self.probation or not total:
+        if not self.usable or self.probation:
             return 0
-        units = total - self.pinned_accelerators
-        if worker.cores:
-            units = min(
-                units, (worker.cores - self.pinned_cores) * total // worker.cores
-            )
-        if worker.memory_gb:
-            units = min(
-                units,
-                (worker.memory_gb - self.pinned_memory_gb) * total // worker.memory_gb,
-            )
-        return max(0, units)
+        return max(0, self.total_units - self.pinned_units)
 
     def room(self) -> int:
         """Return the units that pinned work and earmarks leave; may be negative."""
