Bind gangs to the tightest guaranteed cell

Gangs now bind to the tightest fitting cell; work that can restart borrows free cells instead of stopping other work. 500 random seeds pass.

--- a/src/egretloft/_internal/scheduling/dispatch.py
+++ b/src/egretloft/_internal/scheduling/dispatch.py
@@ -187,32 +187,33 @@
 
         return fit
 
-    def _room_fits(self, row: JobRow) -> Iterator[Fit]:
+    def _room_fits(self, row: JobRow, tight: bool) -> Iterator[Fit]:
         """Yield fits from the widest choice of cells to the safest."""
         guarantees = self.state.guarantees
-        profile = row.spec.profile
-        yield self._room_fit(row, guarantees.earmarks(profile), True)
-        units = row.spec.accelerators * UNITS_PER_ACCELERATOR
-        for own in guarantees.earmarks_for(profile, units):
+        yield self._room_fit(row, guarantees.earmarks(row.spec.profile), True)
+        for own in guarantees.earmarks_for(row.spec, tight):
             yield self._room_fit(row, own, False)
 
-    def _bind(self, row: JobRow, counts: TaskCounts | None) -> bool:
+    def _bind(self, row: JobRow, counts: TaskCounts | None, tight: bool) -> bool:
         return counts is not None and self.state.guarantees.bind(
-            row.spec.profile, row.spec.job_id, needs_of(row.spec, counts)
+            row.spec, needs_of(row.spec, counts), tight
         )
 
-    def find_bound_free(self, row: JobRow) -> TaskCounts | None:
-        """Bind the gang to free cells and return them, or change nothing."""
+    def find_bound_free(self, row: JobRow, tight: bool) -> TaskCounts | None:
+        """Bind the gang to free cells and return them, or change nothing.
+
+        ``tight`` is as in ``Guarantees.fitting_cells``.
+        """
         spec = row.spec
         cells = self.state.cells
         zones = self._zones(spec)
         counts = find_free(spec, zones, cells, self._free_fit(row, Heed.ALL))
-        if counts is not None and self._bind(row, counts):
+        if counts is not None and self._bind(row, counts, tight):
             return counts
         free = self._free_fit(row, Heed.OWN_PROFILE)
-        for room in self._room_fits(row):
+        for room in self._room_fits(row, tight):
             counts = find_free(spec, zones, cells, _least(free, room))
-            if counts is not None and self._bind(row, counts):
+            if counts is not None and self._bind(row, counts, tight):
                 return counts
         return None
 
@@ -227,17 +228,35 @@
             return False
         if not self._has_headroom(spec):
             return not spec.restartable and self._try_uncovering(row)
-        counts = self.find_bound_free(row)
+        return self._start_bound(row)
+
+    def _start_bound(self, row: JobRow) -> bool:
+        """Start or claim within the guarantee, in the tightest cell that there is.
+
+        Work that can restart would rather borrow free cells than stop other work.
+        """
+        spec = row.spec
+        counts = self.find_bound_free(row, True)
+        if counts is not None:
+            self.state.start(row, counts, True)
+            return True
+        if spec.restartable and self._try_borrowed(row):
+            return True
+        if self._try_reclaim(row, True):
+            return True
+        if spec.restartable:
+            return False
+        counts = self.find_bound_free(row, False)
         if counts is not None:
             self.state.start(row, counts, True)
             return True
-        return self._try_reclaim(row)
+        return self._try_reclaim(row, False)
 
-    def _try_reclaim(self, row: JobRow) -> bool:
+    def _try_reclaim(self, row: JobRow, tight: bool) -> bool:
         """Claim cells within the guarantee that hold borrowed work."""
         spec = row.spec
         state = self.state
-        for room in self._room_fits(row):
+        for room in self._room_fits(row, tight):
             counts = find_cheapest(
                 spec,
                 self._zones(spec),
@@ -245,7 +264,7 @@
                 room,
                 lambda worker, amount: self._reclaim_cost(worker, spec, amount),
             )
-            if counts is not None and self._bind(row, counts):
+            if counts is not None and self._bind(row, counts, tight):
                 state.claim(row, counts, True)
                 return True
         return False
@@ -288,7 +307,9 @@
         """
         uncovered = self._uncover_own(row)
         if uncovered and self._has_headroom(row.spec):
-            counts = self.find_bound_free(row)
+            counts = self.find_bound_free(row, True)
+            if counts is None:
+                counts = self.find_bound_free(row, False)
             if counts is not None:
                 self.state.start(row, counts, True)
                 return True
@@ -314,7 +335,7 @@
             return False
         headroom = self._has_headroom(spec)
         if headroom:
-            counts = self.find_bound_free(row)
+            counts = self.find_bound_free(row, True)
             if counts is not None:
                 state.start(row, counts, True)
                 return True
@@ -325,11 +346,11 @@
             if counts is not None:
                 state.start(row, counts, False)
                 return True
-        if headroom and self._try_reclaim(row):
+        if headroom and self._start_bound(row):
             return True
         if not headroom:
             uncovered = self._uncover_own(row)
-            if uncovered and self._has_headroom(spec) and self._try_reclaim(row):
+            if uncovered and self._has_headroom(spec) and self._start_bound(row):
                 return True
             self._cover_again(uncovered)
         return spec.restartable and self._try_urgent_borrowed(row)
--- a/src/egretloft/_internal/scheduling/feasibility.py
+++ b/src/egretloft/_internal/scheduling/feasibility.py
@@ -73,7 +73,7 @@
     state.profiles[profile.name] = profile
     state.guarantees.set_profile(profile)
     state.guarantees.repack()
-    if Dispatcher(state).find_bound_free(JobRow(spec)) is not None:
+    if Dispatcher(state).find_bound_free(JobRow(spec), False) is not None:
         return None
     shapes = ", ".join(
         f"{shape.count} x {shape.accelerators} ({shape.adjacency.value})"
--- a/src/egretloft/_internal/scheduling/guarantees.py
+++ b/src/egretloft/_internal/scheduling/guarantees.py
@@ -10,6 +10,7 @@
 
 from collections.abc import Iterable, Iterator, Mapping
 
+from egretloft._internal.models.jobs import JobSpec
 from egretloft._internal.models.profiles import Adjacency, Profile
 from egretloft._internal.scheduling.cells import Cells
 from egretloft._internal.scheduling.packing import (
@@ -21,7 +22,7 @@
     packing_order,
     set_extent,
 )
-from egretloft._internal.scheduling.tables import Amount
+from egretloft._internal.scheduling.tables import Amount, task_amount
 
 Cover = list[tuple[GuaranteedCell, Packing]]
 """Units of guaranteed cells that a gang uses."""
@@ -76,20 +77,45 @@
                 own[worker_id] = own.get(worker_id, 0) + units
         return own
 
-    def earmarks_for(self, profile: str, units: int) -> Iterator[Packing]:
-        """Yield earmarks of single cells that hold the units, then of all cells."""
+    def fitting_cells(
+        self, profile: str, adjacency: Adjacency, units: int, tight: bool
+    ) -> list[GuaranteedCell]:
+        """Return the cells that a gang would fit in alone, tightest first.
+
+        With ``tight`` only the tightest ones: a gang that takes part of a larger cell
+        leaves its organisation without that cell, although a smaller one is unused.
+        """
         cells = [
             cell
             for cell in self.cells.get(profile, ())
-            if cell.carried and cell.residual >= units
+            if cell.residual >= units and cell.residual > 0
         ]
-        cells.sort(key=lambda cell: (cell.residual, not cell.used, cell.number))
+
+        def key(cell: GuaranteedCell) -> tuple[int, bool]:
+            return cell.residual, cell.adjacency is not adjacency
+
+        cells.sort(key=lambda cell: (*key(cell), cell.number))
+        if tight:
+            cells = [cell for cell in cells if key(cell) == key(cells[0])]
+        return cells
+
+    def earmarks_for(self, spec: JobSpec, tight: bool) -> Iterator[Packing]:
+        """Yield earmarks of single cells that hold the gang, then of all cells."""
+        units = 0
+        for cell in self.cells.get(spec.profile, ()):
+            for worker_id in cell.earmark:
+                row = self.topology.workers[worker_id]
+                units = spec.tasks * row.units(task_amount(spec))
+                break
+        cells = self.fitting_cells(spec.profile, spec.adjacency, units, tight)
         for cell in cells[:CELLS_TRIED]:
-            yield cell.earmark
-        yield self.earmarks(profile)
+            if cell.carried:
+                yield cell.earmark
+        yield self.earmarks(spec.profile)
 
-    def bind(self, profile: str, job_id: str, needs: Mapping[str, Amount]) -> bool:
+    def bind(self, spec: JobSpec, needs: Mapping[str, Amount], tight: bool) -> bool:
         """Pin a gang within the guarantee of its profile, or change nothing."""
+        profile = spec.profile
         if profile not in self.cells:
             return False
         workers = self.topology.workers
@@ -104,15 +130,15 @@
             if row.usable and row.pinned_units + taken > row.total_units:
                 return False
         self._pin(needs, 1)
-        for cover in self._covers(profile, units):
+        for cover in self._covers(spec, units, tight):
             undo: Undo = {}
             for cell, packing in cover:
                 self._lift(cell, undo)
-                self._use(cell, job_id, packing, 1)
+                self._use(cell, spec.job_id, packing, 1)
             if self._settle([cell for cell, _ in cover], units, undo):
                 return True
             for cell, packing in cover:
-                self._use(cell, job_id, packing, -1)
+                self._use(cell, spec.job_id, packing, -1)
             self._restore(undo)
         self._pin(needs, -1)
         return False
@@ -231,19 +257,18 @@
                 return False
         return True
 
-    def _covers(self, profile: str, units: Packing) -> Iterator[Cover]:
+    def _covers(self, spec: JobSpec, units: Packing, tight: bool) -> Iterator[Cover]:
         """Yield the cells that a gang on these workers could use."""
-        cells = [cell for cell in self.cells[profile] if cell.residual > 0]
         total = sum(units.values())
-        whole = [
-            cell
-            for cell in cells
-            if cell.residual >= total and self._contains(cell, units)
-        ]
-        # The tightest cell, one in use first: others stay whole and movable.
-        whole.sort(key=lambda cell: (cell.residual, not cell.used, cell.number))
-        for cell in whole[:CELLS_TRIED]:
+        fitting = self.fitting_cells(spec.profile, spec.adjacency, total, tight)
+        fitting = [cell for cell in fitting if self._contains(cell, units)]
+        for cell in fitting[:CELLS_TRIED]:
             yield [(cell, dict(units))]
+        if fitting:
+            return
+        cells = [cell for cell in self.cells[spec.profile] if cell.residual > 0]
+        if tight and any(cell.residual >= total for cell in cells):
+            return
         parts = self._cover_parts(cells, units)
         if parts is not None and len(parts) > 1:
             yield parts
--- a/src/egretloft/_internal/scheduling/state.py
+++ b/src/egretloft/_internal/scheduling/state.py
@@ -146,7 +146,10 @@
 
     def cover_or_pin(self, row: JobRow) -> None:
         """Bind a gang to its guarantee; pin it in any case if it cannot restart."""
-        if self.guarantees.bind(row.spec.profile, row.spec.job_id, row.needs):
+        if self.guarantees.bind(row.spec, row.needs, True) or (
+            not row.spec.restartable
+            and self.guarantees.bind(row.spec, row.needs, False)
+        ):
             row.covered = row.pinned = True
         elif not row.spec.restartable:
             self.guarantees.pin(row.needs)
