Check that planned stops cut off no request

Cause: in a trial, a daemon changed to exit with requests in flight passed planned_stop_under_load; and the harness sent requests to instances that were not ready yet.

--- a/tests/lib/deployment.py
+++ b/tests/lib/deployment.py
@@ -72,12 +72,14 @@
     zone: str
     address: str
     process: ManagedProcess
+    ready: bool = False
     draining: bool = False
 
     @property
     def usable(self) -> bool:
         """Whether the balancer would send requests to it."""
-        return self.process.running and not self.process.frozen and not self.draining
+        available = self.process.running and not self.process.frozen
+        return available and self.ready and not self.draining
 
 
 @dataclass(slots=True)
@@ -163,7 +165,7 @@
     async def restart_entry(self, entry: Entry) -> None:
         """Start an entry instance that has ended, or kill it first."""
         entry.process.kill()
-        entry.draining = False
+        entry.ready = entry.draining = False
         entry.process.start()
         await self.list_entry(entry, InstanceState.LIVE)
 
@@ -172,6 +174,7 @@
         await entry.process.wait_for_http(
             self.session, f"http://{entry.address}/readyz"
         )
+        entry.ready = True
 
     async def list_entry(self, entry: Entry, state: InstanceState) -> None:
         """Put an entry instance into the instance list."""
--- a/tests/lib/scenario_expectations.py
+++ b/tests/lib/scenario_expectations.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from lib.callers import UNREACHABLE, SentRequest
+from lib.callers import LOST, UNREACHABLE, SentRequest
 from lib.deployment import GangTask, partial_seconds
 from lib.scenario_parser import Step
 from lib.scenario_steps import refresh_jobs, step
@@ -62,6 +62,20 @@
             )
 
 
+@step("expect_no_cut")
+async def expect_no_request_cut_off(world: World, item: Step) -> None:
+    name = world.entry(item.values[0]).instance_id
+    replies = [
+        (request.echo, reply.outcome)
+        for request in all_requests(world)
+        for reply in request.replies
+        if reply.instance_id == name
+    ]
+    require(bool(replies), f"{name} received no request")
+    cut = [found for found in replies if found[1] in (LOST, UNREACHABLE)]
+    require(not cut, f"{name} cut off {cut}")
+
+
 @step("expect_answers")
 async def expect_own_answers(world: World, item: Step) -> None:
     checked = 0
