Base zone changes of scenarios on the current version

Cause: the configuration interface requires expected_version for zone changes. Change: the steps read the version before each attempt, as for profiles.

--- a/tests/lib/scenario_steps.py
+++ b/tests/lib/scenario_steps.py
@@ -295,15 +295,25 @@
         world.leaving[target][-1].until = time.time()
 
 
+async def change_zone(world: World, zone: str, action: str, at: str | None) -> None:
+    """Change a zone, based on the version that is current at each attempt."""
+    deadline = time.monotonic() + OWNER_SECONDS
+    while True:
+        current = await world.api_until_settled("GET", "/v1/zones", None, at)
+        body = {"expected_version": current.body.get("version", 0)}
+        reply = await world.api("POST", f"/v1/zones/{zone}/{action}", body, at)
+        if reply.status == 200:
+            accept_version(world, reply.body["version"])
+            return
+        if time.monotonic() > deadline:
+            raise ScenarioError(f"{action} {zone}: {reply}")
+        await asyncio.sleep(POLL_SECONDS)
+
+
 @step("zone_out")
 async def take_zone_out(world: World, item: Step) -> None:
     zone = item.values[0]
-    reply = await world.api_until_settled(
-        "POST", f"/v1/zones/{zone}/take-out", {}, item.options.get("at")
-    )
-    if reply.status != 200:
-        raise ScenarioError(f"take out {zone}: {reply}")
-    accept_version(world, reply.body["version"])
+    await change_zone(world, zone, "take-out", item.options.get("at"))
     world.zones_out[zone].append(Exclusion(time.time()))
 
 
@@ -312,12 +322,7 @@
     zone = item.values[0]
     if world.zones_out[zone]:
         world.zones_out[zone][-1].until = time.time()
-    reply = await world.api_until_settled(
-        "POST", f"/v1/zones/{zone}/bring-back", {}, item.options.get("at")
-    )
-    if reply.status != 200:
-        raise ScenarioError(f"bring back {zone}: {reply}")
-    accept_version(world, reply.body["version"])
+    await change_zone(world, zone, "bring-back", item.options.get("at"))
 
 
 @step("control")
