--- a/tests/lib/scenario_parser.py
+++ b/tests/lib/scenario_parser.py
@@ -112,20 +112,26 @@
         self, data: lark.Token, children: list[Any], meta: lark.tree.Meta
     ) -> Any:
         if data in OPTIONS:
-            return Option(str(data), tuple(children))
+            return Option(str(data), tuple(plain(child) for child in children))
         options = {
             child.name: child.values[0] if child.values else True
             for child in children
             if isinstance(child, Option)
         }
         values = tuple(
-            str(child) if isinstance(child, lark.Token) else child
-            for child in children
-            if not isinstance(child, Option)
+            plain(child) for child in children if not isinstance(child, Option)
         )
         return Step(str(data), values, options, getattr(meta, "line", 0))
 
 
+def plain(value: Any) -> Any:
+    """Return a token as text, and anything else as it is.
+
+    Tokens are a subclass of ``str`` that encoders of JSON refuse.
+    """
+    return str(value) if isinstance(value, lark.Token) else value
+
+
 PARSER = lark.Lark(
     GRAMMAR_PATH.read_text(),
     parser="lalr",
--- a/tests/unit/test_scenario_language.py
+++ b/tests/unit/test_scenario_language.py
@@ -46,6 +46,7 @@
         "as_name": "a",
         "in_background": True,
     }
+    assert type(send.options["at"]) is str
     assert (repeat.values, repeat.options) == (("unknown", "a"), {"at": "e2"})
     assert freeze.values == ("freeze", ("owner", "runners/salon-desk/kurume"))
     assert expect.values == ("at least", 3, "completed", "a")
