Wire accounts into the daemon

Cause: gang runs and requests have to reach the monthly account. Change: the account service confirms its time zone before gangs run, requests are counted and flushed. Conclusion: wiring complete but for the job routes.

--- a/src/egretloft/_internal/daemon/instance.py
+++ b/src/egretloft/_internal/daemon/instance.py
@@ -10,7 +10,12 @@
 
 import aiohttp
 from aiohttp import web
+from returns.result import Success
 
+from egretloft._internal.accounts.service import (
+    AccountService,
+    create_account_service,
+)
 from egretloft._internal.coordination.assembly import (
     BEAT_PERIOD_SECONDS,
     REFRESH_PERIOD_SECONDS,
@@ -25,17 +30,15 @@
 )
 from egretloft._internal.gangs.records import create_job_table
 from egretloft._internal.gangs.service import JobService, create_job_service
-from egretloft._internal.http import accounts as accounts_http
 from egretloft._internal.http import configuration as configuration_http
-from egretloft._internal.http import jobs as jobs_http
 from egretloft._internal.http import requests as requests_http
 from egretloft._internal.http import status as status_http
 from egretloft._internal.http.app import create_app
 from egretloft._internal.metrics import Metrics, create_metrics
 from egretloft._internal.models.members import Member
-from egretloft._internal.models.outcomes import Refusal
+from egretloft._internal.models.outcomes import Reason, Refusal
 from egretloft._internal.models.profiles import Profile
-from egretloft._internal.models.topology import InstanceState
+from egretloft._internal.models.requests import Answer, ServiceRequest
 from egretloft._internal.peers.network import PeerNetwork, create_peer_network
 from egretloft._internal.platform.http_call import create_http_session
 from egretloft._internal.platform.http_instance_list import create_http_instance_list
@@ -52,7 +55,6 @@
     TICK_SECONDS,
     RequestService,
     create_request_service,
-    runner_groups,
 )
 from egretloft._internal.scheduling.feasibility import check_job, check_profiles
 from egretloft._internal.scheduling.scheduler import create_scheduler
@@ -82,13 +84,16 @@
     requests: RequestService
     jobs: JobService
     gang_owner: GangOwner
+    accounts: AccountService
     timers: TimerService
     draining: bool = False
+    time_zone_confirmed: bool = False
 
     def is_ready(self) -> bool:
         """Return whether the balancer should send requests here."""
         return (
             not self.draining
+            and self.time_zone_confirmed
             and self.coordination.view.is_fresh()
             and self.coordination.roster.is_full_member()
         )
@@ -106,6 +111,33 @@
             partitions.add(gangs_partition(region))
         self.coordination.ownership.set_candidates(partitions)
 
+    async def confirm_time_zone(self) -> Refusal | None:
+        """Compare the account time zone with the stored one.
+
+        Returns the refusal when another one is stored, and ``None`` when it is the
+        same or the table cannot be read now.
+        """
+        if self.time_zone_confirmed:
+            return None
+        result = await self.accounts.confirm_time_zone()
+        if isinstance(result, Success):
+            self.time_zone_confirmed = True
+            await self.accounts.refresh()
+            return None
+        refusal = result.failure()
+        return refusal if refusal.reason is Reason.CONFLICT else None
+
+    async def tick_gangs(self) -> None:
+        """Drive the gangs; account rows need the confirmed time zone."""
+        if self.time_zone_confirmed:
+            await self.gang_owner.tick()
+
+    async def confirm_and_flush(self) -> None:
+        """Write the counted requests to the account."""
+        await self.confirm_time_zone()
+        if self.time_zone_confirmed:
+            await self.accounts.flush()
+
     def subscribe_timers(self) -> None:
         """Subscribe the periodic work of all parts to the timer service."""
         view = self.coordination.view
@@ -117,7 +149,8 @@
             ("roster", BEAT_PERIOD_SECONDS, roster.beat),
             ("ownership", TICK_PERIOD_SECONDS, ownership.tick),
             ("requests", TICK_SECONDS, self.requests.tick),
-            ("gangs", GANG_PERIOD_SECONDS, self.gang_owner.tick),
+            ("gangs", GANG_PERIOD_SECONDS, self.tick_gangs),
+            ("usage", USAGE_PERIOD_SECONDS, self.confirm_and_flush),
         ):
             self.timers.subscribe(name, period, callback)
 
@@ -134,6 +167,8 @@
         finished = await self.requests.drain(
             self.release, self.settings.drain_timeout_seconds
         )
+        if self.time_zone_confirmed:
+            await self.accounts.flush()
         await self.coordination.roster.leave()
         return finished
 
@@ -196,6 +231,24 @@
         known_zones,
         lambda instance_id: instance_id in topology.entries,
     )
+    created = create_account_service(
+        instance_id=settings.instance_id,
+        time_zone=settings.account_time_zone,
+        table=table,
+        objects=objects,
+        writer=coordination.writer,
+        clock=clock,
+        metrics=metrics,
+        incarnation=member.incarnation,
+    )
+    # The settings were checked, so the time zone is known.
+    accounts = created.unwrap()
+
+    def count_request(request: ServiceRequest, answer: Answer) -> None:
+        accounts.count_request(
+            request.organisation, request.service, answer.zone, clock.wall()
+        )
+
     requests = create_request_service(
         settings.instance_id,
         settings.zone,
@@ -210,6 +263,7 @@
         clock=clock,
         metrics=metrics,
         generator=generator,
+        on_completed=count_request,
     )
     network.register(FORWARD_TYPE, requests.handle_forward)
     network.register(KEY_QUERY_TYPE, requests.handle_key_query)
@@ -223,7 +277,7 @@
         ownership=coordination.ownership,
         view=coordination.view,
         topology=topology,
-        accounting=accounting,
+        accounting=accounts,
         metrics=metrics,
         create_scheduler=lambda: create_scheduler(
             SchedulerSettings(), generator.getrandbits(32)
@@ -249,6 +303,7 @@
         requests=requests,
         jobs=jobs,
         gang_owner=gang_owner,
+        accounts=accounts,
         timers=create_timer_service(metrics),
     )
 
--- a/src/egretloft/_internal/daemon/run.py
+++ b/src/egretloft/_internal/daemon/run.py
@@ -16,6 +16,7 @@
 log = structlog.get_logger(__name__)
 
 EXIT_STOPPED = 0
+EXIT_USAGE = 2
 EXIT_ADDRESS = 3
 EXIT_UNFINISHED = 4
 LISTEN_BACKLOG = 512
@@ -45,6 +46,12 @@
     )
     await instance.refresh_topology()
     await instance.coordination.roster.join()
+    refusal = await instance.confirm_time_zone()
+    if refusal is not None:
+        log.error("setting refused", setting="--account-time-zone", why=refusal.message)
+        await runner.cleanup()
+        await instance.close()
+        return EXIT_USAGE
     instance.subscribe_timers()
     instance.timers.start()
     await stop.wait()
--- a/tests/unit/scheduling/test_properties.py
+++ b/tests/unit/scheduling/test_properties.py
@@ -13,7 +13,7 @@
 from egretloft._internal.scheduling.packing import create_guaranteed_cells
 from egretloft._internal.scheduling.tables import UNITS_PER_ACCELERATOR
 from lib.builders import build_job, build_profile, build_workers
-from lib.gang_world import GangWorld
+from lib.scheduler_model import GangWorld
 
 ZONES = ("zone-1", "zone-2")
 ORGANISATIONS = ("org-a", "org-b", "org-c", "org-d")
