--- /dev/null
+++ b/src/egretloft/_internal/http/bodies.py
@@ -0,0 +1,34 @@
+"""Reading of request bodies up to the limit of the API."""
+
+from __future__ import annotations
+
+from aiohttp import web
+
+from egretloft._internal.models.outcomes import Reason, Refusal, not_run
+
+MAX_BODY_BYTES = 1 << 20
+READ_BYTES = 1 << 16
+
+
+async def read_body(request: web.Request) -> bytes | None:
+    """Return the body, ``None`` when it is over the limit.
+
+    The limit holds whatever ``client_max_size`` the application has.
+    """
+    if (request.content_length or 0) > MAX_BODY_BYTES:
+        return None
+    body = bytearray()
+    async for chunk in request.content.iter_chunked(READ_BYTES):
+        body += chunk
+        if len(body) > MAX_BODY_BYTES:
+            return None
+    return bytes(body)
+
+
+def body_too_large() -> Refusal:
+    """Return the refusal of a body that is over the limit."""
+    return not_run(
+        Reason.TOO_LARGE,
+        f"the body is over {MAX_BODY_BYTES} bytes",
+        "send less data in one request",
+    )
