--- /dev/null
+++ b/tools/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Simulation of gang scheduling policies on the same arrivals."""
