--- a/src/egretloft/_internal/daemon/instance.py
+++ b/src/egretloft/_internal/daemon/instance.py
@@ -30,7 +30,9 @@
 )
 from egretloft._internal.gangs.records import create_job_table
 from egretloft._internal.gangs.service import JobService, create_job_service
+from egretloft._internal.http import accounts as accounts_http
 from egretloft._internal.http import configuration as configuration_http
+from egretloft._internal.http import jobs as jobs_http
 from egretloft._internal.http import requests as requests_http
 from egretloft._internal.http import status as status_http
 from egretloft._internal.http.app import create_app
@@ -319,6 +321,8 @@
     coordination = instance.coordination
     configuration_http.add_routes(app, coordination.configuration, coordination.view)
     requests_http.add_routes(app, instance.requests, instance.metrics)
+    jobs_http.add_routes(app, instance.jobs, instance.clock, instance.metrics)
+    accounts_http.add_routes(app, instance.accounts, instance.metrics)
     status_http.add_routes(
         app,
         instance_id=instance.settings.instance_id,
--- a/src/egretloft/_internal/settings.py
+++ b/src/egretloft/_internal/settings.py
@@ -30,8 +30,6 @@
     instances_address: str
     account_time_zone: str
     log_level: str
-    gang_lease_seconds: float
-    gang_renewal_seconds: float
     drain_grace_seconds: float
     drain_timeout_seconds: float
 
@@ -94,8 +92,6 @@
 
 def check_settings(settings: Settings) -> Result[Settings, tuple[SettingError, ...]]:
     """Return the settings, or every setting that is not allowed."""
-    # Three renewals have to fit into a lease, so that two lost ones do not end it.
-    highest_renewal = settings.gang_lease_seconds / 3
     checks: dict[str, str | None] = {
         "instance_id": check_name(settings.instance_id),
         "region": check_name(settings.region),
@@ -111,10 +107,6 @@
         "log_level": None
         if settings.log_level in LOG_LEVELS
         else "one of " + ", ".join(LOG_LEVELS),
-        "gang_lease_seconds": check_range(settings.gang_lease_seconds, 6, 300),
-        "gang_renewal_seconds": check_range(
-            settings.gang_renewal_seconds, 0.1, highest_renewal
-        ),
         "drain_grace_seconds": check_range(settings.drain_grace_seconds, 0, 60),
         "drain_timeout_seconds": check_range(settings.drain_timeout_seconds, 1, 600),
     }
--- a/src/egretloft/cli/daemon.py
+++ b/src/egretloft/cli/daemon.py
@@ -55,12 +55,6 @@
 @click.option(
     "--log-level", default="info", help=f"One of {', '.join(LOG_LEVELS)}; JSON lines."
 )
-@click.option(
-    "--gang-lease-seconds", default=15.0, help="Lease of a running gang on a worker."
-)
-@click.option(
-    "--gang-renewal-seconds", default=2.0, help="Time between two lease renewals."
-)
 @click.option(
     "--drain-grace-seconds",
     default=2.0,
