Put the interface of the peer network into a protocol

Cause: coordination is tested over an in-memory network. Change: peers/protocols.py holds the Peers protocol and the failure types; PeerNetwork is unchanged. Import PeerFailureKind from peers.protocols. Conclusion: the 16 tests of the network pass.

--- a/src/egretloft/_internal/peers/network.py
+++ b/src/egretloft/_internal/peers/network.py
@@ -10,13 +10,12 @@
 import asyncio
 import itertools
 import random
-from collections.abc import Awaitable, Callable, Collection
+from collections.abc import Collection
 from dataclasses import dataclass, field
-from enum import StrEnum
 from typing import Any
 
 import structlog
-from returns.result import Failure, Result, Success
+from returns.result import Failure, Success
 
 from egretloft._internal.metrics import Metrics
 from egretloft._internal.models.members import Member
@@ -32,6 +31,13 @@
     FrameType,
     encode_frame,
 )
+from egretloft._internal.peers.protocols import (
+    CallResult,
+    Handler,
+    HeartbeatSource,
+    PeerFailure,
+    PeerFailureKind,
+)
 from egretloft._internal.platform.protocols import Clock
 
 HEARTBEAT_SECONDS = 0.2
@@ -44,28 +50,6 @@
 
 log = structlog.get_logger(__name__)
 
-Handler = Callable[[str, dict[str, Any]], Awaitable[dict[str, Any]]]
-HeartbeatSource = Callable[[], dict[str, Any]]
-
-
-class PeerFailureKind(StrEnum):
-    """Whether a call may have had an effect."""
-
-    NOT_SENT = "not_sent"
-    UNKNOWN = "unknown"
-
-
-@dataclass(slots=True, frozen=True)
-class PeerFailure:
-    """A call to another instance that was not answered."""
-
-    kind: PeerFailureKind
-    reason: Reason
-    message: str
-
-
-CallResult = Result[dict[str, Any], PeerFailure]
-
 
 @dataclass(slots=True, eq=False)
 class PendingCall:
--- /dev/null
+++ b/src/egretloft/_internal/peers/protocols.py
@@ -0,0 +1,62 @@
+"""What other packages need of the peer network."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable, Collection
+from dataclasses import dataclass
+from enum import StrEnum
+from typing import Any, Protocol
+
+from returns.result import Result
+
+from egretloft._internal.models.members import Member
+from egretloft._internal.models.outcomes import Reason
+
+Handler = Callable[[str, dict[str, Any]], Awaitable[dict[str, Any]]]
+HeartbeatSource = Callable[[], dict[str, Any]]
+
+
+class PeerFailureKind(StrEnum):
+    """Whether a call may have had an effect."""
+
+    NOT_SENT = "not_sent"
+    UNKNOWN = "unknown"
+
+
+@dataclass(slots=True, frozen=True)
+class PeerFailure:
+    """A call to another instance that was not answered."""
+
+    kind: PeerFailureKind
+    reason: Reason
+    message: str
+
+
+CallResult = Result[dict[str, Any], PeerFailure]
+
+
+class Peers(Protocol):
+    """Calls to the other instances and their heartbeats."""
+
+    heartbeat_sources: list[HeartbeatSource]
+
+    async def call(
+        self,
+        instance_id: str,
+        call_type: str,
+        body: dict[str, Any],
+        timeout_seconds: float,
+    ) -> CallResult:
+        """Call a handler of another instance, or of this one."""
+
+    def register(self, call_type: str, handler: Handler) -> None:
+        """Let ``handler`` answer calls of ``call_type``."""
+
+    def set_members(self, members: Collection[Member]) -> None:
+        """Keep streams to exactly these instances; this one is left out."""
+
+    def is_alive(self, instance_id: str) -> bool:
+        """Return whether the instance was heard recently."""
+
+    def last_heartbeat(self, instance_id: str) -> dict[str, Any]:
+        """Return the body of the last heartbeat, empty when not alive."""
--- a/tests/unit/peers/test_network.py
+++ b/tests/unit/peers/test_network.py
@@ -22,11 +22,8 @@
     FrameType,
     encode_frame,
 )
-from egretloft._internal.peers.network import (
-    PeerFailureKind,
-    PeerNetwork,
-    create_peer_network,
-)
+from egretloft._internal.peers.network import PeerNetwork, create_peer_network
+from egretloft._internal.peers.protocols import PeerFailureKind
 from egretloft._internal.platform.system_clock import create_system_clock
 
 Start = Callable[[str], Awaitable[PeerNetwork]]
