--- a/tests/unit/coordination/test_ownership.py
+++ b/tests/unit/coordination/test_ownership.py
@@ -85,3 +85,15 @@
     assert other.parts.ownership.holds(GANGS) is None
     await site.run(3.0, other)
     assert other.parts.ownership.holds(GANGS) is not None
+
+
+async def test_outage_agreement_does_not_revive_a_former_owner() -> None:
+    """Guards against a frozen owner that wakes in an outage after a takeover."""
+    site, owner, (other,) = await start("a", "b")
+    await site.run(5.0, other)
+    assert other.parts.ownership.holds(GANGS) is not None
+    site.outage()
+    await site.run(1.0, other)
+    await owner.parts.view.refresh()
+    assert owner.parts.view.agreed_at is not None
+    assert owner.parts.ownership.holds(GANGS) is None
