Spread renewals after an adoption and bound the wait for task lists

Cause: a successor sent all renewals at once, and workers that do not answer held up scheduling on the others. Change: due renewals go out over 1 s; scheduling begins at most 2.5 s after the rows are loaded; work over all workers runs twice a second.

--- a/src/egretloft/_internal/gangs/renewal.py
+++ b/src/egretloft/_internal/gangs/renewal.py
@@ -31,6 +31,10 @@
 # A longer gap between two ticks means that this process stood still. Calls that were
 # under way then failed here and say nothing about the worker.
 STANDSTILL_SECONDS = 1.0
+# Calls that are due together, as after an adoption, are spread over this time. All at
+# once they would hold up the heartbeats of this process with 1,500 workers.
+SPREAD_SECONDS = 1.0
+LEAST_CALLS_PER_TICK = 16
 
 
 @dataclass(slots=True)
@@ -75,16 +79,23 @@
     def tick(self) -> None:
         """Start the calls that are due; none without ownership and a fresh view."""
         now = self.context.clock.monotonic()
-        if now - self.last_tick > STANDSTILL_SECONDS:
+        elapsed = now - self.last_tick
+        if elapsed > STANDSTILL_SECONDS:
             self.resumed_at = now
             for leases in self.leases.values():
                 leases.failing_since = None
         self.last_tick = now
         if not self.context.may_send():
             return
-        for leases in list(self.leases.values()):
-            if leases.call is None and leases.due_at <= now:
-                leases.call = asyncio.create_task(self._renew(leases))
+        due = [
+            leases
+            for leases in self.leases.values()
+            if leases.call is None and leases.due_at <= now
+        ]
+        due.sort(key=lambda leases: leases.due_at)
+        share = int(len(self.leases) * elapsed / SPREAD_SECONDS)
+        for leases in due[: max(LEAST_CALLS_PER_TICK, share)]:
+            leases.call = asyncio.create_task(self._renew(leases))
 
     async def release(self, gang: Gang, release_before: float) -> bool:
         """Release a started gang from its throttle; false if nothing was sent.
--- a/src/egretloft/_internal/gangs/session.py
+++ b/src/egretloft/_internal/gangs/session.py
@@ -48,6 +48,13 @@
 RETENTION_SECONDS = 7 * 86_400
 DELETE_PERIOD_SECONDS = 60.0
 
+# Workers that do not answer hold up the scheduling on the others no longer than this.
+LIST_WAIT_SECONDS = 2.5
+# Periods of the work that goes over all workers, which takes some milliseconds with
+# 1,500 of them, and of the scheduler.
+WATCH_SECONDS = 0.5
+SCHEDULE_SECONDS = 0.2
+
 # Period of the scan for new jobs and cancellations: two reads a second.
 SCAN_SECONDS = 0.5
 
@@ -79,7 +86,9 @@
         self.scan: asyncio.Task[None] | None = None
         self.scan_due_at = 0.0
         self.scanned_version = 0
-        self.loaded = False
+        self.loaded_at: float | None = None
+        self.watch_due_at = 0.0
+        self.schedule_due_at = 0.0
         # Set when the scheduler knows the workers and the adopted gangs.
         self.scheduling = False
         self.held_events: list[Event] = []
@@ -88,13 +97,19 @@
     def tick(self) -> None:
         """Renew, read changes, schedule and start operations; never waits."""
         self.renewal.tick()
-        self.inventory.tick()
         now = self.context.clock.monotonic()
+        watching = self.watch_due_at <= now
+        if watching:
+            self.watch_due_at = now + WATCH_SECONDS
+            self.inventory.tick()
         if self.scan is None and self.scan_due_at <= now:
             self.scan_due_at = now + SCAN_SECONDS
             self.scan = self._spawn(self._scan())
         if not self.scheduling:
-            if not self.loaded or not self.inventory.all_tried():
+            if self.loaded_at is None:
+                return
+            waited = now - self.loaded_at
+            if waited < LIST_WAIT_SECONDS and not self.inventory.all_tried():
                 return
             self._begin_scheduling()
         if not self.context.may_send():
@@ -103,8 +118,12 @@
         if self.delete_due_at <= now:
             self.delete_due_at = now + DELETE_PERIOD_SECONDS
             self._spawn(self._delete_old_rows())
-        for event in self.watch.changes():
-            self.scheduler.apply(event)
+        if watching:
+            for event in self.watch.changes():
+                self.scheduler.apply(event)
+        if self.schedule_due_at > now:
+            return
+        self.schedule_due_at = now + SCHEDULE_SECONDS
         for decision in self.scheduler.tick(self.context.clock.wall()):
             self._carry_out(decision)
         self.context.metrics.set_gauge("gangs", len(self.gangs))
@@ -123,8 +142,10 @@
                     for row in scan.rows:
                         self._take_row(row)
                     self.scanned_version = max(self.scanned_version, scan.as_of)
-                    self.loaded = True
-                    self.inventory.enabled = True
+                    if self.loaded_at is None:
+                        self.loaded_at = self.context.clock.monotonic()
+                        self.inventory.enabled = True
+                        self.watch_due_at = 0.0
                 case Failure(failure):
                     self.context.metrics.count("job_scan_failures")
                     log.warning("job rows cannot be read", error=failure.message)
