Treat the answer of a restarted worker as an unknown outcome

Cause: a worker that restarted answers a stop with stopped for tasks that it forgot, and a job that cannot restart then ended failed instead of unknown. Change: a report without a start does not replace one with a start.

--- a/src/egretloft/_internal/gangs/entities.py
+++ b/src/egretloft/_internal/gangs/entities.py
@@ -40,14 +40,22 @@
         return self.report is not None and self.report.state is TaskState.FINISHED
 
     def take_report(self, report: TaskReport, now: float) -> None:
-        """Keep a report; one about an ended task is not replaced by ``unknown``."""
+        """Keep a report, unless the worker has forgotten what it reported before.
+
+        A worker that restarted answers ``unknown`` or ``stopped`` for a task that it
+        does not remember. The task is gone, but its outcome is not known.
+        """
         if report.state in ACTIVE_TASK_STATES:
             if self.gone:
                 return
             self.last_active_at = now
         else:
             self.gone = True
-            if report.state is TaskState.UNKNOWN and self.report is not None:
+            former = self.report
+            if former is not None and (
+                report.state is TaskState.UNKNOWN
+                or (former.started_at and not report.started_at)
+            ):
                 return
         self.report = report
 
--- a/tests/unit/gangs/test_ending.py
+++ b/tests/unit/gangs/test_ending.py
@@ -76,6 +76,16 @@
     assert (ended.state, ended.reason) == (JobState.UNKNOWN, Reason.TARGET_LOST)
 
 
+def test_worker_that_restarted_knows_no_outcome() -> None:
+    """Guards against ``failed`` when the answer to a stop only means ``not known``."""
+    gang = gang_of(1)
+    gang.members[0].take_report(report(TaskState.RUNNING, 10, 0), 25)
+    gang.members[0].take_report(report(TaskState.STOPPED, 0, 0), 40)
+    assert gang.members[0].gone
+    assert run_times(gang) == (10, 25)
+    assert ended_record(gang, gang.record, 50.0, "").state is JobState.UNKNOWN
+
+
 async def test_decision_to_end_jobs() -> None:
     """Guards against jobs that go on after the scheduler has given them up."""
     world = World(build_workers(workers_per_rack=1))
