Let zone changes pass conflicts with other changes

Cause: a zone change needs the current version, which profile changes move. Change: egretctl zone re-reads and repeats while the zone itself is unchanged, and shows a race for the same zone. Conclusion: a zone can be taken out under frequent changes.

--- a/src/egretloft/commands/zone.py
+++ b/src/egretloft/commands/zone.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import click
+from returns.result import Failure
 
-from egretloft.commands.base import Context, pass_context
+from egretloft.commands.base import Context, pass_context, unwrap
 
 COLUMNS = ("zone", "in_service")
+CONFLICT_TRIES = 5
 
 
 @click.group()
@@ -39,10 +41,29 @@
 
 
 def change_zone(context: Context, name: str, action: str) -> None:
-    """Send the change and print the new configuration version."""
-    answer = context.call("POST", f"/v1/zones/{name}/{action}", {})
-    context.show(
-        answer,
-        [{"zone": name, "change": action, **answer}],
-        ("zone", "change", "version"),
-    )
+    """Send the change and print the new configuration version.
+
+    A conflict with a change of something else is tried again, because a zone may
+    have to be taken out while profiles change often. A conflict with another change
+    of the same zone is shown to the operator.
+    """
+    version, before = read_zone(context, name)
+    for _ in range(CONFLICT_TRIES):
+        result = context.client.call(
+            "POST", f"/v1/zones/{name}/{action}", {"expected_version": version}
+        )
+        if not isinstance(result, Failure) or result.failure().reason != "conflict":
+            break
+        version, now = read_zone(context, name)
+        if now != before:
+            break
+    answer = unwrap(result)
+    rows = [{"zone": name, "change": action, **answer}]
+    context.show(answer, rows, ("zone", "change", "version"))
+
+
+def read_zone(context: Context, name: str) -> tuple[int, bool | None]:
+    """Return the configuration version and whether the zone is in service."""
+    answer = context.call("GET", "/v1/zones")
+    states = {row["zone"]: row["in_service"] for row in answer["zones"]}
+    return answer["version"], states.get(name)
--- a/tests/unit/commands/test_commands.py
+++ b/tests/unit/commands/test_commands.py
@@ -88,6 +88,7 @@
     client: FakeClient, outcome: str, code: int
 ) -> None:
     """Guards against scripts that repeat a change that may have been made."""
+    client.answers["GET", "/v1/zones"] = {"version": 3, "zones": []}
     client.answers["POST", "/v1/zones/kurume/take-out"] = ClientFailure(
         outcome, "store_unavailable", "no answer", "list the zones"
     )
@@ -129,3 +130,32 @@
     result = invoke("completion", shell)
     assert result.exit_code == 0
     assert "_EGRETCTL_COMPLETE" in result.output
+
+
+CONFLICT = ClientFailure("not_run", "conflict", "the version is 4")
+
+
+def zones(version: int, in_service: bool) -> dict[str, Any]:
+    return {
+        "version": version,
+        "zones": [{"zone": "kurume", "in_service": in_service}],
+    }
+
+
+def test_zone_change_passes_conflicts_with_other_changes(client: FakeClient) -> None:
+    """Guards against a zone that cannot be taken out while profiles change."""
+    client.answers["GET", "/v1/zones"] = [zones(3, True), zones(4, True)]
+    client.answers["POST", "/v1/zones/kurume/take-out"] = [CONFLICT, {"version": 5}]
+    result = invoke("zone", "take-out", "kurume")
+    assert result.exit_code == 0, result.output
+    assert client.calls[-1][2] == {"expected_version": 4}
+
+
+def test_zone_change_shows_a_race_for_the_same_zone(client: FakeClient) -> None:
+    """Guards against overwriting another operator's change of the same zone."""
+    client.answers["GET", "/v1/zones"] = [zones(3, False), zones(4, True)]
+    client.answers["POST", "/v1/zones/kurume/bring-back"] = CONFLICT
+    result = invoke("zone", "bring-back", "kurume")
+    assert result.exit_code == 1
+    assert "conflict" in result.output
+    assert len([call for call in client.calls if call[0] == "POST"]) == 1
