--- a/Makefile
+++ b/Makefile
@@ -26,13 +26,13 @@
 	$(PYTHON) -m ruff check --fix src tests tools
 
 demo: $(STAMP)
-	PYTHONPATH=tools $(PYTHON) -m demo
+	PYTHONPATH=src:tools:tests $(PYTHON) -m demo
 
 bench: $(STAMP)
 	PYTHONPATH=tools $(PYTHON) -m bench
 
 capacity: $(STAMP)
-	PYTHONPATH=tools $(PYTHON) -m capacity
+	PYTHONPATH=src:tools:tests $(PYTHON) -m capacity
 
 clean:
 	rm -rf $(VENV) build src/*.egg-info
--- a/tests/lib/scenario_runner.py
+++ b/tests/lib/scenario_runner.py
@@ -5,6 +5,7 @@
 import asyncio
 import os
 import random
+from collections.abc import Awaitable, Callable
 from pathlib import Path
 
 import aiohttp
@@ -25,10 +26,15 @@
     return declared if declared is not None else random.SystemRandom().randrange(2**32)
 
 
-async def run_scenario(path: Path, directory: Path) -> None:
+async def run_scenario(
+    path: Path,
+    directory: Path,
+    at_end: Callable[[World], Awaitable[None]] | None = None,
+) -> None:
     """Carry out the steps; raise if one fails or the time is up.
 
-    The seed and, after a failure, the last log lines are printed.
+    The seed and, after a failure, the last log lines are printed. ``at_end`` is called
+    while the processes still run.
     """
     scenario = parse_scenario(path.read_text())
     seed = choose_seed(scenario.seed)
@@ -43,6 +49,8 @@
                     print(f"line {step.line}: {step.name}")
                     await STEPS[step.name](world, step)
                     world.check_background()
+            if at_end is not None:
+                await at_end(world)
         except BaseException:
             if world.platform is not None:
                 print(world.platform.tails())
--- a/tests/lib/scenario_steps.py
+++ b/tests/lib/scenario_steps.py
@@ -99,7 +99,8 @@
     name = item.options.get("under") or next(iter(world.profiles), None)
     if name not in world.profiles:
         raise ScenarioError(f"no profile {name}")
-    return name, world.profiles[name]
+    # Tokens of the parser are strings that the JSON encoder does not accept.
+    return str(name), str(world.profiles[name])
 
 
 @step("send")
--- /dev/null
+++ b/tools/demo/__init__.py
@@ -0,0 +1,1 @@
+"""Demonstration: requests and gang jobs through three entry instances."""
