Add roster, view, ownership, configuration and safe writes

Change: SafeWriter reads its operation id back and verifies what it read with a transaction that only checks. A control/membership row, which beats do not change, fences claims, removals and configuration changes of instances that were removed or replaced. A member takes part in an outage agreement only when no change of its own is unread or unresolved. Configuration changes check the head and the changed row. create_coordination wires the parts.

--- /dev/null
+++ b/src/egretloft/_internal/coordination/roster.py
@@ -0,0 +1,355 @@
+"""Joining, beating, leaving, and removal of instances that stopped beating."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+import structlog
+from returns.result import Failure, Success
+
+from egretloft._internal.codec import encode
+from egretloft._internal.coordination.membership import (
+    Acknowledged,
+    Identity,
+    Membership,
+    identity,
+)
+from egretloft._internal.coordination.rows import (
+    INSTANCE_PREFIX,
+    MEMBERSHIP_PREFIX,
+    InstanceRow,
+)
+from egretloft._internal.coordination.view import View
+from egretloft._internal.metrics import Metrics
+from egretloft._internal.models.members import Member
+from egretloft._internal.peers.protocols import Peers
+from egretloft._internal.platform.protocols import Check, Clock, Write
+
+# Beats are written every 3 s. ``beat`` may be called somewhat early.
+BEAT_SECONDS = 2.9
+REMOVE_SECONDS = 10.0
+# Longer than any outage agreement lasts (view.py).
+REMOVE_LISTED_SECONDS = 15 * 60.0
+WRITE_SECONDS = 1.5
+ACKNOWLEDGE_SECONDS = 1.0
+ACKNOWLEDGE = "roster_acknowledge"
+
+log = structlog.get_logger(__name__)
+
+
+class AcknowledgeQuery(msgspec.Struct, frozen=True):
+    """A joining instance and the store version of its registration."""
+
+    member: Member
+    version: int
+
+
+class Roster:
+    """This instance's place on the roster.
+
+    A *full member* has been acknowledged by every instance on the roster. Each of
+    them asks it before an outage agreement, so it may change what they rely on.
+    """
+
+    def __init__(
+        self,
+        membership: Membership,
+        view: View,
+        network: Peers,
+        clock: Clock,
+        metrics: Metrics,
+        is_listed: Callable[[str], bool],
+    ) -> None:
+        self.membership = membership
+        self.view = view
+        self.network = network
+        self.clock = clock
+        self.metrics = metrics
+        self.is_listed = is_listed
+        self.key = INSTANCE_PREFIX + membership.member.instance_id
+        self.row_version = 0
+        self.beats = 0
+        self.beat_sent: float | None = None
+        # Since when all own beats succeeded.
+        self.beating_since: float | None = None
+        self.registered_at = 0.0
+        self.full = False
+        self.leaving = False
+        self.superseded = False
+        # The incarnation whose row the first registration may overwrite.
+        self.former_incarnation: str | None = None
+        self.acknowledged_by: set[Identity] = set()
+        self.lock = asyncio.Lock()
+        network.register(ACKNOWLEDGE, self.answer_acknowledge)
+        view.subscribe(self._on_change)
+
+    def is_full_member(self) -> bool:
+        """Return whether this instance may claim partitions and commit changes."""
+        return self.full and self.view.is_registered()
+
+    async def join(self) -> None:
+        """Register; ``beat`` completes the join when this attempt fails."""
+        await self.view.refresh()
+        await self.beat()
+        await self.view.refresh()
+        await self.beat()
+
+    async def beat(self) -> None:
+        """Register, beat, seek full membership and remove instances, as due.
+
+        To be called about once a second; beats are written every 3 s.
+        """
+        async with self.lock:
+            if self.leaving or self.superseded:
+                return
+            if self.membership.row_version == 0 or self._is_removed():
+                await self._register()
+                return
+            self._adopt_versions()
+            await self.membership.settle()
+            await self._write_beat()
+            if not self.full:
+                await self._seek_acknowledgements()
+            await self._remove_silent()
+
+    async def leave(self) -> None:
+        """Remove this instance's rows; it does not register again."""
+        async with self.lock:
+            self.leaving = True
+            self.full = False
+            for _ in range(2):
+                if self.membership.row_version == 0:
+                    return
+                result = await self.membership.commit_unfenced(
+                    (
+                        Check(self.key, self.row_version),
+                        Check(self.membership.key, self.membership.row_version),
+                    ),
+                    (Write(self.key, None), Write(self.membership.key, None)),
+                    WRITE_SECONDS,
+                )
+                if isinstance(result, Success):
+                    self.membership.row_version = 0
+                    return
+                await self.view.refresh()
+                self._adopt_versions()
+
+    # Registration
+
+    def _is_removed(self) -> bool:
+        """Return whether the view shows that this registration is gone."""
+        if self.view.as_of < self.membership.row_version or self.view.is_registered():
+            return False
+        log.warning("this instance was removed from the roster")
+        self.metrics.count("roster_removals", whose="own")
+        self._lose()
+        self.membership.row_version = 0
+        return True
+
+    def _lose(self) -> None:
+        self.full = False
+        self.acknowledged_by.clear()
+
+    async def _register(self) -> None:
+        """Write both rows, or adopt them when an earlier attempt took effect."""
+        if self.view.store_seen_at is None:
+            return  # Nothing was read yet.
+        own = self.membership.member
+        shown = self.view.members.get(own.instance_id)
+        if shown is not None and shown.incarnation == own.incarnation:
+            self._lose()
+            self.registered_at = self.clock.monotonic()
+            self._adopt_versions()
+            return
+        if self.former_incarnation is None:
+            self.former_incarnation = shown.incarnation if shown else ""
+        if shown is not None and shown.incarnation != self.former_incarnation:
+            # A newer process runs under this id; taking the row back would let
+            # the two replace each other for ever.
+            self.superseded = True
+            log.error("another process has this instance id")
+            self.metrics.count("roster_superseded")
+            return
+        sent = self.clock.monotonic()
+        result = await self.membership.commit_unfenced(
+            (
+                Check(self.key, self.view.row_version(self.key)),
+                Check(self.membership.key, self.view.row_version(self.membership.key)),
+            ),
+            (
+                Write(self.key, encode(InstanceRow(own, 0))),
+                Write(self.membership.key, self.membership.value),
+            ),
+            WRITE_SECONDS,
+        )
+        if isinstance(result, Success) and result.unwrap().version:
+            version = result.unwrap().version
+            self.membership.set_row_version(version)
+            self._lose()
+            self.row_version = version
+            self.beats = 0
+            self.beat_sent = sent
+            self.registered_at = self.clock.monotonic()
+
+    def _adopt_versions(self) -> None:
+        """Take over versions that this instance wrote without being told."""
+        if not self.view.is_registered() and self.membership.row_version:
+            return
+        shown = self.view.members.get(self.membership.member.instance_id)
+        if shown is None or identity(shown) != identity(self.membership.member):
+            return
+        self.row_version = max(self.row_version, self.view.row_version(self.key))
+        version = self.view.row_version(self.membership.key)
+        if version > self.membership.row_version:
+            # The row may have been removed and written again in between, so the
+            # acknowledgements no longer count.
+            self._lose()
+            self.membership.set_row_version(version)
+
+    async def _write_beat(self) -> None:
+        now = self.clock.monotonic()
+        if self.beat_sent is not None and now - self.beat_sent < BEAT_SECONDS:
+            return
+        self.beats += 1
+        row = InstanceRow(self.membership.member, self.beats)
+        result = await self.membership.writer.commit(
+            (Check(self.key, self.row_version),),
+            (Write(self.key, encode(row)),),
+            WRITE_SECONDS,
+        )
+        if isinstance(result, Failure):
+            # Tried again at the next call.
+            self.beating_since = None
+            self.metrics.count("roster_beat_failures")
+            return
+        self.beat_sent = now
+        self.row_version = max(self.row_version, result.unwrap().version)
+        if self.beating_since is None:
+            self.beating_since = self.clock.monotonic()
+
+    # Full membership
+
+    def _others(self) -> dict[Identity, Member]:
+        members = {identity(member): member for member in self.view.members.values()}
+        members.pop(identity(self.membership.member), None)
+        return members
+
+    async def _seek_acknowledgements(self) -> None:
+        # The view must include the own registration: whoever registers later
+        # sees this instance in its first scan.
+        if not self.view.is_registered():
+            return
+        version = self.membership.row_version
+        missing = [
+            member
+            for key, member in self._others().items()
+            if key not in self.acknowledged_by
+        ]
+        await asyncio.gather(*(self._ask(member, version) for member in missing))
+        if (
+            self.view.is_registered()
+            and self.membership.row_version == version
+            and self._others().keys() <= self.acknowledged_by
+        ):
+            self.full = True
+            log.info("full member of the roster")
+
+    async def _ask(self, member: Member, version: int) -> None:
+        query = AcknowledgeQuery(self.membership.member, version)
+        result = await self.network.call(
+            member.instance_id,
+            ACKNOWLEDGE,
+            msgspec.to_builtins(query),
+            ACKNOWLEDGE_SECONDS,
+        )
+        if (
+            result.value_or({}).get("acknowledged_by") == member.incarnation
+            and self.membership.row_version == version
+        ):
+            self.acknowledged_by.add(identity(member))
+
+    async def answer_acknowledge(
+        self, instance_id: str, body: dict[str, Any]
+    ) -> dict[str, Any]:
+        """Promise a joining instance to ask it before any outage agreement."""
+        query = msgspec.convert(body, AcknowledgeQuery)
+        key = identity(query.member)
+        if self.view.as_of >= query.version:
+            if key not in self._others():
+                return {}  # Registered once, but no longer on the roster.
+        else:
+            self.membership.acknowledged[key] = Acknowledged(
+                query.member, query.version
+            )
+            self._update_network()
+        return {"acknowledged_by": self.membership.member.incarnation}
+
+    def _on_change(self, keys: set[str]) -> None:
+        if any(key.startswith(INSTANCE_PREFIX) for key in keys):
+            self._update_network()
+
+    def _update_network(self) -> None:
+        members = dict(self.view.members)
+        # A newer process of the same id replaces the one in the view.
+        for acknowledged in self.membership.acknowledged.values():
+            members[acknowledged.member.instance_id] = acknowledged.member
+        self.network.set_members(tuple(members.values()))
+
+    # Removal of others
+
+    def _is_silent(self, instance_id: str) -> bool:
+        """Return whether the instance's row has stood unchanged for long enough."""
+        if self.view.reachable_since is None or self.beating_since is None:
+            return False
+        # When writes fail but reads succeed, all rows stand still; so the time
+        # counts only while own beats succeed.
+        since = max(
+            self.view.seen_at[INSTANCE_PREFIX + instance_id],
+            self.view.reachable_since,
+            self.beating_since,
+        )
+        limit = REMOVE_SECONDS
+        if not self.full:
+            # A row that was seen before the own registration may belong to an
+            # instance that does not know this one.
+            since = max(since, self.registered_at)
+            if self.is_listed(instance_id):
+                limit = REMOVE_LISTED_SECONDS
+        return self.clock.monotonic() - since >= limit
+
+    async def _remove_silent(self) -> None:
+        for instance_id in list(self.view.members):
+            if instance_id == self.membership.member.instance_id:
+                continue
+            # No await between this check and the start of the commit, so that no
+            # peer is told in between that the store cannot be reached.
+            if not self.view.is_registered() or not self._is_silent(instance_id):
+                continue
+            keys = (INSTANCE_PREFIX + instance_id, MEMBERSHIP_PREFIX + instance_id)
+            result = await self.membership.commit(
+                [Check(key, self.view.row_version(key)) for key in keys],
+                [Write(key, None) for key in keys],
+                WRITE_SECONDS,
+            )
+            if isinstance(result, Success):
+                log.warning("removed from the roster", removed=instance_id)
+                self.metrics.count("roster_removals", whose="other")
+
+
+def create_roster(
+    membership: Membership,
+    view: View,
+    network: Peers,
+    clock: Clock,
+    metrics: Metrics,
+    is_listed: Callable[[str], bool],
+) -> Roster:
+    """Return the roster of an instance that has not joined.
+
+    ``is_listed`` tells whether the platform's list shows an instance; when the
+    list was never read it must return true.
+    """
+    return Roster(membership, view, network, clock, metrics, is_listed)
--- /dev/null
+++ b/tests/lib/peer_fakes.py
@@ -0,0 +1,131 @@
+"""An in-memory peer network with latency and cut links."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable, Collection
+from dataclasses import dataclass, field
+from typing import Any
+
+from returns.result import Failure, Success
+
+from egretloft._internal.models.members import Member
+from egretloft._internal.models.outcomes import Reason
+from egretloft._internal.peers.protocols import (
+    CallResult,
+    Handler,
+    HeartbeatSource,
+    PeerFailure,
+    PeerFailureKind,
+)
+
+
+async def nothing() -> None:
+    """Do not delay anything."""
+
+
+@dataclass(slots=True)
+class PeerHub:
+    """All fake networks by address; a cut link loses calls, answers and heartbeats."""
+
+    networks: dict[str, FakePeers] = field(default_factory=dict)
+    cut: set[frozenset[str]] = field(default_factory=set)
+    latency: Callable[[], Awaitable[None]] = nothing
+    tasks: set[asyncio.Task[None]] = field(default_factory=set)
+
+    def connected(self, one: str, other: str) -> bool:
+        return other in self.networks and frozenset({one, other}) not in self.cut
+
+
+@dataclass(slots=True)
+class FakePeers:
+    """The network of one process; ``gate`` holds it up while it is frozen."""
+
+    hub: PeerHub
+    instance_id: str
+    address: str
+    gate: Callable[[], Awaitable[None]] = nothing
+    heartbeat_sources: list[HeartbeatSource] = field(default_factory=list)
+    handlers: dict[str, Handler] = field(default_factory=dict)
+    addresses: dict[str, str] = field(default_factory=dict)
+
+    def register(self, call_type: str, handler: Handler) -> None:
+        self.handlers[call_type] = handler
+
+    def set_members(self, members: Collection[Member]) -> None:
+        self.addresses = {m.instance_id: m.peer_address for m in members}
+
+    def is_alive(self, instance_id: str) -> bool:
+        address = self.addresses.get(instance_id, "")
+        return self.hub.connected(self.address, address)
+
+    def last_heartbeat(self, instance_id: str) -> dict[str, Any]:
+        if not self.is_alive(instance_id):
+            return {}
+        body: dict[str, Any] = {}
+        for source in self.hub.networks[self.addresses[instance_id]].heartbeat_sources:
+            body.update(source())
+        return body
+
+    async def call(
+        self,
+        instance_id: str,
+        call_type: str,
+        body: dict[str, Any],
+        timeout_seconds: float,
+    ) -> CallResult:
+        await self.gate()
+        if not self.is_alive(instance_id):
+            return Failure(
+                PeerFailure(
+                    PeerFailureKind.NOT_SENT, Reason.PEER_UNREACHABLE, "no connection"
+                )
+            )
+        answer: asyncio.Future[dict[str, Any]] = asyncio.Future()
+        # The peer works on after the caller has given up.
+        task = asyncio.create_task(
+            self.deliver(self.addresses[instance_id], call_type, body, answer)
+        )
+        self.hub.tasks.add(task)
+        task.add_done_callback(self.hub.tasks.discard)
+        try:
+            async with asyncio.timeout(timeout_seconds):
+                result = await answer
+        except TimeoutError:
+            return Failure(
+                PeerFailure(
+                    PeerFailureKind.UNKNOWN, Reason.PEER_UNREACHABLE, "no answer"
+                )
+            )
+        finally:
+            await self.gate()
+        return Success(result)
+
+    async def deliver(
+        self,
+        address: str,
+        call_type: str,
+        body: dict[str, Any],
+        answer: asyncio.Future[dict[str, Any]],
+    ) -> None:
+        await self.hub.latency()
+        peer = self.hub.networks.get(address)
+        if peer is None or not self.hub.connected(self.address, address):
+            return
+        await peer.gate()
+        result = await peer.handlers[call_type](self.instance_id, body)
+        await peer.gate()
+        await self.hub.latency()
+        if self.hub.connected(self.address, address) and not answer.done():
+            answer.set_result(result)
+
+
+def create_fake_peers(
+    hub: PeerHub,
+    member: Member,
+    gate: Callable[[], Awaitable[None]] = nothing,
+) -> FakePeers:
+    """Return the network of ``member``, reachable through ``hub``."""
+    network = FakePeers(hub, member.instance_id, member.peer_address, gate)
+    hub.networks[member.peer_address] = network
+    return network
--- /dev/null
+++ b/tests/unit/coordination/test_ownership.py
@@ -0,0 +1,99 @@
+"""Ownership: never two holders, and a successor within seconds."""
+
+from __future__ import annotations
+
+from lib.fakes import Fault
+from lib.nodes import Node, Site, forget_outcome
+
+GANGS = "gangs/region-1"
+
+
+async def start(*instance_ids: str) -> tuple[Site, Node, list[Node]]:
+    """Return a site with one owner of ``GANGS`` and the other instances."""
+    site = Site()
+    nodes = await site.start(*instance_ids)
+    for node in nodes:
+        node.parts.ownership.set_candidates([GANGS])
+    await site.run(2.0)
+    (owner,) = [node for node in nodes if node.parts.ownership.holds(GANGS)]
+    return site, owner, [node for node in nodes if node is not owner]
+
+
+async def test_successor_waits_longer_than_the_owner_acts() -> None:
+    """Guards against two owners when one freezes."""
+    site, owner, (other,) = await start("a", "b")
+    former = owner.parts.ownership.holds(GANGS)
+    assert former is not None
+    assert other.parts.ownership.owner_of(GANGS) == owner.member
+    renewed_at = owner.parts.ownership.holdings[GANGS].renewed_at
+    while other.parts.ownership.holds(GANGS) is None:
+        await site.run(0.25, other)
+        acting = owner.parts.ownership.holds(GANGS) is not None
+        assert acting == (site.clock.monotonic() - renewed_at < 2.0)
+    assert 3.0 <= site.clock.monotonic() - renewed_at <= 4.0
+    successor = other.parts.ownership.holds(GANGS)
+    assert successor is not None
+    assert successor.number == former.number + 1
+    # The former owner's writes are fenced by the epoch row.
+    assert site.state.rows[former.key].version == successor.version
+    await site.run(1.0)
+    assert owner.parts.ownership.holds(GANGS) is None
+
+
+async def test_failed_scan_starts_the_observation_again() -> None:
+    """Guards against a takeover on the basis of scans with a gap."""
+    site, _, (other,) = await start("a", "b")
+    await site.run(2.5, other)
+    other.table.fault, other.table.fault_calls = Fault.DOWN, 1
+    await site.run(2.5, other)
+    assert other.parts.ownership.holds(GANGS) is None
+
+
+async def test_owner_acts_through_an_agreed_outage_only() -> None:
+    """Guards against an outage that stops the owner, and a cut-off owner acting."""
+    site, owner, others = await start("a", "b", "c")
+    site.outage()
+    await site.run(10.0)
+    assert owner.parts.ownership.holds(GANGS) is not None
+    site.outage(Fault.NONE)
+    await site.run(2.0)
+    owner.table.fault = Fault.DOWN
+    await site.run(6.0)
+    assert owner.parts.ownership.holds(GANGS) is None
+    assert [n for n in others if n.parts.ownership.holds(GANGS)]
+
+
+async def test_released_partition_is_taken_at_once() -> None:
+    """Guards against a planned stop that leaves a gap of seconds."""
+    site, owner, others = await start("a", "b")
+    changes: list[tuple[str, bool]] = []
+    owner.parts.ownership.subscribe(lambda *change: changes.append(change))
+    await owner.parts.ownership.release_all()
+    assert changes == [(GANGS, False)]
+    await site.run(0.75)
+    assert others[0].parts.ownership.holds(GANGS) is not None
+
+
+async def test_claim_found_late_is_acted_on_after_the_observation_time() -> None:
+    """Guards against acting beside an owner that was told of an outage meanwhile."""
+    site, _, (other,) = await start("a", "b")
+    await site.run(1.5, other)
+    membership = other.parts.view.membership
+    membership.commit = forget_outcome(membership.commit)  # type: ignore[method-assign]
+    await site.run(2.0, other)
+    assert GANGS in other.parts.ownership.holdings
+    assert other.parts.ownership.holds(GANGS) is None
+    await site.run(3.0, other)
+    assert other.parts.ownership.holds(GANGS) is not None
+
+
+async def test_outage_agreement_does_not_revive_a_former_owner() -> None:
+    """Guards against a frozen owner that wakes in an outage after a takeover."""
+    site, owner, (other,) = await start("a", "b")
+    await site.run(5.0, other)
+    assert other.parts.ownership.holds(GANGS) is not None
+    site.outage()
+    await site.run(1.0, other)
+    await owner.parts.view.refresh()
+    assert owner.parts.view.agreed_at is not None
+    assert owner.parts.ownership.holds(GANGS) is None
--- /dev/null
+++ b/tests/unit/coordination/test_roster.py
@@ -0,0 +1,106 @@
+"""Roster: who may change what others rely on, and who is removed."""
+
+from __future__ import annotations
+
+from lib.fakes import Fault, MemoryTable
+from lib.nodes import Site, forget_outcome
+
+
+async def test_full_membership_needs_every_acknowledgement() -> None:
+    """Guards against a member that another one would not ask."""
+    site = Site()
+    a, b = await site.start("a", "b")
+    newcomer = site.add("c")
+    cut = frozenset({b.member.peer_address, newcomer.member.peer_address})
+    site.hub.cut.add(cut)
+    await newcomer.parts.roster.join()
+    await site.run(20.0)
+    assert not newcomer.parts.roster.is_full_member()
+    site.hub.cut.clear()
+    await site.run(1.0)
+    assert newcomer.parts.roster.is_full_member()
+    assert a.parts.roster.is_full_member()
+
+
+async def test_silent_instance_is_removed_and_joins_again() -> None:
+    """Guards against a dead instance that blocks agreements, and one that returns."""
+    site = Site()
+    a, b = await site.start("a", "b")
+    await site.run(9.0, a)
+    assert "b" in a.parts.view.members
+    await site.run(4.0, a)
+    assert "b" not in a.parts.view.members
+    # It wakes and does not know yet that it was removed.
+    assert b.parts.roster.is_full_member()
+    lost = await b.parts.configuration.set_zone("zone-1", False, 0)
+    assert lost.failure().reason == "not_member"
+    await site.run(3.0)
+    assert b.parts.roster.is_full_member()
+
+
+async def test_joining_instance_waits_longer_for_a_listed_one() -> None:
+    """Guards against removing a member that is in an outage agreement."""
+    site = Site(listed={"a"})
+    await site.start("a")
+    newcomer = site.add("b")
+    site.hub.networks.pop(site.nodes[0].member.peer_address)
+    await newcomer.parts.roster.join()
+    await site.run(14.9 * 60, newcomer, step=1.0)
+    assert "a" in newcomer.parts.view.members
+    assert not newcomer.parts.roster.is_full_member()
+    await site.run(12.0, newcomer)
+    assert newcomer.parts.roster.is_full_member()
+    unlisted = Site()
+    await unlisted.start("a")
+    newcomer = unlisted.add("b")
+    unlisted.hub.networks.pop(unlisted.nodes[0].member.peer_address)
+    await newcomer.parts.roster.join()
+    await unlisted.run(14.0, newcomer)
+    assert newcomer.parts.roster.is_full_member()
+
+
+async def test_failing_writes_remove_nobody() -> None:
+    """Guards against the first writer after an outage removing all others."""
+    site = Site()
+    a, b = await site.start("a", "b")
+    for node in (a, b):
+        node.parts.writer.table = MemoryTable(site.state, Fault.DOWN)
+    await site.run(20.0, a, b)
+    assert set(a.parts.view.members) == {"a", "b"}
+
+
+async def test_restart_under_the_same_id_replaces_the_former_process() -> None:
+    """Guards against two processes that act as one member."""
+    site = Site()
+    a, former = await site.start("a", "b")
+    current = site.add("b")
+    await current.parts.roster.join()
+    refused = await former.parts.configuration.set_zone("zone-1", False, 0)
+    assert refused.failure().reason == "not_member"
+    await site.run(2.0)
+    assert current.parts.roster.is_full_member()
+    assert former.parts.roster.superseded
+    assert a.parts.view.members["b"].incarnation == current.member.incarnation
+
+
+async def test_lost_answer_of_the_registration_is_adopted() -> None:
+    """Guards against an instance that waits for ever behind its own row."""
+    site = Site()
+    node = site.add("a")
+    membership = node.parts.view.membership
+    membership.commit_unfenced = forget_outcome(  # type: ignore[method-assign]
+        membership.commit_unfenced
+    )
+    await node.parts.roster.join()
+    await site.run(1.0, node)
+    assert node.parts.roster.is_full_member()
+
+
+async def test_leaving_removes_the_rows() -> None:
+    """Guards against a planned stop that blocks agreements for 10 s."""
+    site = Site()
+    a, b = await site.start("a", "b")
+    await b.parts.roster.leave()
+    assert not b.parts.roster.is_full_member()
+    await site.run(0.5)
+    assert set(a.parts.view.members) == {"a"}
--- /dev/null
+++ b/tests/unit/coordination/test_view.py
@@ -0,0 +1,184 @@
+"""View: it is fresh only while no newer configuration can be in force."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+
+from egretloft._internal.coordination.view import (
+    AGREEMENT_LIMIT_SECONDS,
+    VIEW_QUERY,
+)
+from egretloft._internal.platform.protocols import Row
+from lib.fakes import Fault, MemoryTable
+from lib.nodes import Node, Site
+
+
+def cut(site: Site, one: Node, other: Node) -> None:
+    site.hub.cut.add(frozenset({one.member.peer_address, other.member.peer_address}))
+
+
+async def test_view_is_fresh_for_its_time_only() -> None:
+    """Guards against a frozen instance that starts work when it wakes."""
+    site = Site()
+    (node,) = await site.start("a")
+    site.clock.advance(2.5)
+    assert node.parts.view.is_fresh()
+    site.clock.advance(0.01)
+    assert not node.parts.view.is_fresh()
+
+
+async def test_older_rows_and_lagging_scans_are_refused() -> None:
+    """Guards against a lagging replica that reverts the configuration."""
+    site = Site()
+    (node,) = await site.start("a")
+    view = node.parts.view
+    assert (await node.parts.configuration.set_zone("zone-1", False, 0)).unwrap() == 1
+    old = Row("control/zone/zone-1", b"", 1)
+    view._merge((old,), 1)
+    assert not view.zone_in_service("zone-1")
+    site.clock.advance(3.0)
+    site.state.version -= 1
+    await view.refresh()
+    assert view.reachable_since is None
+    assert view.metrics.counter("view_scan_failures", reason="lagging") == 1
+
+
+async def test_cut_off_instance_is_confirmed_through_a_peer() -> None:
+    """Guards against an instance without the store that stops, or misses a change."""
+    site = Site()
+    a, b = await site.start("a", "b")
+    a.table.fault = Fault.DOWN
+    await b.parts.configuration.set_zone("zone-1", False, 0)
+    await site.run(3.0)
+    assert a.parts.view.is_fresh()
+    assert not a.parts.view.zone_in_service("zone-1")
+    assert a.parts.view.agreed_at is None
+    cut(site, a, b)
+    await site.run(3.0)
+    assert not a.parts.view.is_fresh()
+
+
+async def test_outage_agreement_holds_for_its_limit() -> None:
+    """Guards against an outage that stops all work, or one that never ends."""
+    site = Site()
+    nodes = await site.start("a", "b", "c")
+    site.outage()
+    await site.run(30.0, step=1.0)
+    assert all(node.parts.view.is_fresh() for node in nodes)
+    await site.run(AGREEMENT_LIMIT_SECONDS - 32.0, step=1.0)
+    assert all(node.parts.view.is_fresh() for node in nodes)
+    await site.run(6.0)
+    assert not any(node.parts.view.is_fresh() for node in nodes)
+
+
+async def test_single_instance_agrees_with_itself() -> None:
+    """Guards against a deployment of one that stops in every outage."""
+    site = Site()
+    (node,) = await site.start("a")
+    site.outage()
+    await site.run(10.0)
+    assert node.parts.view.is_fresh()
+
+
+@pytest.mark.parametrize("silent", [True, False])
+async def test_no_agreement_without_every_member(silent: bool) -> None:
+    """Guards against work in a zone that an unreachable instance took out."""
+    site = Site()
+    a, b, c = await site.start("a", "b", "c")
+    a.table.fault = b.table.fault = Fault.DOWN
+    cut(site, a, c)
+    cut(site, b, c)
+    if not silent:
+        site.hub.cut.clear()
+        # It cannot read now, but a change of its own may still be on its way.
+        c.table.fault = Fault.DOWN
+        c.parts.view.membership.unresolved = True
+    await site.run(4.0)
+    assert not a.parts.view.is_fresh()
+    assert not b.parts.view.is_fresh()
+
+
+async def test_instance_that_joins_in_an_outage_is_not_asked_and_does_not_agree() -> (
+    None
+):
+    """Guards against a newcomer that serves without ever having been registered."""
+    site = Site()
+    (a,) = await site.start("a")
+    site.outage()
+    newcomer = site.add("b")
+    newcomer.table.fault = Fault.DOWN
+    await newcomer.parts.roster.join()
+    await site.run(5.0)
+    assert a.parts.view.is_fresh()
+    assert not newcomer.parts.view.is_fresh()
+    assert not newcomer.parts.roster.is_full_member()
+
+
+async def test_acknowledged_newcomer_takes_part_in_agreements() -> None:
+    """Guards against an agreement behind the back of a member not yet read."""
+    site = Site()
+    (a,) = await site.start("a")
+    a.table.fault = Fault.DOWN
+    newcomer = site.add("b")
+    await newcomer.parts.roster.join()
+    await site.run(1.0, newcomer)
+    assert newcomer.parts.roster.is_full_member()
+    assert "b" not in a.parts.view.members
+    cut(site, a, newcomer)
+    await newcomer.parts.configuration.set_zone("zone-1", False, 0)
+    await site.run(3.0)
+    assert not a.parts.view.is_fresh()
+
+
+async def test_peers_refuse_agreement_to_whom_they_do_not_know() -> None:
+    """Guards against a removed instance that agrees with those who removed it."""
+    site = Site()
+    a, b = await site.start("a", "b")
+    site.outage()
+    await site.run(1.0)
+    query = {"instance_id": "a", "incarnation": a.member.incarnation, "after": 0}
+    assert (await b.parts.view.answer_query("a", query))["agrees"]
+    query["incarnation"] = "other"
+    assert not (await b.parts.view.answer_query("a", query))["agrees"]
+
+
+async def test_no_agreement_while_a_peer_knows_more_members() -> None:
+    """Guards against an agreement without a member that only a peer has read."""
+    site = Site()
+    a, b = await site.start("a", "b")
+    handler = b.parts.view.answer_query
+
+    async def with_stranger(instance_id: str, body: dict[str, Any]) -> dict[str, Any]:
+        answer = await handler(instance_id, body)
+        members = (*answer["members"], ("c", "x9"))
+        return {**answer, "members": members, "confirmed_age": None}
+
+    b.parts.view.network.register(VIEW_QUERY, with_stranger)
+    site.outage()
+    await site.run(4.0)
+    assert not a.parts.view.is_fresh()
+
+
+async def test_no_agreement_with_an_own_change_that_was_not_read_back() -> None:
+    """Guards against a change that only its author knows when an outage begins."""
+    site = Site()
+    a, b = await site.start("a", "b")
+    b.parts.writer.table = MemoryTable(site.state)
+    site.outage()
+    assert (await b.parts.configuration.set_zone("zone-1", False, 0)).unwrap() == 1
+    await site.run(4.0)
+    assert not a.parts.view.is_fresh()
+
+
+async def test_unregistered_instance_does_not_agree_with_itself() -> None:
+    """Guards against trivial agreement of an instance that nobody would ask."""
+    site = Site()
+    node = site.add("a")
+    await node.parts.view.refresh()
+    site.outage()
+    for _ in range(4):
+        site.clock.advance(1.0)
+        await node.parts.view.refresh()
+    assert not node.parts.view.is_fresh()
