--- a/tests/lib/virtual_time.py
+++ b/tests/lib/virtual_time.py
@@ -1,4 +1,4 @@
-"""An event loop whose time jumps to the next timer instead of passing."""
+"""An event loop whose time jumps to the next timer instead of waiting."""
 
 from __future__ import annotations
 
@@ -9,8 +9,6 @@
 
 T = TypeVar("T")
 
-WALL_OFFSET = 1_800_000_000.0
-
 
 class VirtualSelector(selectors.SelectSelector):
     """Advances virtual time by the time that the loop wants to wait."""
@@ -18,16 +16,15 @@
     now = 1_000.0
 
     def select(self, timeout: float | None = None) -> list[Any]:
-        events = super().select(0)
-        if not events and timeout is None:
-            raise RuntimeError("all tasks wait and no timer is set")
-        if not events and timeout:
+        if timeout:
             self.now += timeout
-        return events
+        elif timeout is None:
+            raise RuntimeError("the simulation waits for something without a timer")
+        return super().select(0)
 
 
 class VirtualTimeLoop(asyncio.SelectorEventLoop):
-    """Runs timers in order without waiting, so tests are fast and repeatable."""
+    """A loop for code that waits only for timers and for other coroutines."""
 
     def __init__(self) -> None:
         self.virtual = VirtualSelector()
@@ -38,23 +35,19 @@
 
 
 class LoopClock:
-    """A ``Clock`` over the running loop.
-
-    ``origin`` moves its monotonic time and ``skew`` its wall time, in seconds.
-    """
+    """A ``Clock`` over the running loop, with its own origin of monotonic time."""
 
-    def __init__(self, origin: float = 0.0, skew: float = 0.0) -> None:
+    def __init__(self, origin: float = 0.0) -> None:
         self.origin = origin
-        self.skew = skew
 
     def monotonic(self) -> float:
         return asyncio.get_running_loop().time() + self.origin
 
     def wall(self) -> float:
-        return asyncio.get_running_loop().time() + WALL_OFFSET + self.skew
+        return 1_800_000_000.0 + asyncio.get_running_loop().time()
 
 
 def run_virtual(main: Coroutine[Any, Any, T]) -> T:
-    """Run ``main`` on a loop with virtual time."""
+    """Run ``main`` in virtual time."""
     with asyncio.Runner(loop_factory=VirtualTimeLoop) as runner:
         return runner.run(main)
--- a/tests/unit/coordination/test_configuration.py
+++ b/tests/unit/coordination/test_configuration.py
@@ -65,6 +65,10 @@
     zone = await change.set_zone("zone-9", False, 3)
     assert zone.failure().reason is Reason.UNKNOWN_ZONE
     assert "zone-1, zone-2" in zone.failure().hint
+    profile = build_profile("org-c", zones=("zone-1", "zone-9"))
+    misspelt = await change.put_profile(profile, 3)
+    assert misspelt.failure().reason is Reason.UNKNOWN_ZONE
+    assert "zone-9" in misspelt.failure().message
 
 
 def test_change_with_unknown_outcome_is_settled_before_an_agreement() -> None:
