--- a/tests/lib/virtual_time.py
+++ b/tests/lib/virtual_time.py
@@ -1,4 +1,4 @@
-"""An event loop whose time jumps to the next timer instead of waiting."""
+"""An event loop whose time jumps to the next timer instead of passing."""
 
 from __future__ import annotations
 
@@ -9,6 +9,8 @@
 
 T = TypeVar("T")
 
+WALL_OFFSET = 1_800_000_000.0
+
 
 class VirtualSelector(selectors.SelectSelector):
     """Advances virtual time by the time that the loop wants to wait."""
@@ -16,15 +18,16 @@
     now = 1_000.0
 
     def select(self, timeout: float | None = None) -> list[Any]:
-        if timeout:
+        events = super().select(0)
+        if not events and timeout is None:
+            raise RuntimeError("all tasks wait and no timer is set")
+        if not events and timeout:
             self.now += timeout
-        elif timeout is None:
-            raise RuntimeError("the simulation waits for something without a timer")
-        return super().select(0)
+        return events
 
 
 class VirtualTimeLoop(asyncio.SelectorEventLoop):
-    """A loop for code that waits only for timers and for other coroutines."""
+    """Runs timers in order without waiting, so tests are fast and repeatable."""
 
     def __init__(self) -> None:
         self.virtual = VirtualSelector()
@@ -35,19 +38,23 @@
 
 
 class LoopClock:
-    """A ``Clock`` over the running loop, with its own origin of monotonic time."""
+    """A ``Clock`` over the running loop.
+
+    ``origin`` moves its monotonic time and ``skew`` its wall time, in seconds.
+    """
 
-    def __init__(self, origin: float = 0.0) -> None:
+    def __init__(self, origin: float = 0.0, skew: float = 0.0) -> None:
         self.origin = origin
+        self.skew = skew
 
     def monotonic(self) -> float:
         return asyncio.get_running_loop().time() + self.origin
 
     def wall(self) -> float:
-        return 1_800_000_000.0 + asyncio.get_running_loop().time()
+        return asyncio.get_running_loop().time() + WALL_OFFSET + self.skew
 
 
 def run_virtual(main: Coroutine[Any, Any, T]) -> T:
-    """Run ``main`` in virtual time."""
+    """Run ``main`` on a loop with virtual time."""
     with asyncio.Runner(loop_factory=VirtualTimeLoop) as runner:
         return runner.run(main)
