--- a/src/egretloft/_internal/coordination/configuration.py
+++ b/src/egretloft/_internal/coordination/configuration.py
@@ -65,6 +65,8 @@
     ) -> ChangeResult:
         """Add or change a profile and return the new configuration version."""
         refusal = await self._refuse_version(expected_version)
+        for zone in profile.zones:
+            refusal = refusal or self._refuse_zone(zone)
         if refusal is None:
             # The profiles belong to the head version that the transaction checks.
             refusal = self.feasible(
@@ -92,19 +94,23 @@
     ) -> ChangeResult:
         """Take a zone out or bring it back; return the new configuration version."""
         refusal = await self._refuse_version(expected_version)
-        allowed = {*self.known_zones(), *self.view.zones}
-        if refusal is None and zone not in allowed:
-            refusal = not_run(
-                Reason.UNKNOWN_ZONE,
-                f"there is no zone {zone!r}",
-                f"known zones: {', '.join(sorted(allowed)) or 'none'}",
-            )
+        refusal = refusal or self._refuse_zone(zone)
         if refusal is not None:
             return Failure(refusal)
         return await self._commit(
             ZONE_PREFIX + zone, encode(ZoneState(zone, in_service))
         )
 
+    def _refuse_zone(self, zone: str) -> Refusal | None:
+        allowed = {*self.known_zones(), *self.view.zones}
+        if zone in allowed:
+            return None
+        return not_run(
+            Reason.UNKNOWN_ZONE,
+            f"there is no zone {zone!r}",
+            f"known zones: {', '.join(sorted(allowed)) or 'none'}",
+        )
+
     async def _refuse_version(self, expected_version: int) -> Refusal | None:
         if not self.roster.is_full_member():
             return not_run(
@@ -180,6 +186,6 @@
     """Return the configuration of an instance.
 
     ``feasible`` refuses a set of profiles whose guarantees cannot be packed.
-    ``known_zones`` returns the zones that may be taken out of service.
+    ``known_zones`` returns the zones that profiles and zone changes may name.
     """
     return Configuration(membership, view, roster, metrics, feasible, known_zones)
--- a/src/egretloft/_internal/gangs/session.py
+++ b/src/egretloft/_internal/gangs/session.py
@@ -4,7 +4,7 @@
 
 import asyncio
 from collections.abc import Callable, Coroutine
-from dataclasses import replace
+from dataclasses import dataclass, replace
 from functools import partial
 from typing import Any
 
@@ -43,12 +43,32 @@
 
 log = structlog.get_logger(__name__)
 
+# Rows of ended jobs are kept for repeats of their submission and for look-ups. With
+# 1,400 jobs a day a successor reads about 10,000 rows.
+RETENTION_SECONDS = 7 * 86_400
+DELETE_PERIOD_SECONDS = 60.0
+
+# Workers that do not answer hold up the scheduling on the others no longer than this.
+LIST_WAIT_SECONDS = 2.5
+# Periods of the work that goes over all workers, which takes some milliseconds with
+# 1,500 of them, and of the scheduler.
+WATCH_SECONDS = 0.5
+SCHEDULE_SECONDS = 0.2
+
 # Period of the scan for new jobs and cancellations: two reads a second.
 SCAN_SECONDS = 0.5
 
 Operation = Callable[[], Coroutine[Any, Any, tuple[Event, ...]]]
 
 
+@dataclass(slots=True, frozen=True)
+class EndedJob:
+    """Version of the row of an ended job, and its end in Unix seconds."""
+
+    version: int
+    ended_at: float
+
+
 class OwnerSession:
     """Gangs of a region while one epoch lasts; built anew for each epoch."""
 
@@ -56,8 +76,9 @@
         self.context = context
         self.scheduler = scheduler
         self.gangs: dict[str, Gang] = {}
-        # Row versions of ended jobs. An older row in a scan under way is ignored.
-        self.ended: dict[str, int] = {}
+        # An older row of an ended job in a scan under way is ignored.
+        self.ended: dict[str, EndedJob] = {}
+        self.delete_due_at = 0.0
         self.renewal = LeaseRenewal(context, self._member_changed)
         self.inventory = WorkerInventory(context, self.gangs)
         self.watch = ClusterWatch(context, self.inventory)
@@ -65,7 +86,9 @@
         self.scan: asyncio.Task[None] | None = None
         self.scan_due_at = 0.0
         self.scanned_version = 0
-        self.loaded = False
+        self.loaded_at: float | None = None
+        self.watch_due_at = 0.0
+        self.schedule_due_at = 0.0
         # Set when the scheduler knows the workers and the adopted gangs.
         self.scheduling = False
         self.held_events: list[Event] = []
@@ -74,20 +97,33 @@
     def tick(self) -> None:
         """Renew, read changes, schedule and start operations; never waits."""
         self.renewal.tick()
-        self.inventory.tick()
         now = self.context.clock.monotonic()
+        watching = self.watch_due_at <= now
+        if watching:
+            self.watch_due_at = now + WATCH_SECONDS
+            self.inventory.tick()
         if self.scan is None and self.scan_due_at <= now:
             self.scan_due_at = now + SCAN_SECONDS
             self.scan = self._spawn(self._scan())
         if not self.scheduling:
-            if not self.loaded or not self.inventory.all_tried():
+            if self.loaded_at is None:
+                return
+            waited = now - self.loaded_at
+            if waited < LIST_WAIT_SECONDS and not self.inventory.all_tried():
                 return
             self._begin_scheduling()
         if not self.context.may_send():
             return
         self._cancel_queued()
-        for event in self.watch.changes():
-            self.scheduler.apply(event)
+        if self.delete_due_at <= now:
+            self.delete_due_at = now + DELETE_PERIOD_SECONDS
+            self._spawn(self._delete_old_rows())
+        if watching:
+            for event in self.watch.changes():
+                self.scheduler.apply(event)
+        if self.schedule_due_at > now:
+            return
+        self.schedule_due_at = now + SCHEDULE_SECONDS
         for decision in self.scheduler.tick(self.context.clock.wall()):
             self._carry_out(decision)
         self.context.metrics.set_gauge("gangs", len(self.gangs))
@@ -106,8 +142,10 @@
                     for row in scan.rows:
                         self._take_row(row)
                     self.scanned_version = max(self.scanned_version, scan.as_of)
-                    self.loaded = True
-                    self.inventory.enabled = True
+                    if self.loaded_at is None:
+                        self.loaded_at = self.context.clock.monotonic()
+                        self.inventory.enabled = True
+                        self.watch_due_at = 0.0
                 case Failure(failure):
                     self.context.metrics.count("job_scan_failures")
                     log.warning("job rows cannot be read", error=failure.message)
@@ -121,10 +159,11 @@
             if gang.take_row(row) and row.record.cancel_requested:
                 self._review(gang)
             return
-        if row.version <= self.ended.get(job_id, 0):
+        ended = self.ended.get(job_id)
+        if ended is not None and row.version <= ended.version:
             return
         if row.record.state in FINAL_STATES:
-            self.ended[job_id] = row.version
+            self.ended[job_id] = EndedJob(row.version, row.record.ended_at)
             return
         gang = adopt(self.context, row, self.renewal)
         self.gangs[job_id] = gang
@@ -285,6 +324,21 @@
                 self._apply((JobCancelled(gang.job_id),))
             self._review(gang)
 
+    async def _delete_old_rows(self) -> None:
+        limit = self.context.clock.wall() - RETENTION_SECONDS
+        old = [job_id for job_id, job in self.ended.items() if job.ended_at < limit]
+        batch = old[:MAX_ROWS_PER_TRANSACTION]
+        epoch = self.context.epoch()
+        if not batch or epoch is None:
+            return
+        versions = {job_id: self.ended[job_id].version for job_id in batch}
+        if await self.context.jobs.delete_all(
+            versions, (epoch_check(epoch),), COMMIT_TIMEOUT_SECONDS
+        ):
+            self.context.metrics.count("job_rows_deleted", len(batch))
+            for job_id in batch:
+                del self.ended[job_id]
+
     async def _end_queued(self, gang: Gang, reason: Reason) -> tuple[Event, ...]:
         await end_queued(self.context, gang, JobState.FAILED, reason)
         return ()
@@ -311,7 +365,7 @@
 
     def _forget(self, gang: Gang) -> None:
         self.renewal.detach(gang)
-        self.ended[gang.job_id] = gang.row.version
+        self.ended[gang.job_id] = EndedJob(gang.row.version, gang.record.ended_at)
         del self.gangs[gang.job_id]
 
     def _spawn(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
--- a/tests/unit/coordination/test_view.py
+++ b/tests/unit/coordination/test_view.py
@@ -2,11 +2,16 @@
 
 from __future__ import annotations
 
+from typing import Any
+
 import pytest
 
-from egretloft._internal.coordination.view import AGREEMENT_LIMIT_SECONDS
+from egretloft._internal.coordination.view import (
+    AGREEMENT_LIMIT_SECONDS,
+    VIEW_QUERY,
+)
 from egretloft._internal.platform.protocols import Row
-from lib.fakes import Fault
+from lib.fakes import Fault, MemoryTable
 from lib.nodes import Node, Site
 
 
@@ -125,3 +130,55 @@
     await newcomer.parts.configuration.set_zone("zone-1", False, 0)
     await site.run(3.0)
     assert not a.parts.view.is_fresh()
+
+
+async def test_peers_refuse_agreement_to_whom_they_do_not_know() -> None:
+    """Guards against a removed instance that agrees with those who removed it."""
+    site = Site()
+    a, b = await site.start("a", "b")
+    site.outage()
+    await site.run(1.0)
+    query = {"instance_id": "a", "incarnation": a.member.incarnation, "after": 0}
+    assert (await b.parts.view.answer_query("a", query))["agrees"]
+    query["incarnation"] = "other"
+    assert not (await b.parts.view.answer_query("a", query))["agrees"]
+
+
+async def test_no_agreement_while_a_peer_knows_more_members() -> None:
+    """Guards against an agreement without a member that only a peer has read."""
+    site = Site()
+    a, b = await site.start("a", "b")
+    handler = b.parts.view.answer_query
+
+    async def with_stranger(instance_id: str, body: dict[str, Any]) -> dict[str, Any]:
+        answer = await handler(instance_id, body)
+        members = (*answer["members"], ("c", "x9"))
+        return {**answer, "members": members, "confirmed_age": None}
+
+    b.parts.view.network.register(VIEW_QUERY, with_stranger)
+    site.outage()
+    await site.run(4.0)
+    assert not a.parts.view.is_fresh()
+
+
+async def test_no_agreement_with_an_own_change_that_was_not_read_back() -> None:
+    """Guards against a change that only its author knows when an outage begins."""
+    site = Site()
+    a, b = await site.start("a", "b")
+    b.parts.writer.table = MemoryTable(site.state)
+    site.outage()
+    assert (await b.parts.configuration.set_zone("zone-1", False, 0)).unwrap() == 1
+    await site.run(4.0)
+    assert not a.parts.view.is_fresh()
+
+
+async def test_unregistered_instance_does_not_agree_with_itself() -> None:
+    """Guards against trivial agreement of an instance that nobody would ask."""
+    site = Site()
+    node = site.add("a")
+    await node.parts.view.refresh()
+    site.outage()
+    for _ in range(4):
+        site.clock.advance(1.0)
+        await node.parts.view.refresh()
+    assert not node.parts.view.is_fresh()
