Judge a timeout by its cause and test refusals during a slow claim

Whether a call failed in time was read from the clock, where rounding at the deadline could charge a runner for a deadline that was too short. The caller now says which it was. Removing the members' part of the check behind refusals failed no test; a test with a claim that is still being written closes that gap.

--- a/src/egretloft/_internal/requests/dispatch.py
+++ b/src/egretloft/_internal/requests/dispatch.py
@@ -347,7 +347,7 @@
             await asyncio.wait({call}, timeout=timeout)
             if not call.done():
                 late = CallFailure(CallFailureKind.UNKNOWN, "no answer in time")
-                refusal = self._failed(work, runner, late, sent_at)
+                refusal = self._failed(work, runner, late, sent_at, in_time=False)
                 assert refusal is not None
                 self._finish(work, refusal)
                 await asyncio.wait({call}, timeout=LATE_ANSWER_SECONDS)
@@ -357,7 +357,7 @@
             call.cancel()
         result = call.result()
         if isinstance(result, Failure):
-            return self._failed(work, runner, result.failure(), sent_at)
+            return self._failed(work, runner, result.failure(), sent_at, True)
         now = self.clock.monotonic()
         del runner.sent_at[attempt_id]
         self.health.record_success(runner, forward.organisation, now)
@@ -406,6 +406,7 @@
         runner: RunnerState,
         failure: CallFailure,
         sent_at: float,
+        in_time: bool,
     ) -> Refusal | None:
         forward = work.forward
         now = self.clock.monotonic()
@@ -414,7 +415,7 @@
             SHORTEST_FAIR_RUN_SECONDS,
             FAIR_RUN_TIMES * self.run_times.of(forward.organisation),
         )
-        if now < work.deadline or work.deadline - sent_at >= fair_run:
+        if in_time or work.deadline - sent_at >= fair_run:
             self.health.record_failure(
                 runner,
                 self.runners.values(),
@@ -424,7 +425,7 @@
             )
         if failure.kind is CallFailureKind.UNKNOWN:
             # The runner may still work on it, so ``_send`` keeps the slot taken.
-            if now >= work.deadline:
+            if not in_time:
                 return outcome_unknown(
                     Reason.DEADLINE_PASSED, "the deadline passed while it ran"
                 )
--- a/tests/unit/requests/test_once.py
+++ b/tests/unit/requests/test_once.py
@@ -286,3 +286,23 @@
         await asyncio.gather(*busy)
 
     run_virtual(main())
+
+
+def test_refusal_during_a_slow_claim_elsewhere_is_unknown() -> None:
+    """Guards against ``not_run`` for a key whose claim is still being written."""
+
+    async def main() -> None:
+        world = World(instances=2)
+        await world.start()
+        world[0].table.fault, world[0].table.fault_calls = Fault.LOST_REQUEST, 20
+        first = asyncio.create_task(
+            world.submit(0, key="k", idempotent=False, payload="p")
+        )
+        await asyncio.sleep(0.2)
+        assert not any(key.startswith("request/") for key in world.table.state.rows)
+        world[1].service.draining = True
+        repeat = await world.submit(1, key="k", idempotent=False, payload="p")
+        assert outcome(repeat) == (OutcomeKind.UNKNOWN, Reason.DRAINING)
+        assert isinstance((await first).unwrap(), Answer)
+
+    run_virtual(main())
--- a/tests/unit/requests/test_owner.py
+++ b/tests/unit/requests/test_owner.py
@@ -83,6 +83,8 @@
     async def main() -> None:
         world = World(runners_per_zone=2)
         await world.start()
+        # Half-way between two ticks.
+        await asyncio.sleep(0.05)
         world.topology.leaving.add("zone-1-runner-0")
         results = await submit_many(world, 20)
         assert all(isinstance(result, Success) for result in results)
