Test health evidence, blocks and zone checks of routing and owner

Removing five checks from a scratch copy failed no test: the rule that an organisation's failures need a success elsewhere to count, the block after three failures, the two zone filters of the router and the owner's zone check. Each now has a test.

--- a/tests/unit/requests/test_owner.py
+++ b/tests/unit/requests/test_owner.py
@@ -216,6 +216,8 @@
             await asyncio.gather(
                 *(world.submit(organisation="org-b", payload="poison") for _ in "12")
             )
+        group = world[0].service.groups[GROUP]
+        assert [runner.allowed for runner in group.runners.values()] == [8.0] * 4
         results = await submit_many(world, 32)
         assert all(isinstance(result, Success) for result in results)
 
--- a/tests/unit/requests/test_parts.py
+++ b/tests/unit/requests/test_parts.py
@@ -4,8 +4,10 @@
 
 import asyncio
 
+import msgspec
 from hypothesis import given
 from hypothesis import strategies as st
+from returns.result import Failure
 
 from egretloft._internal.requests.admission import (
     QUEUE_LIMIT,
@@ -18,6 +20,12 @@
 from egretloft._internal.requests.messages import Forward
 from egretloft._internal.requests.retry_budget import CAPACITY, create_retry_budget
 from egretloft._internal.requests.routing import decode_load, encode_load
+from egretloft._internal.requests.runner_health import (
+    HealthRules,
+    choose_runner,
+    create_runner_state,
+)
+from lib.builders import build_profile
 from lib.fakes import ManualClock
 from lib.request_world import SERVICE, World
 from lib.virtual_time import run_virtual
@@ -115,6 +123,33 @@
     assert [queue.take(0.0) for _ in range(3)] == [urgent, first, hopeless]
 
 
+def test_failing_runner_is_blocked_for_longer_each_time() -> None:
+    """Guards against a runner that keeps failing being tried every second."""
+
+    async def main() -> None:
+        world = World(runners_per_zone=4)
+        runners = [create_runner_state(item.record) for item in world.runners.values()]
+        bad = runners[0]
+        for runner in runners:
+            runner.known = True
+        rules = HealthRules()
+        rules.record_success(runners[1], "org-a", 0.0)
+        now = 1.0
+        blocks = []
+        for _ in range(9):
+            while bad.free(now):
+                rules.record_failure(bad, runners, "org-a", True, now)
+            blocks.append(bad.blocked_until - now)
+            now = bad.blocked_until
+            rules.record_success(runners[1], "org-a", now)
+        assert blocks == [1, 2, 4, 8, 16, 32, 60, 60, 60]
+        assert choose_runner(runners, now) is not bad
+        rules.record_success(bad, "org-a", now)
+        assert bad.free(now) == 1
+
+    run_virtual(main())
+
+
 def test_key_memory_is_unsure_after_a_loss() -> None:
     """Guards against ``not_run`` by an instance that may have forgotten a key."""
     clock = ManualClock()
@@ -166,5 +201,29 @@
         for _ in range(60):
             router.count_sent(router.choose(SERVICE, profile).unwrap())
         assert chosen() == "zone-1"
+        world.zones_out.add("zone-1")
+        assert chosen() == "zone-2"
+        profile = build_profile(zones=("zone-1",))
+        assert isinstance(router.choose(SERVICE, profile), Failure)
+        world.zones_out.clear()
+        own = GroupLoad(free=0, queued=9999, slots=8, run_seconds=0.01)
+        assert chosen() == "zone-1"
+
+    run_virtual(main())
+
+
+def test_owner_refuses_a_zone_that_is_not_the_profiles() -> None:
+    """Guards against a receiver with an older profile placing work in a former zone."""
+
+    async def main() -> None:
+        world = World(("zone-1", "zone-2"), instances=2)
+        await world.start()
+        world.profiles["org-a"] = build_profile(zones=("zone-2",))
+        forward = msgspec.structs.replace(
+            build_work("org-a").forward, deadline_at=1e12, start_by=1e12
+        )
+        reply = await world[0].service.run_forward(forward)
+        assert (reply.outcome, reply.reason) == ("not_run", "no_target")
+        assert not world.total_runs()
 
     run_virtual(main())
