Compute the bound of the retry budget test exactly

The bound is now a fraction, and the pauses are multiples of 1/64 s, which the clock represents exactly. The bound itself is unchanged.

--- a/tests/unit/requests/test_parts.py
+++ b/tests/unit/requests/test_parts.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from fractions import Fraction
 
 import msgspec
 from hypothesis import given
@@ -51,18 +52,19 @@
     return Work(forward, deadline, deadline, future)
 
 
-@given(st.lists(st.floats(0.0, 2.0), max_size=60), st.integers(0, 50))
-def test_budget_never_exceeds_its_rate(pauses: list[float], requests: int) -> None:
+@given(st.lists(st.integers(0, 128), max_size=60), st.integers(0, 50))
+def test_budget_never_exceeds_its_rate(pauses: list[int], requests: int) -> None:
     """Guards against retries above the larger of 10% and 3/s beyond the bucket."""
     clock = ManualClock()
     budget = create_retry_budget(clock)
-    spent = earned = elapsed = 0.0
+    spent = 0
+    earned = elapsed = Fraction(0)
     for pause in pauses:
-        clock.advance(pause)
-        elapsed += pause
+        clock.advance(pause / 64)
+        elapsed += Fraction(pause, 64)
         for _ in range(requests):
             budget.count_request()
-            earned += 0.1
+            earned += Fraction(1, 10)
         while budget.spend():
             spent += 1
         assert budget.tokens <= CAPACITY
