--- a/tests/unit/requests/test_owner.py
+++ b/tests/unit/requests/test_owner.py
@@ -83,6 +83,8 @@
     async def main() -> None:
         world = World(runners_per_zone=2)
         await world.start()
+        # Half-way between two ticks.
+        await asyncio.sleep(0.05)
         world.topology.leaving.add("zone-1-runner-0")
         results = await submit_many(world, 20)
         assert all(isinstance(result, Success) for result in results)
@@ -214,6 +216,8 @@
             await asyncio.gather(
                 *(world.submit(organisation="org-b", payload="poison") for _ in "12")
             )
+        group = world[0].service.groups[GROUP]
+        assert [runner.allowed for runner in group.runners.values()] == [8.0] * 4
         results = await submit_many(world, 32)
         assert all(isinstance(result, Success) for result in results)
 
