Count renewed leases from when the whole gang was seen

Change: a renewal extends a member to 15 s after all members were last seen; the first calls of a new owner only ask for states. Conclusion: the rest of a gang ends within one lease, whatever its owners do.

--- a/src/egretloft/_internal/gangs/entities.py
+++ b/src/egretloft/_internal/gangs/entities.py
@@ -89,6 +89,16 @@
         """The id of the job."""
         return self.row.record.spec.job_id
 
+    @property
+    def all_seen_at(self) -> float:
+        """When all members that have not finished were last known to be active.
+
+        Unix seconds; 0 as long as one of them has not been heard of.
+        """
+        return min(
+            (m.last_active_at for m in self.members if not m.finished), default=0.0
+        )
+
     @property
     def complete(self) -> bool:
         """Whether all members ran to their end."""
--- a/src/egretloft/_internal/gangs/renewal.py
+++ b/src/egretloft/_internal/gangs/renewal.py
@@ -149,12 +149,16 @@
         self, leases: WorkerLeases, targets: Sequence[tuple[Gang, Member]]
     ) -> None:
         context = self.context
-        lease_until = context.clock.wall() + LEASE_SECONDS
-        renewals = [
-            Renewal(m.task_id, lease_until, throttled=False) for _, m in targets
-        ]
-        for _, member in targets:
+        renewals: list[Renewal] = []
+        for gang, member in targets:
+            # Counted from when the whole gang was seen, so that the rest of a gang
+            # that lost a member ends within one lease, whatever happens to its
+            # owners. A new owner's first calls only ask for the states: a worker
+            # ignores a lease end that is before the current one.
+            lease_until = gang.all_seen_at + LEASE_SECONDS
+            renewals.append(Renewal(member.task_id, lease_until, throttled=False))
             member.lease_bound = max(member.lease_bound, lease_until)
+        sent_wall = context.clock.wall()
         sent_at = context.clock.monotonic()
         address = context.address_of(targets[0][1])
         result: Result[tuple[TaskReport, ...], CallFailure]
@@ -169,13 +173,18 @@
                 leases.failing_since = None
                 leases.due_at = sent_at + RENEWAL_SECONDS
                 for (gang, member), report in zip(targets, reports, strict=True):
-                    self._take(gang, member, report)
+                    self._take(gang, member, report, sent_wall)
             case Failure(failure):
                 self._failed(leases, targets, failure, sent_at, now)
 
-    def _take(self, gang: Gang, member: Member, report: TaskReport) -> None:
-        member.take_report(report, self.context.clock.wall())
+    def _take(
+        self, gang: Gang, member: Member, report: TaskReport, sent_wall: float
+    ) -> None:
+        unseen = gang.all_seen_at == 0.0
+        member.take_report(report, sent_wall)
         if not member.gone:
+            if unseen and gang.all_seen_at:
+                self._renew_soon(gang)
             return
         self._forget(member)
         if not gang.renewing:
@@ -215,6 +224,14 @@
                 gang.mark_broken(leases.worker_id)
                 self.changed(gang)
 
+    def _renew_soon(self, gang: Gang) -> None:
+        # An adopted gang is now known to be whole, and its leases may be short.
+        now = self.context.clock.monotonic()
+        for member in gang.members:
+            leases = self.leases.get(member.placement.worker_id)
+            if leases is not None:
+                leases.due_at = min(leases.due_at, now)
+
     def _forget(self, member: Member) -> None:
         leases = self.leases.get(member.placement.worker_id)
         if leases is not None:
--- a/tests/unit/gangs/test_gang_failures.py
+++ b/tests/unit/gangs/test_gang_failures.py
@@ -179,6 +179,24 @@
     world.check(LEASE_BOUND_SECONDS)
 
 
+async def test_successor_does_not_prolong_a_gang_that_lost_a_member() -> None:
+    """Guards against owners that fail in turn and keep a part of a gang alive."""
+    world = World(nodes=3)
+    job_id = await world.submit(wide_job())
+    await world.time.run(3.0)
+    world.fakes.workers[world.record(job_id).placement[1].worker_id].die()
+    for _ in range(6):
+        world.owner.freeze()
+        number = world.epoch.number
+        while world.epoch.number == number:
+            await world.time.run(0.05)
+        await world.time.run(1.0)
+        for node in world.nodes:
+            if node is not world.owner:
+                node.wake()
+    world.check(LEASE_BOUND_SECONDS)
+
+
 async def test_cancel_during_a_start() -> None:
     """Guards against a cancelled gang that is released all the same."""
     world = World()
