Make room for large gangs that wait

Cause: reservations drained whole zones on poor estimates, so cells idled and large gangs still waited, since small guaranteed jobs kept starting in the reserved zone. Change: estimates of reservations are refreshed; guaranteed work enters reserved cells only when nothing else is free; work that can be checkpointed may use reserved cells; a gang that has waited may stop smaller borrowed work within a budget that grows with its wait. Jobs of equal rights go by wait over need. Zones are filled one by one.

--- a/src/egretloft/_internal/scheduling/decisions.py
+++ b/src/egretloft/_internal/scheduling/decisions.py
@@ -14,6 +14,7 @@
 
     RECLAIM = "reclaim"
     URGENT = "urgent"
+    MAKE_ROOM = "make_room"
     WORKER_LEAVING = "worker_leaving"
     ZONE_OUT = "zone_out"
 
--- a/src/egretloft/_internal/scheduling/dispatch.py
+++ b/src/egretloft/_internal/scheduling/dispatch.py
@@ -8,10 +8,11 @@
 
 import heapq
 import math
-from collections.abc import Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from enum import Enum
 
 from egretloft._internal.models.jobs import JobSpec, Priority
+from egretloft._internal.scheduling.decisions import StopReason
 from egretloft._internal.scheduling.packing import Packing
 from egretloft._internal.scheduling.placement import (
     Fit,
@@ -32,6 +33,12 @@
     task_amount,
 )
 
+# Accelerator-seconds that count against reclaiming a reserved accelerator, so that a
+# waiting gang loses its reservation only when nothing else can be reclaimed.
+RESERVED_COST = 1e4
+# A holder of a reservation gives way only to a gang of more than twice its weight.
+HOLDER_WEIGHT = 2.0
+
 
 class Heed(Enum):
     """Whose reservations a placement keeps."""
@@ -69,7 +76,7 @@
         urgent.sort(key=lambda item: queue_place(item[1].spec))
         for group, _ in urgent:
             self._start_all(group)
-        normal.sort(key=lambda item: queue_place(item[1].spec))
+        normal.sort(key=lambda item: self._turn(item[1]))
         for group, _ in normal:
             self._start_guaranteed(group)
         self._start_borrowed([group for group, _ in normal])
@@ -87,7 +94,7 @@
 
     def _start_borrowed(self, groups: Iterable[Group]) -> None:
         state = self.state
-        order: list[tuple[float, tuple[float, str], int, Group]] = []
+        order: list[tuple[float, float, int, Group]] = []
         number = 0
         for group in groups:
             row = group.head()
@@ -95,7 +102,7 @@
                 continue
             number += 1
             heapq.heappush(
-                order, (self._share(row.spec), queue_place(row.spec), number, group)
+                order, (self._share(row.spec), self._turn(row), number, group)
             )
         while order:
             share, _, _, group = heapq.heappop(order)
@@ -111,12 +118,22 @@
                 number += 1
                 heapq.heappush(
                     order,
-                    (self._share(row.spec), queue_place(row.spec), number, group),
+                    (self._share(row.spec), self._turn(row), number, group),
                 )
 
     def _share(self, spec: JobSpec) -> float:
         return float(self.state.organisation_use[spec.organisation])
 
+    def _turn(self, row: JobRow) -> float:
+        """Return the turn of a job among those of equal rights; lower is sooner.
+
+        Jobs that need little go first, and every job rises with the time that it has
+        waited in proportion to what it needs, so that none waits for ever.
+        """
+        spec = row.spec
+        needs = self.state.expected_seconds(row) * max(1, spec.accelerators)
+        return -(1.0 + max(0.0, self.state.now - spec.submitted_at)) / needs
+
     def _within_limit(self, spec: JobSpec) -> bool:
         limit = self.state.profiles[spec.profile].limits.max_accelerators
         return (
@@ -127,11 +144,12 @@
     def _zones(self, spec: JobSpec) -> tuple[str, ...]:
         return self.state.profiles[spec.profile].zones
 
-    def _free_fit(self, row: JobRow, heed: Heed) -> Fit:
+    def _free_fit(self, row: JobRow, heed: Heed, movable: bool) -> Fit:
         """Return the fit into free cells.
 
         Work that ends in time may use reserved cells, and so may jobs that are older
-        than the holder of the reservation.
+        than the holder of the reservation, and ``movable`` work, which can be
+        stopped at a checkpoint when the holder starts.
         """
         state = self.state
         spec = row.spec
@@ -153,6 +171,7 @@
                 holder = state.jobs[reservation.job_id].spec
                 if (
                     ends_at > reservation.backfill_until
+                    and not movable
                     and queue_place(holder) < place
                     and (heed is Heed.ALL or holder.profile == spec.profile)
                 ):
@@ -199,7 +218,9 @@
             row.spec, needs_of(row.spec, counts), tight
         )
 
-    def find_bound_free(self, row: JobRow, tight: bool) -> TaskCounts | None:
+    def find_bound_free(
+        self, row: JobRow, tight: bool, heed: Heed = Heed.OWN_PROFILE
+    ) -> TaskCounts | None:
         """Bind the gang to free cells and return them, or change nothing.
 
         ``tight`` is as in ``Guarantees.fitting_cells``.
@@ -207,10 +228,12 @@
         spec = row.spec
         cells = self.state.cells
         zones = self._zones(spec)
-        counts = find_free(spec, zones, cells, self._free_fit(row, Heed.ALL))
-        if counts is not None and self._bind(row, counts, tight):
+        free = self._free_fit(row, heed, False)
+        counts = find_free(spec, zones, cells, free)
+        if counts is None:
+            return None
+        if self._bind(row, counts, tight):
             return counts
-        free = self._free_fit(row, Heed.OWN_PROFILE)
         for room in self._room_fits(row, tight):
             counts = find_free(spec, zones, cells, _least(free, room))
             if counts is not None and self._bind(row, counts, tight):
@@ -236,22 +259,27 @@
         Work that can restart would rather borrow free cells than stop other work.
         """
         spec = row.spec
-        counts = self.find_bound_free(row, True)
-        if counts is not None:
-            self.state.start(row, counts, True)
+        if self._start_bound_free(row, True, Heed.ALL):
             return True
         if spec.restartable and self._try_borrowed(row):
             return True
+        if self.state.reserved and self._start_bound_free(row, True, Heed.OWN_PROFILE):
+            return True
         if self._try_reclaim(row, True):
             return True
         if spec.restartable:
             return False
-        counts = self.find_bound_free(row, False)
-        if counts is not None:
-            self.state.start(row, counts, True)
+        if self._start_bound_free(row, False, Heed.OWN_PROFILE):
             return True
         return self._try_reclaim(row, False)
 
+    def _start_bound_free(self, row: JobRow, tight: bool, heed: Heed) -> bool:
+        counts = self.find_bound_free(row, tight, heed)
+        if counts is None:
+            return False
+        self.state.start(row, counts, True)
+        return True
+
     def _try_reclaim(self, row: JobRow, tight: bool) -> bool:
         """Claim cells within the guarantee that hold borrowed work."""
         spec = row.spec
@@ -262,18 +290,26 @@
                 self._zones(spec),
                 state.cells,
                 room,
-                lambda worker, amount: self._reclaim_cost(worker, spec, amount),
+                self._reclaim_cost,
             )
             if counts is not None and self._bind(row, counts, tight):
-                state.claim(row, counts, True)
+                state.claim(row, counts, True, StopReason.RECLAIM)
                 return True
         return False
 
-    def _reclaim_cost(self, worker: WorkerRow, spec: JobSpec, amount: Amount) -> float:
-        victims = self.state.victims(worker, spec, amount)
+    def _reclaim_cost(
+        self,
+        worker: WorkerRow,
+        amount: Amount,
+        may_stop: Callable[[JobRow], bool] | None = None,
+    ) -> float:
+        victims = self.state.victims(worker, amount, may_stop)
         if victims is None:
             return math.inf
-        return sum(self.state.stop_cost(victim) for victim in victims)
+        cost = sum(self.state.stop_cost(victim) for victim in victims)
+        if worker.worker.worker_id in self.state.reserved:
+            cost += RESERVED_COST * max(1, amount.accelerators)
+        return cost
 
     def _uncover_own(self, row: JobRow) -> list[JobRow]:
         """Uncover restartable gangs of the profile until the job has headroom."""
@@ -321,7 +357,10 @@
         if not spec.restartable or not self._within_limit(spec):
             return False
         counts = find_free(
-            spec, self._zones(spec), self.state.cells, self._free_fit(row, Heed.ALL)
+            spec,
+            self._zones(spec),
+            self.state.cells,
+            self._free_fit(row, Heed.ALL, spec.checkpointable),
         )
         if counts is None:
             return False
@@ -341,7 +380,10 @@
                 return True
         if spec.restartable:
             counts = find_free(
-                spec, self._zones(spec), state.cells, self._free_fit(row, Heed.NONE)
+                spec,
+                self._zones(spec),
+                state.cells,
+                self._free_fit(row, Heed.NONE, False),
             )
             if counts is not None:
                 state.start(row, counts, False)
@@ -357,33 +399,80 @@
 
     def _try_urgent_borrowed(self, row: JobRow) -> bool:
         """Claim cells of borrowed work that is not urgent, as borrowed cells."""
+        return self._try_stopping(
+            row,
+            StopReason.URGENT,
+            lambda gang: gang.spec.priority is not Priority.URGENT,
+            math.inf,
+        )
+
+    def _try_make_room(self, row: JobRow) -> bool:
+        """Claim cells of smaller borrowed work for a large gang that has waited.
+
+        What the stopped work loses must be small against what the gang has lost by
+        waiting. The budget grows with the wait, so the wait is bounded; and cells need
+        not idle for the gang in the meantime.
+        """
+        state = self.state
+        spec = row.spec
+        waited = state.now - spec.submitted_at
+        if waited < state.settings.make_room_after_seconds:
+            return False
+        return self._try_stopping(
+            row,
+            StopReason.MAKE_ROOM,
+            lambda gang: (
+                gang.spec.priority is not Priority.URGENT
+                and 2 * gang.spec.accelerators <= spec.accelerators
+            ),
+            state.settings.make_room_share * spec.accelerators * waited,
+        )
+
+    def _try_stopping(
+        self,
+        row: JobRow,
+        reason: StopReason,
+        may_stop: Callable[[JobRow], bool],
+        budget: float,
+    ) -> bool:
+        """Claim, as borrowed cells, those where the least work is lost."""
         spec = row.spec
         state = self.state
         amount = task_amount(spec)
+        avoid = row.avoid if state.now < row.avoid_until else ()
 
         def fit(worker: WorkerRow) -> int:
+            if worker.worker.worker_id in avoid or (worker.probation and worker.gangs):
+                return 0
             accelerators = worker.free_accelerators
             cores = worker.free_cores
             memory_gb = worker.free_memory_gb
-            for job_id in worker.gangs:
+            for job_id, held in worker.gangs.items():
                 gang = state.jobs[job_id]
-                if gang.reclaimable and gang.spec.priority is not Priority.URGENT:
-                    held = worker.gangs[job_id]
+                if gang.reclaimable and may_stop(gang):
                     accelerators += held.accelerators
                     cores += held.cores
                     memory_gb += held.memory_gb
             return fit_amount(amount, accelerators, cores, memory_gb)
 
-        counts = find_cheapest(
-            spec,
-            self._zones(spec),
-            state.cells,
-            fit,
-            lambda worker, need: self._reclaim_cost(worker, spec, need),
-        )
+        def cost(worker: WorkerRow, need: Amount) -> float:
+            return self._reclaim_cost(worker, need, may_stop)
+
+        counts = find_cheapest(spec, self._zones(spec), state.cells, fit, cost)
         if counts is None:
             return False
-        state.claim(row, counts, False)
+        if budget < math.inf:
+            victims = {
+                victim.spec.job_id: victim
+                for worker_id, need in needs_of(spec, counts).items()
+                for victim in state.victims(
+                    state.cells.workers[worker_id], need, may_stop
+                )
+                or ()
+            }
+            if sum(map(state.stop_cost, victims.values())) > budget:
+                return False
+        state.claim(row, counts, False, reason, may_stop)
         return True
 
     def _reserve(self) -> None:
@@ -397,38 +486,72 @@
                 for worker_id in reservation.needs
             ):
                 state.drop_reservation(reservation.job_id)
-        waiting = sorted(
-            (
-                row
-                for _, row in state.queue.heads()
-                if row.spec.accelerators >= settings.reservation_accelerators
-                and row.spec.profile in state.profiles
-                and row.spec.job_id not in state.reservations
-                and self._within_limit(row.spec)
-            ),
-            key=lambda row: queue_place(row.spec),
-        )
-        for row in waiting:
-            self._reserve_for(row)
+                continue
+            ends = [
+                state.expected_end(job_id)
+                for worker_id in reservation.needs
+                for job_id in state.cells.workers[worker_id].gangs
+                if not (
+                    state.jobs[job_id].reclaimable
+                    and state.jobs[job_id].spec.checkpointable
+                )
+            ]
+            reservation.starts_at = max(ends, default=state.now)
+            reservation.backfill_until = min(
+                reservation.backfill_until, reservation.starts_at
+            )
+        waiting = [
+            row
+            for _, row in state.queue.heads()
+            if row.spec.accelerators >= settings.reservation_accelerators
+            and row.spec.profile in state.profiles
+            and self._within_limit(row.spec)
+        ]
+        waiting.sort(key=lambda row: (-self._reservation_weight(row), row.spec.job_id))
+        for row in waiting[: settings.reservations_tried]:
+            if row.spec.restartable and self._try_make_room(row):
+                continue
+            if (
+                row.spec.job_id not in state.reservations
+                and state.now - row.spec.submitted_at
+                >= settings.reservation_after_seconds
+            ):
+                self._reserve_for(row)
+
+    def _reservation_weight(self, row: JobRow) -> float:
+        """Return the claim of a waiting gang to a reservation: size times wait."""
+        state = self.state
+        spec = row.spec
+        weight = spec.accelerators * (60.0 + state.now - spec.submitted_at)
+        return weight * HOLDER_WEIGHT if spec.job_id in state.reservations else weight
 
     def _reserve_for(self, row: JobRow) -> None:
         state = self.state
         spec = row.spec
-        counted: dict[str, int] = {}
+        weight = self._reservation_weight(row)
+        kept: dict[str, Reservation] = {}
+        full: dict[str, int] = {}
         for reservation in state.reservations.values():
+            if self._reservation_weight(state.jobs[reservation.job_id]) < weight:
+                continue
+            for worker_id in reservation.needs:
+                kept[worker_id] = reservation
             zone = state.cells.workers[next(iter(reservation.needs))].worker.zone
-            counted[zone] = counted.get(zone, 0) + 1
+            full[zone] = full.get(zone, 0) + 1
         zones = [
             name
             for name in self._zones(spec)
-            if counted.get(name, 0) < state.settings.reservations_per_zone
+            if full.get(name, 0) < state.settings.reservations_per_zone
         ]
         if not zones:
             return
         found = earliest_start(
-            spec, zones, state.cells, state.expected_end, state.reserved, state.now
+            spec, zones, state.cells, state.expected_end, kept, state.now
         )
         if found is None:
             return
         at, counts = found
+        for reservation in list(state.reservations.values()):
+            if not reservation.needs.keys().isdisjoint(counts):
+                state.drop_reservation(reservation.job_id)
         state.reserve(Reservation(spec.job_id, needs_of(spec, counts), at, at))
--- a/src/egretloft/_internal/scheduling/placement.py
+++ b/src/egretloft/_internal/scheduling/placement.py
@@ -66,42 +66,42 @@
     if spec.adjacency is Adjacency.WORKER or spec.tasks == 1:
         return _find_worker(spec, found, fit)
     best: TaskCounts | None = None
-    best_key = (0, 0)
+    best_left = 0
     for zone in found:
         for location in zone.locations(spec.adjacency):
             counts, left = _fill_location(spec, location, fit)
             if counts is None:
                 continue
-            # The location that keeps the fewest whole workers, then the least, free.
-            key = (_whole_workers_left(location, counts), left)
-            if best is None or key < best_key:
-                best, best_key = counts, key
+            if best is None or left < best_left:
+                best, best_left = counts, left
     return best
 
 
 def _find_worker(spec: JobSpec, zones: list[Zone], fit: Fit) -> TaskCounts | None:
-    """Return the worker on which the gang leaves the fewest accelerators free."""
-    sizes = sorted(
-        {free for zone in zones for free in zone.by_free if free >= spec.accelerators}
-    )
-    for free in sizes:
-        best: WorkerRow | None = None
-        best_key = (0, 0)
-        for zone in zones:
+    """Return the worker of the fullest zone on which the gang leaves least free.
+
+    Filling one zone after the other keeps cells of a whole zone free for large gangs.
+    """
+    for zone in sorted(zones, key=lambda zone: zone.free_accelerators):
+        for free in sorted(zone.by_free):
+            if free < spec.accelerators:
+                continue
+            best: WorkerRow | None = None
             compared = 0
-            for row in zone.by_free.get(free, {}).values():
+            for row in zone.by_free[free].values():
                 if fit(row) < spec.tasks:
                     continue
-                rack = zone.racks[row.worker.rack]
-                # Fuller racks and zones first, so that whole ones stay whole.
-                key = (rack.free_accelerators, zone.free_accelerators)
-                if best is None or key < best_key:
-                    best, best_key = row, key
+                # Fuller racks first, so that whole ones stay whole.
+                left = zone.racks[row.worker.rack].free_accelerators
+                if best is None or (
+                    left < zone.racks[best.worker.rack].free_accelerators
+                ):
+                    best = row
                 compared += 1
                 if compared >= COMPARED_WORKERS:
                     break
-        if best is not None:
-            return {best.worker.worker_id: spec.tasks}
+            if best is not None:
+                return {best.worker.worker_id: spec.tasks}
     return None
 
 
@@ -129,18 +129,6 @@
     return counts, left - spec.accelerators
 
 
-def _whole_workers_left(
-    location: Mapping[str, WorkerRow], counts: Mapping[str, int]
-) -> int:
-    return sum(
-        1
-        for worker_id, row in location.items()
-        if row.usable
-        and worker_id not in counts
-        and row.free_accelerators == row.worker.accelerators
-    )
-
-
 def find_cheapest(
     spec: JobSpec,
     zones: Iterable[str],
--- a/src/egretloft/_internal/scheduling/settings.py
+++ b/src/egretloft/_internal/scheduling/settings.py
@@ -25,5 +25,12 @@
     # Gangs of at least this many accelerators get a reservation when they wait.
     reservation_accelerators: int = 8
     reservations_per_zone: int = 1
+    reservation_after_seconds: float = 0.0
+    # A large gang that has waited this long may have smaller borrowed work stopped, if
+    # that loses at most this share of the accelerator-seconds of its own wait.
+    make_room_after_seconds: float = 60.0
+    make_room_share: float = 0.15
+    # Waiting gangs for which a reservation is sought in one tick, heaviest first.
+    reservations_tried: int = 4
     # Least time between two searches for places of guarantees that are not carried.
     repack_seconds: float = 5.0
--- a/src/egretloft/_internal/scheduling/state.py
+++ b/src/egretloft/_internal/scheduling/state.py
@@ -4,7 +4,7 @@
 
 import heapq
 from collections import Counter
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 
 from egretloft._internal.models.jobs import JobSpec, Placement, Priority, TaskPlacement
 from egretloft._internal.models.outcomes import Reason
@@ -219,7 +219,14 @@
         row.stopping = True
         self.decisions.append(StopGang(row.spec.job_id, reason, for_job_id))
 
-    def claim(self, row: JobRow, counts: Mapping[str, int], covered: bool) -> None:
+    def claim(
+        self,
+        row: JobRow,
+        counts: Mapping[str, int],
+        covered: bool,
+        reason: StopReason,
+        may_stop: Callable[[JobRow], bool] | None = None,
+    ) -> None:
         """Claim cells for a gang and stop the borrowed work on them."""
         spec = row.spec
         self.queue.discard(spec.job_id)
@@ -234,22 +241,21 @@
         for worker_id, amount in row.needs.items():
             self.cells.claim(self.cells.workers[worker_id], amount, 1)
         self.claims[spec.job_id] = row
-        reason = (
-            StopReason.RECLAIM
-            if covered or spec.priority is not Priority.URGENT
-            else StopReason.URGENT
-        )
         for worker_id in row.needs:
             worker = self.cells.workers[worker_id]
-            for victim in self.victims(worker, spec, Amount(0, 0, 0)) or ():
+            for victim in self.victims(worker, Amount(0, 0, 0), may_stop) or ():
                 self.stop(victim, reason, spec.job_id)
 
     def victims(
-        self, worker: WorkerRow, spec: JobSpec, amount: Amount
+        self,
+        worker: WorkerRow,
+        amount: Amount,
+        may_stop: Callable[[JobRow], bool] | None = None,
     ) -> list[JobRow] | None:
         """Return borrowed gangs to stop before the amount is free on the worker.
 
-        ``None`` means that stopping all of them is not enough.
+        ``None`` means that stopping all of them is not enough. Gangs that
+        ``may_stop`` excludes are left running.
         """
         short = [
             amount.accelerators - worker.free_accelerators,
@@ -264,7 +270,7 @@
             if row.stopping or row.ending is not None:
                 for index in range(3):
                     short[index] -= held[index]
-            elif row.reclaimable:
+            elif row.reclaimable and (may_stop is None or may_stop(row)):
                 candidates.append(row)
         chosen: list[JobRow] = []
         candidates.sort(
--- a/tools/bench/__main__.py
+++ b/tools/bench/__main__.py
@@ -30,7 +30,7 @@
     "first_fit_by_count": create_first_fit_by_count,
     "quota_by_count": create_quota_by_count,
 }
-DEPLOYMENTS: dict[str, Callable[[int, float], Workload]] = {
+DEPLOYMENTS: dict[str, Callable[[int, float, float], Workload]] = {
     "bureau": create_bureau,
     "software_house": create_software_house,
 }
@@ -86,9 +86,11 @@
     console.print(table)
 
 
-def run_one(deployment: str, policy: str, seed: int, hours: float) -> Measures:
+def run_one(
+    deployment: str, policy: str, seed: int, hours: float, load: float
+) -> Measures:
     """Run one policy on one workload."""
-    workload = DEPLOYMENTS[deployment](seed, hours)
+    workload = DEPLOYMENTS[deployment](seed, hours, load)
     return Simulation(workload, POLICIES[policy](), seed).run()
 
 
@@ -96,6 +98,7 @@
 @click.option("--seed", default=20_261, show_default=True, help="First seed.")
 @click.option("--runs", default=3, show_default=True, help="Seeds per deployment.")
 @click.option("--hours", default=4.0, show_default=True, help="Hours of arrivals.")
+@click.option("--load", default=1.0, show_default=True, help="Factor on all rates.")
 @click.option("--jobs", default=3, show_default=True, help="Processes.")
 @click.option("--deployment", type=click.Choice([*DEPLOYMENTS, "all"]), default="all")
 @click.option("--policy", type=click.Choice([*POLICIES, "all"]), default="all")
@@ -104,6 +107,7 @@
     seed: int,
     runs: int,
     hours: float,
+    load: float,
     jobs: int,
     deployment: str,
     policy: str,
@@ -113,7 +117,7 @@
     console = Console(width=120)
     started = time.perf_counter()
     seeds = [seed + index for index in range(runs)]
-    document: dict[str, object] = {"seeds": seeds, "hours": hours}
+    document: dict[str, object] = {"seeds": seeds, "hours": hours, "load": load}
     deployments = [name for name in DEPLOYMENTS if deployment in (name, "all")]
     policies = [name for name in POLICIES if policy in (name, "all")]
     if deployment == policy == "all":
@@ -123,7 +127,7 @@
     with ProcessPoolExecutor(jobs) as executor:
         futures = {
             (name, policy_name, each): executor.submit(
-                run_one, name, policy_name, each, hours
+                run_one, name, policy_name, each, hours, load
             )
             for name in deployments
             for policy_name in policies
@@ -131,7 +135,8 @@
         }
         for name in deployments:
             loads = [
-                round(offered_load(DEPLOYMENTS[name](each, hours)), 3) for each in seeds
+                round(offered_load(DEPLOYMENTS[name](each, hours, load)), 3)
+                for each in seeds
             ]
             results: dict[str, dict[str, object]] = {}
             for policy_name in policies:
--- a/tools/bench/simulation.py
+++ b/tools/bench/simulation.py
@@ -269,7 +269,11 @@
         assert not gang.stopping
         gang.stopping = True
         self.measures.stops += 1
-        if decision.reason in (StopReason.RECLAIM, StopReason.URGENT):
+        if decision.reason in (
+            StopReason.RECLAIM,
+            StopReason.URGENT,
+            StopReason.MAKE_ROOM,
+        ):
             self.measures.preemptions += 1
             if decision.for_job_id in self.gangs:
                 self.gangs[decision.for_job_id].caused_stops = True
--- a/tools/bench/workload.py
+++ b/tools/bench/workload.py
@@ -151,13 +151,14 @@
         hours: float,
         burst_every: float,
         burst_factor: float,
+        load: float,
     ) -> None:
         """Add Poisson arrivals whose rate rises in bursts of five minutes."""
         at = 0.0
         while True:
             phase = at % burst_every
             factor = burst_factor if phase < 300.0 else 1.0
-            at += generator.expovariate(kind.per_hour * factor / HOUR)
+            at += generator.expovariate(kind.per_hour * load * factor / HOUR)
             if at >= hours * HOUR:
                 return
             self.add(generator, kind, at, bad=generator.random() < 0.01)
@@ -241,7 +242,7 @@
     )
 
 
-def create_bureau(seed: int, hours: float) -> Workload:
+def create_bureau(seed: int, hours: float, load: float) -> Workload:
     """Return the bureau's mix: many short jobs for which a groomer waits."""
     generator = random.Random(seed)
     region = "kyushu-north"
@@ -265,9 +266,9 @@
     short = JobClass(
         "styling",
         ((1, 1, worker), (1, 1, worker), (1, 2, worker), (2, 1, zone)),
-        60.0,
-        1.0,
-        620.0,
+        30.0,
+        0.8,
+        2000.0,
         everyone,
         (2, 4, 8),
         (8, 16, 32),
@@ -275,9 +276,9 @@
     middle = JobClass(
         "matching",
         ((1, 4, worker), (1, 8, worker), (2, 4, rack), (4, 2, zone)),
-        400.0,
-        0.9,
-        50.0,
+        120.0,
+        0.7,
+        160.0,
         everyone,
         (4, 8),
         (16, 32),
@@ -285,18 +286,18 @@
     large = JobClass(
         "fitting",
         ((2, 8, rack), (4, 8, zone), (3, 8, rack)),
-        900.0,
-        0.7,
-        4.5,
+        300.0,
+        0.6,
+        13.0,
         ("clinics", "training", "archive"),
         (4, 8),
         (16, 32),
         restartable=1.0,
         checkpointable=0.8,
     )
-    builder.add_stream(generator, short, hours, 2400.0, 4.0)
-    builder.add_stream(generator, middle, hours, 3600.0, 3.0)
-    builder.add_stream(generator, large, hours, 3000.0, 3.0)
+    builder.add_stream(generator, short, hours, 2400.0, 4.0, load)
+    builder.add_stream(generator, middle, hours, 3600.0, 3.0, load)
+    builder.add_stream(generator, large, hours, 3000.0, 3.0, load)
     demand = replace(middle, urgent=0.0, restartable=0.5)
     for at in range(1500, int(hours * HOUR), 2700):
         builder.add_demand(
@@ -315,7 +316,7 @@
     return workload
 
 
-def create_software_house(seed: int, hours: float) -> Workload:
+def create_software_house(seed: int, hours: float, load: float) -> Workload:
     """Return the software house's mix: large gangs among many smaller jobs."""
     generator = random.Random(seed)
     region = "is-sudvestur"
@@ -368,9 +369,9 @@
         restartable=1.0,
         checkpointable=0.8,
     )
-    builder.add_stream(generator, short, hours, 2400.0, 3.0)
-    builder.add_stream(generator, middle, hours, 3600.0, 3.0)
-    builder.add_stream(generator, large, hours, 3000.0, 3.0)
+    builder.add_stream(generator, short, hours, 2400.0, 3.0, load)
+    builder.add_stream(generator, middle, hours, 3600.0, 3.0, load)
+    builder.add_stream(generator, large, hours, 3000.0, 3.0, load)
     demand = replace(middle, urgent=0.0, restartable=0.5)
     for at in range(1500, int(hours * HOUR), 2700):
         builder.add_demand(
