Spread stops over gangs and wait briefly before a reclaim

Change: a gang that was stopped before costs more to stop; a reclaim waits 2.5 s for running work to end by itself; short jobs go first by (30 s + wait) / run time.

--- a/src/egretloft/_internal/scheduling/dispatch.py
+++ b/src/egretloft/_internal/scheduling/dispatch.py
@@ -36,8 +36,13 @@
 # Accelerator-seconds that count against reclaiming a reserved accelerator, so that a
 # waiting gang loses its reservation only when nothing else can be reclaimed.
 RESERVED_COST = 1e4
+# Head start of all waiting jobs: short jobs are preferred at once, not only after they
+# have waited.
+TURN_SECONDS = 30.0
 # A holder of a reservation gives way only to a gang of more than twice its weight.
 HOLDER_WEIGHT = 2.0
+# A gang that has been stopped this often is not stopped to make room for others.
+MOST_STOPS_FOR_ROOM = 2
 
 
 class Heed(Enum):
@@ -52,6 +57,19 @@
     return lambda worker: min(first(worker), second(worker))
 
 
+def _unearmarked_fit(spec: JobSpec) -> Fit:
+    """Return the fit into free accelerators that no guarantee counts on."""
+    each = spec.accelerators_per_task
+
+    def fit(worker: WorkerRow) -> int:
+        earmarked = -(-worker.earmarked // UNITS_PER_ACCELERATOR)
+        if not each:
+            return 0 if earmarked else spec.tasks
+        return max(0, worker.free_accelerators - earmarked) // each
+
+    return fit
+
+
 class Dispatcher:
     """Starts waiting jobs while cells are free or can be reclaimed."""
 
@@ -127,12 +145,12 @@
     def _turn(self, row: JobRow) -> float:
         """Return the turn of a job among those of equal rights; lower is sooner.
 
-        Jobs that need little go first, and every job rises with the time that it has
-        waited in proportion to what it needs, so that none waits for ever.
+        Short jobs go first, and every job rises with its wait in proportion to its run
+        time, so that none waits for ever.
         """
         spec = row.spec
-        needs = self.state.expected_seconds(row) * max(1, spec.accelerators)
-        return -(1.0 + max(0.0, self.state.now - spec.submitted_at)) / needs
+        waited = max(0.0, self.state.now - spec.submitted_at)
+        return -(TURN_SECONDS + waited) / self.state.expected_seconds(row)
 
     def _within_limit(self, spec: JobSpec) -> bool:
         limit = self.state.profiles[spec.profile].limits.max_accelerators
@@ -263,16 +281,28 @@
             return True
         if spec.restartable and self._try_borrowed(row):
             return True
-        if self.state.reserved and self._start_bound_free(row, True, Heed.OWN_PROFILE):
-            return True
+        if self._waits_for_ends(row):
+            return False
+        # Reserved cells come last: pinned work would hold up the holder.
         if self._try_reclaim(row, True):
             return True
+        if self.state.reserved and self._start_bound_free(row, True, Heed.OWN_PROFILE):
+            return True
         if spec.restartable:
             return False
         if self._start_bound_free(row, False, Heed.OWN_PROFILE):
             return True
         return self._try_reclaim(row, False)
 
+    def _waits_for_ends(self, row: JobRow) -> bool:
+        """Return whether the job should wait a little for cells that come free."""
+        state = self.state
+        due = row.queued_at + state.settings.reclaim_after_seconds
+        if row.spec.priority is Priority.URGENT or state.now >= due:
+            return False
+        state.set_timer(due, "reclaim", row.spec.profile)
+        return True
+
     def _start_bound_free(self, row: JobRow, tight: bool, heed: Heed) -> bool:
         counts = self.find_bound_free(row, tight, heed)
         if counts is None:
@@ -356,12 +386,15 @@
         spec = row.spec
         if not spec.restartable or not self._within_limit(spec):
             return False
-        counts = find_free(
-            spec,
-            self._zones(spec),
-            self.state.cells,
-            self._free_fit(row, Heed.ALL, spec.checkpointable),
-        )
+        zones = self._zones(spec)
+        cells = self.state.cells
+        free = self._free_fit(row, Heed.ALL, spec.checkpointable)
+        counts = None
+        if not spec.checkpointable:
+            # A stop would lose all its work, so it keeps off earmarked cells.
+            counts = find_free(spec, zones, cells, _least(free, _unearmarked_fit(spec)))
+        if counts is None:
+            counts = find_free(spec, zones, cells, free)
         if counts is None:
             return False
         self.state.start(row, counts, False)
@@ -424,6 +457,7 @@
             lambda gang: (
                 gang.spec.priority is not Priority.URGENT
                 and 2 * gang.spec.accelerators <= spec.accelerators
+                and gang.stops < MOST_STOPS_FOR_ROOM
             ),
             state.settings.make_room_share * spec.accelerators * waited,
         )
@@ -470,7 +504,7 @@
                 )
                 or ()
             }
-            if sum(map(state.stop_cost, victims.values())) > budget:
+            if sum(map(state.lost_work, victims.values())) > budget:
                 return False
         state.claim(row, counts, False, reason, may_stop)
         return True
--- a/src/egretloft/_internal/scheduling/scheduler.py
+++ b/src/egretloft/_internal/scheduling/scheduler.py
@@ -115,6 +115,10 @@
                 self.repack_timer = False
                 state.changed = True
                 continue
+            if kind == "reclaim":
+                state.profile_version[subject] += 1
+                state.changed = True
+                continue
             row = state.jobs.get(subject)
             if row is None:
                 continue
--- a/src/egretloft/_internal/scheduling/settings.py
+++ b/src/egretloft/_internal/scheduling/settings.py
@@ -22,6 +22,9 @@
     restart_seconds: float = 10.0
     # Share of runs that end within their estimate.
     estimate_quantile: float = 0.7
+    # Work within its guarantee waits this long for running work to end by itself before
+    # borrowed work is stopped. With the stop and the start it stays below 10 s.
+    reclaim_after_seconds: float = 2.5
     # Gangs of at least this many accelerators get a reservation when they wait.
     reservation_accelerators: int = 8
     reservations_per_zone: int = 1
--- a/src/egretloft/_internal/scheduling/state.py
+++ b/src/egretloft/_internal/scheduling/state.py
@@ -72,6 +72,8 @@
 
     def enqueue(self, row: JobRow) -> None:
         """Let a job wait at its place, after ``not_before`` if that is set."""
+        if row.state is not GangState.WAITING or row.attempt == 0:
+            row.queued_at = max(self.now, row.not_before)
         row.state = GangState.WAITING
         self.changed = True
         if row.not_before > self.now:
@@ -217,6 +219,7 @@
     def stop(self, row: JobRow, reason: StopReason, for_job_id: str = "") -> None:
         """Stop a gang so that it is queued again."""
         row.stopping = True
+        row.stops += 1
         self.decisions.append(StopGang(row.spec.job_id, reason, for_job_id))
 
     def claim(
@@ -292,13 +295,21 @@
                     short[index] -= held[index]
         return chosen if max(short) <= 0 else None
 
-    def stop_cost(self, row: JobRow) -> float:
+    def lost_work(self, row: JobRow) -> float:
         """Return the accelerator-seconds that are lost when a gang is stopped."""
         seconds = self.settings.restart_seconds
         if not row.spec.checkpointable:
             seconds += max(0.0, self.now - row.started_at)
         return seconds * max(1, row.spec.accelerators)
 
+    def stop_cost(self, row: JobRow) -> float:
+        """Return the cost by which the gang to stop is chosen.
+
+        A gang that has been stopped before costs more, so that the same gang is not
+        stopped again and again.
+        """
+        return self.lost_work(row) * (1 + row.stops) ** 2
+
     def start_ready_claims(self) -> None:
         """Start the claimed gangs whose cells have become free."""
         for row in sorted(
--- a/src/egretloft/_internal/scheduling/tables.py
+++ b/src/egretloft/_internal/scheduling/tables.py
@@ -126,9 +126,11 @@
     covered: bool = False
     stopping: bool = False
     ending: Reason | None = None
+    queued_at: float = 0.0
     not_before: float = 0.0
     # Run time that checkpoints have kept from earlier attempts.
     kept_seconds: float = 0.0
+    stops: int = 0
     failures: int = 0
     failed_sets: set[frozenset[str]] = field(default_factory=set)
     # Workers at which the job failed lately, passed over before ``avoid_until``.
--- a/tests/lib/gang_world.py
+++ b/tests/lib/gang_world.py
@@ -39,7 +39,10 @@
     """Workers, gangs and the scheduler under test."""
 
     seed: int = 0
-    settings: SchedulerSettings = field(default_factory=SchedulerSettings)
+    # Reclaims are decided at once, so that one round of stops is enough.
+    settings: SchedulerSettings = field(
+        default_factory=lambda: SchedulerSettings(reclaim_after_seconds=0.0)
+    )
     now: float = 0.0
     workers: dict[str, Worker] = field(default_factory=dict)
     unusable: set[str] = field(default_factory=set)
