--- a/src/egretloft/_internal/scheduling/state.py
+++ b/src/egretloft/_internal/scheduling/state.py
@@ -4,7 +4,7 @@
 
 import heapq
 from collections import Counter
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 
 from egretloft._internal.models.jobs import JobSpec, Placement, Priority, TaskPlacement
 from egretloft._internal.models.outcomes import Reason
@@ -72,6 +72,8 @@
 
     def enqueue(self, row: JobRow) -> None:
         """Let a job wait at its place, after ``not_before`` if that is set."""
+        if row.state is not GangState.WAITING or row.attempt == 0:
+            row.queued_at = max(self.now, row.not_before)
         row.state = GangState.WAITING
         self.changed = True
         if row.not_before > self.now:
@@ -217,9 +219,17 @@
     def stop(self, row: JobRow, reason: StopReason, for_job_id: str = "") -> None:
         """Stop a gang so that it is queued again."""
         row.stopping = True
+        row.stops += 1
         self.decisions.append(StopGang(row.spec.job_id, reason, for_job_id))
 
-    def claim(self, row: JobRow, counts: Mapping[str, int], covered: bool) -> None:
+    def claim(
+        self,
+        row: JobRow,
+        counts: Mapping[str, int],
+        covered: bool,
+        reason: StopReason,
+        may_stop: Callable[[JobRow], bool] | None = None,
+    ) -> None:
         """Claim cells for a gang and stop the borrowed work on them."""
         spec = row.spec
         self.queue.discard(spec.job_id)
@@ -234,22 +244,21 @@
         for worker_id, amount in row.needs.items():
             self.cells.claim(self.cells.workers[worker_id], amount, 1)
         self.claims[spec.job_id] = row
-        reason = (
-            StopReason.RECLAIM
-            if covered or spec.priority is not Priority.URGENT
-            else StopReason.URGENT
-        )
         for worker_id in row.needs:
             worker = self.cells.workers[worker_id]
-            for victim in self.victims(worker, spec, Amount(0, 0, 0)) or ():
+            for victim in self.victims(worker, Amount(0, 0, 0), may_stop) or ():
                 self.stop(victim, reason, spec.job_id)
 
     def victims(
-        self, worker: WorkerRow, spec: JobSpec, amount: Amount
+        self,
+        worker: WorkerRow,
+        amount: Amount,
+        may_stop: Callable[[JobRow], bool] | None = None,
     ) -> list[JobRow] | None:
         """Return borrowed gangs to stop before the amount is free on the worker.
 
-        ``None`` means that stopping all of them is not enough.
+        ``None`` means that stopping all of them is not enough. Gangs that
+        ``may_stop`` excludes are left running.
         """
         short = [
             amount.accelerators - worker.free_accelerators,
@@ -264,7 +273,7 @@
             if row.stopping or row.ending is not None:
                 for index in range(3):
                     short[index] -= held[index]
-            elif row.reclaimable:
+            elif row.reclaimable and (may_stop is None or may_stop(row)):
                 candidates.append(row)
         chosen: list[JobRow] = []
         candidates.sort(
@@ -286,13 +295,21 @@
                     short[index] -= held[index]
         return chosen if max(short) <= 0 else None
 
-    def stop_cost(self, row: JobRow) -> float:
+    def lost_work(self, row: JobRow) -> float:
         """Return the accelerator-seconds that are lost when a gang is stopped."""
         seconds = self.settings.restart_seconds
         if not row.spec.checkpointable:
             seconds += max(0.0, self.now - row.started_at)
         return seconds * max(1, row.spec.accelerators)
 
+    def stop_cost(self, row: JobRow) -> float:
+        """Return the cost by which the gang to stop is chosen.
+
+        A gang that has been stopped before costs more, so that the same gang is not
+        stopped again and again.
+        """
+        return self.lost_work(row) * (1 + row.stops) ** 2
+
     def start_ready_claims(self) -> None:
         """Start the claimed gangs whose cells have become free."""
         for row in sorted(
