--- a/src/egretloft/_internal/daemon/instance.py
+++ b/src/egretloft/_internal/daemon/instance.py
@@ -69,6 +69,7 @@
 TOPOLOGY_PERIOD_SECONDS = 1.0
 GANG_PERIOD_SECONDS = 0.2
 USAGE_PERIOD_SECONDS = 10.0
+QUEUED_JOBS_FIELD = "queued_jobs"
 
 
 @dataclass(slots=True)
@@ -231,7 +232,10 @@
         generator,
         feasible,
         known_zones,
-        lambda instance_id: instance_id in topology.entries,
+        # Before the list was read, nothing may be taken for gone.
+        lambda instance_id: (
+            topology.listed_at is None or instance_id in topology.entries
+        ),
     )
     created = create_account_service(
         instance_id=settings.instance_id,
@@ -265,6 +269,7 @@
         clock=clock,
         metrics=metrics,
         generator=generator,
+        link_seconds=settings.link_ms / 1000,
         on_completed=count_request,
     )
     network.register(FORWARD_TYPE, requests.handle_forward)
@@ -285,6 +290,18 @@
             SchedulerSettings(), generator.getrandbits(32)
         ),
     )
+
+    def queued_jobs(organisation: str) -> int:
+        # The owner counts; an instance that does not hear it admits the job, because
+        # the limit protects the queue and no invariant.
+        owner = coordination.ownership.owner_of(gangs_partition(settings.region))
+        if owner is None:
+            return 0
+        if owner.instance_id == settings.instance_id:
+            return gang_owner.queued_jobs().get(organisation, 0)
+        counts = network.last_heartbeat(owner.instance_id).get(QUEUED_JOBS_FIELD, {})
+        return int(counts.get(organisation, 0)) if isinstance(counts, dict) else 0
+
     jobs = create_job_service(
         jobs=job_table,
         view=coordination.view,
@@ -292,6 +309,10 @@
         clock=clock,
         metrics=metrics,
         check_job=check_job,
+        queued_jobs=queued_jobs,
+    )
+    network.heartbeat_sources.append(
+        lambda: {QUEUED_JOBS_FIELD: gang_owner.queued_jobs()}
     )
     return Instance(
         settings=settings,
--- a/src/egretloft/_internal/daemon/run.py
+++ b/src/egretloft/_internal/daemon/run.py
@@ -20,6 +20,7 @@
 EXIT_ADDRESS = 3
 EXIT_UNFINISHED = 4
 LISTEN_BACKLOG = 512
+SUPERSEDED_PERIOD_SECONDS = 1.0
 
 
 async def run_daemon(settings: Settings) -> int:
@@ -52,7 +53,16 @@
         await runner.cleanup()
         await instance.close()
         return EXIT_USAGE
+
+    async def stop_if_superseded() -> None:
+        # A newer process registered under this id; two must not act as one instance.
+        if instance.coordination.roster.superseded:
+            stop.set()
+
     instance.subscribe_timers()
+    instance.timers.subscribe(
+        "superseded", SUPERSEDED_PERIOD_SECONDS, stop_if_superseded
+    )
     instance.timers.start()
     await stop.wait()
     log.info("planned stop begins")
--- a/src/egretloft/_internal/settings.py
+++ b/src/egretloft/_internal/settings.py
@@ -30,6 +30,7 @@
     instances_address: str
     account_time_zone: str
     log_level: str
+    link_ms: float
     drain_grace_seconds: float
     drain_timeout_seconds: float
 
@@ -107,6 +108,7 @@
         "log_level": None
         if settings.log_level in LOG_LEVELS
         else "one of " + ", ".join(LOG_LEVELS),
+        "link_ms": check_range(settings.link_ms, 0, 1000),
         "drain_grace_seconds": check_range(settings.drain_grace_seconds, 0, 60),
         "drain_timeout_seconds": check_range(settings.drain_timeout_seconds, 1, 600),
     }
--- a/src/egretloft/cli/daemon.py
+++ b/src/egretloft/cli/daemon.py
@@ -55,6 +55,11 @@
 @click.option(
     "--log-level", default="info", help=f"One of {', '.join(LOG_LEVELS)}; JSON lines."
 )
+@click.option(
+    "--link-ms",
+    default=6.0,
+    help="Milliseconds there and back between two zones; weighed against queues.",
+)
 @click.option(
     "--drain-grace-seconds",
     default=2.0,
--- a/tests/unit/test_settings.py
+++ b/tests/unit/test_settings.py
@@ -22,6 +22,7 @@
     instances_address="127.0.0.1:7002",
     account_time_zone="Asia/Tokyo",
     log_level="info",
+    link_ms=6.0,
     drain_grace_seconds=2.0,
     drain_timeout_seconds=30.0,
 )
