--- a/tools/standins/faults.py
+++ b/tools/standins/faults.py
@@ -38,7 +38,7 @@
     late_start_seconds: float = 0.0
     # Every task or execution ends as failed.
     fail_tasks: bool = False
-    # Answers carry the request id of another request (runners only).
+    # Answers are those of another request, with its id (runners only).
     swap_answers: int = 0
     # Faults apply only to these operations (last part of the path); empty for all.
     operations: list[str] = []
--- a/tools/standins/runner.py
+++ b/tools/standins/runner.py
@@ -79,13 +79,14 @@
             "echo": work.echo,
             "filler": "x" * work.answer_bytes,
         }
+        if self.fault_state.faults.take("swap_answers"):
+            request_id = f"{request_id}-other"
+            body |= {"request_id": request_id, "echo": "of another request"}
         return self.answer(request_id, body)
 
     def answer(self, request_id: str, body: object, status: int = 200) -> web.Response:
-        """Return an answer with the request id, or with another one if faulty."""
+        """Return an answer that carries the request id."""
         response = json_response(body, status)
-        if self.fault_state.faults.take("swap_answers"):
-            request_id = f"{request_id}-other"
         response.headers[REQUEST_ID_HEADER] = request_id
         return response
 
