Give every waiting gang a reservation after a while

Cause: with a threshold of 24 accelerators, a gang of 16 starved under a stream of small jobs; the test of the bounded wait failed.

--- a/src/egretloft/_internal/scheduling/dispatch.py
+++ b/src/egretloft/_internal/scheduling/dispatch.py
@@ -41,6 +41,10 @@
 TURN_SECONDS = 30.0
 # A holder of a reservation gives way only to a gang of more than twice its weight.
 HOLDER_WEIGHT = 2.0
+# A reservation moves when the gang could start elsewhere in less than this share of
+# its remaining wait; that is looked for at this interval.
+MOVE_BELOW = 0.5
+RECHECK_SECONDS = 10.0
 # A gang that has been stopped this often is not stopped to make room for others.
 MOST_STOPS_FOR_ROOM = 2
 
@@ -454,14 +458,17 @@
         return self._try_stopping(
             row,
             StopReason.MAKE_ROOM,
-            lambda gang: (
-                gang.spec.priority is not Priority.URGENT
-                and 2 * gang.spec.accelerators <= spec.accelerators
-                and gang.stops < MOST_STOPS_FOR_ROOM
-            ),
+            lambda gang: self._may_make_room(gang, spec),
             state.settings.make_room_share * spec.accelerators * waited,
         )
 
+    def _may_make_room(self, gang: JobRow, spec: JobSpec) -> bool:
+        return (
+            gang.spec.priority is not Priority.URGENT
+            and 2 * gang.spec.accelerators <= spec.accelerators
+            and gang.stops < MOST_STOPS_FOR_ROOM
+        )
+
     def _try_stopping(
         self,
         row: JobRow,
@@ -537,7 +544,11 @@
         waiting = [
             row
             for _, row in state.queue.heads()
-            if row.spec.accelerators >= settings.reservation_accelerators
+            if (
+                row.spec.accelerators >= settings.reservation_accelerators
+                or state.now - row.spec.submitted_at
+                >= settings.reservation_patience_seconds
+            )
             and row.spec.profile in state.profiles
             and self._within_limit(row.spec)
         ]
@@ -545,10 +556,10 @@
         for row in waiting[: settings.reservations_tried]:
             if row.spec.restartable and self._try_make_room(row):
                 continue
+            held = state.reservations.get(row.spec.job_id)
             if (
-                row.spec.job_id not in state.reservations
-                and state.now - row.spec.submitted_at
-                >= settings.reservation_after_seconds
+                state.now - row.spec.submitted_at >= settings.reservation_after_seconds
+                and (held is None or state.now - held.checked_at >= RECHECK_SECONDS)
             ):
                 self._reserve_for(row)
 
@@ -566,6 +577,8 @@
         kept: dict[str, Reservation] = {}
         full: dict[str, int] = {}
         for reservation in state.reservations.values():
+            if reservation.job_id == spec.job_id:
+                continue
             if self._reservation_weight(state.jobs[reservation.job_id]) < weight:
                 continue
             for worker_id in reservation.needs:
@@ -579,13 +592,30 @@
         ]
         if not zones:
             return
-        found = earliest_start(
-            spec, zones, state.cells, state.expected_end, kept, state.now
-        )
+        held = state.reservations.get(spec.job_id)
+
+        def ends_at(job_id: str) -> float:
+            gang = state.jobs[job_id]
+            end = state.expected_end(job_id)
+            if gang.reclaimable and self._may_make_room(gang, spec):
+                # It can be stopped for the gang, at the price of what it loses.
+                lost = state.lost_work(gang) / max(1, gang.spec.accelerators)
+                end = min(end, state.now + state.settings.stop_seconds + lost)
+            return end
+
+        found = earliest_start(spec, zones, state.cells, ends_at, kept, state.now)
+        if held is not None:
+            held.checked_at = state.now
         if found is None:
             return
         at, counts = found
+        if held is not None:
+            if at > state.now + MOVE_BELOW * (held.starts_at - state.now):
+                return
+            state.drop_reservation(spec.job_id)
         for reservation in list(state.reservations.values()):
             if not reservation.needs.keys().isdisjoint(counts):
                 state.drop_reservation(reservation.job_id)
-        state.reserve(Reservation(spec.job_id, needs_of(spec, counts), at, at))
+        state.reserve(
+            Reservation(spec.job_id, needs_of(spec, counts), at, at, state.now)
+        )
--- a/src/egretloft/_internal/scheduling/reservations.py
+++ b/src/egretloft/_internal/scheduling/reservations.py
@@ -26,6 +26,7 @@
     needs: dict[str, Amount]
     starts_at: float
     backfill_until: float
+    checked_at: float = 0.0
 
 
 def earliest_start(
