--- a/src/egretloft/commands/base.py
+++ b/src/egretloft/commands/base.py
@@ -60,7 +60,10 @@
         if self.output == "json":
             show_json(answer)
             return
-        table = Table(*(column.replace("_", " ") for column in columns))
+        table = Table()
+        for column in columns:
+            # Ids are needed whole, to be copied into the next command.
+            table.add_column(column.replace("_", " "), overflow="fold")
         for row in rows:
             table.add_row(*(format_cell(row.get(column)) for column in columns))
         Console().print(table)
--- a/src/egretloft/commands/status.py
+++ b/src/egretloft/commands/status.py
@@ -7,7 +7,7 @@
 from egretloft.commands.base import Context, pass_context, show_json
 
 SECTIONS = (
-    ("instances", ("instance", "zone", "address", "full_member", "alive")),
+    ("instances", ("instance", "zone", "address", "alive")),
     ("partitions", ("partition", "owner", "epoch")),
     ("targets", ("zone", "kind", "live", "leaving")),
     ("guarantees", ("profile", "accelerators", "adjacency", "state")),
--- /dev/null
+++ b/tools/capacity/sampling.py
@@ -0,0 +1,89 @@
+"""Resource use of the entry instances of one deployment."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from dataclasses import asdict, dataclass
+
+import psutil
+
+from lib.deployment import Platform
+
+SETTLE_SECONDS = 4.0
+SAMPLE_SECONDS = 6.0
+
+
+@dataclass(slots=True, frozen=True)
+class Sample:
+    """Use per entry instance, averaged, and load of the table service, in total.
+
+    ``core_percent`` is user and system time; ``bytes_per_second`` counts both
+    directions of all loopback traffic including TCP headers, so traffic between two
+    instances counts for both.
+    """
+
+    core_percent: float
+    memory_mb: float
+    bytes_per_second: float
+    table_reads_per_second: float
+    table_writes_per_second: float
+
+
+SAMPLE_FIELDS = tuple(Sample.__dataclass_fields__)
+
+
+async def take_sample(platform: Platform) -> Sample:
+    """Measure for a few seconds; nothing else may use the loopback interface."""
+    await asyncio.sleep(SETTLE_SECONDS)
+    before = await read_counters(platform)
+    await asyncio.sleep(SAMPLE_SECONDS)
+    after = await read_counters(platform)
+    seconds = after.at - before.at
+    instances = len(platform.entries)
+    return Sample(
+        core_percent=100 * (after.processor - before.processor) / seconds / instances,
+        memory_mb=after.memory / 1e6 / instances,
+        bytes_per_second=(after.loopback - before.loopback) / seconds / instances,
+        table_reads_per_second=(after.reads - before.reads) / seconds,
+        table_writes_per_second=(after.commits - before.commits) / seconds,
+    )
+
+
+@dataclass(slots=True, frozen=True)
+class Counters:
+    """Totals since the start, over all entry instances."""
+
+    at: float
+    processor: float
+    memory: float
+    loopback: int
+    reads: int
+    commits: int
+
+
+async def read_counters(platform: Platform) -> Counters:
+    """Read the counters of the processes, the interface and the table."""
+    processor = memory = 0.0
+    for entry in platform.entries.values():
+        if entry.process.process is not None:
+            process = psutil.Process(entry.process.process.pid)
+            times = process.cpu_times()
+            processor += times.user + times.system
+            memory += process.memory_info().rss
+    facts = await platform.facts("table")
+    (table,) = facts.values()
+    loopback = psutil.net_io_counters(pernic=True)["lo"].bytes_sent
+    return Counters(
+        time.monotonic(),
+        processor,
+        memory,
+        loopback,
+        table["reads"],
+        table["commits"],
+    )
+
+
+def sample_as_dict(sample: Sample) -> dict[str, float]:
+    """Return the sample for JSON, rounded to what a run can tell apart."""
+    return {name: round(value, 3) for name, value in asdict(sample).items()}
