--- a/src/egretloft/_internal/scheduling/tables.py
+++ b/src/egretloft/_internal/scheduling/tables.py
@@ -64,6 +64,8 @@
     quarantined: bool = False
     probation: bool = False
     usable: bool = True
+    # Units of the whole worker; stored since packing reads it most.
+    total_units: int = field(init=False)
 
     @property
     def is_claimed(self) -> bool:
@@ -72,10 +74,8 @@
             self.claimed_accelerators or self.claimed_cores or self.claimed_memory_gb
         )
 
-    @property
-    def total_units(self) -> int:
-        """Units of the whole worker."""
-        return self.worker.accelerators * UNITS_PER_ACCELERATOR
+    def __post_init__(self) -> None:
+        self.total_units = self.worker.accelerators * UNITS_PER_ACCELERATOR
 
     def units(self, amount: Amount) -> int:
         """Return how many units of this worker the amount takes."""
@@ -95,7 +95,10 @@
 
     def room(self) -> int:
         """Return the units that pinned work and earmarks leave; may be negative."""
-        return self.carried_units() - self.earmarked
+        if not self.usable or self.probation:
+            return -self.earmarked
+        free = self.total_units - self.pinned_units
+        return (free if free > 0 else 0) - self.earmarked
 
 
 class GangState(Enum):
