Read the instance list conditionally

Cause: each instance read the whole list every second; at 24 workers that was about 12 KB a second, and it grows by about 250 bytes a target. Ruled out: a longer period, because a leaving target must get no work after 4 s. Change: the adapter sends If-None-Match and keeps its records on 304; the stand-in answers with an ETag; the topology is rebuilt only when the list has changed. Conclusion: the traffic of an unchanged list no longer depends on its length.

--- a/src/egretloft/_internal/platform/http_instance_list.py
+++ b/src/egretloft/_internal/platform/http_instance_list.py
@@ -67,7 +67,12 @@
 
 
 class HttpInstanceList:
-    """An ``InstanceList`` at one address."""
+    """An ``InstanceList`` at one address.
+
+    Reads are conditional (``If-None-Match``, RFC 9110), because the whole list of
+    1,500 workers each second is more than a node may spend on control. A platform
+    that sends no ``ETag`` answers with the whole list.
+    """
 
     def __init__(
         self,
@@ -80,13 +85,24 @@
         self.address = address
         self.timeout_seconds = timeout_seconds
         self.metrics = metrics
+        self.entity_tag = ""
+        self.records: tuple[InstanceRecord, ...] = ()
 
     async def list(self) -> Result[tuple[InstanceRecord, ...], ListFailure]:
-        """Return all listed instances."""
+        """Return all listed instances; the same tuple while the list is unchanged."""
         url = f"http://{self.address}/instances"
-        match await exchange(self.session, "GET", url, self.timeout_seconds):
+        headers = {"If-None-Match": self.entity_tag} if self.entity_tag else None
+        match await exchange(
+            self.session, "GET", url, self.timeout_seconds, headers=headers
+        ):
+            case Success(answer) if answer.status == 304 and self.entity_tag:
+                return Success(self.records)
             case Success(answer) if answer.status == 200:
-                return decode_records(answer.body, self.metrics)
+                decoded = decode_records(answer.body, self.metrics)
+                if isinstance(decoded, Success):
+                    self.records = decoded.unwrap()
+                    self.entity_tag = answer.headers.get("ETag", "")
+                return decoded
             case Success(answer):
                 return Failure(ListFailure(f"{url}: status {answer.status}"))
             case Failure(failure):
--- a/src/egretloft/_internal/platform/topology.py
+++ b/src/egretloft/_internal/platform/topology.py
@@ -29,6 +29,7 @@
         self.instance_list = instance_list
         self.clock = clock
         self.metrics = metrics
+        self.listed: tuple[InstanceRecord, ...] | None = None
         self.records: dict[str, InstanceRecord] = {}
         self.workers: dict[str, Worker] = {}
         self.runners: dict[str, InstanceRecord] = {}
@@ -45,13 +46,15 @@
         """Read the list; the last one is kept when it cannot be read."""
         match await self.instance_list.list():
             case Success(records):
-                self._apply(records)
+                if records is not self.listed:
+                    self._apply(records)
                 self.listed_at = self.clock.monotonic()
             case Failure(failure):
                 self.metrics.count("instance_list_failures")
                 log.warning("instance list cannot be read", error=failure.message)
 
     def _apply(self, records: tuple[InstanceRecord, ...]) -> None:
+        self.listed = records
         self.records = {record.instance_id: record for record in records}
         self.workers = {
             record.instance_id: Worker(
--- a/tests/unit/platform/test_http_instance_list.py
+++ b/tests/unit/platform/test_http_instance_list.py
@@ -73,3 +73,19 @@
     record = dataclasses.replace(build_record(), **change)
     body = msgspec.json.encode([record])
     assert decode_records(body, create_metrics()).unwrap() == ()
+
+
+async def test_unchanged_list_is_not_sent_again():
+    """Guards against traffic that grows with the list on every read.
+
+    A changed list must still be seen at the next read.
+    """
+    target = InstancesTarget("127.0.0.1", 0, 0.0)
+    async with serving(target) as session:
+        instances = create_http_instance_list(session, target.address)
+        target.state.put([build_record("w1")], 0.0)
+        first = (await instances.list()).unwrap()
+        assert (await instances.list()).unwrap() is first
+        target.state.put([build_record("w2")], 0.0)
+        changed = (await instances.list()).unwrap()
+        assert {record.instance_id for record in changed} == {"w1", "w2"}
--- a/tools/standins/instances.py
+++ b/tools/standins/instances.py
@@ -6,6 +6,7 @@
 
 import click
 import msgspec
+import xxhash
 from aiohttp import web
 
 from egretloft._internal.models.topology import InstanceRecord, InstanceState
@@ -42,7 +43,12 @@
 
     async def list(self, request: web.Request) -> web.Response:
         """Answer with the list as it was some time ago."""
-        return json_response(self.state.visible(time.time()))
+        response = json_response(self.state.visible(time.time()))
+        tag = f'"{xxhash.xxh64_hexdigest(bytes(response.body))}"'
+        if request.headers.get("If-None-Match") == tag:
+            return web.Response(status=304, headers={"ETag": tag})
+        response.headers["ETag"] = tag
+        return response
 
     async def put(self, request: web.Request) -> web.Response:
         """Add or replace records; the body is a JSON list of them."""
