--- a/src/egretloft/commands/base.py
+++ b/src/egretloft/commands/base.py
@@ -17,6 +17,10 @@
 from egretloft._internal.client import Client, ClientFailure
 
 
+# Width of tables that are not shown in a terminal.
+PIPE_COLUMNS = 120
+
+
 class ExitCode(IntEnum):
     """Exit codes of ``egretctl``."""
 
@@ -66,7 +70,10 @@
             table.add_column(column.replace("_", " "), overflow="fold")
         for row in rows:
             table.add_row(*(format_cell(row.get(column)) for column in columns))
-        Console().print(table)
+        console = Console()
+        if not console.is_terminal:
+            console.width = PIPE_COLUMNS
+        console.print(table)
 
 
 pass_context = click.make_pass_decorator(Context)
