--- a/src/egretloft/commands/base.py
+++ b/src/egretloft/commands/base.py
@@ -16,7 +16,6 @@
 
 from egretloft._internal.client import Client, ClientFailure
 
-
 # Width of tables that are not shown in a terminal.
 PIPE_COLUMNS = 120
 
--- a/tests/lib/scenario_runner.py
+++ b/tests/lib/scenario_runner.py
@@ -27,7 +27,9 @@
     """
     if SEED_VARIABLE in os.environ:
         return int(os.environ[SEED_VARIABLE])
-    return declared if declared is not None else xxhash.xxh32_intdigest(path.name.encode())
+    if declared is not None:
+        return declared
+    return int(xxhash.xxh32_intdigest(path.name.encode()))
 
 
 async def run_scenario(
