--- a/tests/unit/scheduling/test_scheduler.py
+++ b/tests/unit/scheduling/test_scheduler.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 
+import pytest
+
 from egretloft._internal.models.jobs import JobState, Priority, TaskPlacement
 from egretloft._internal.models.profiles import Adjacency, GuaranteedShape, Limits
 from egretloft._internal.scheduling.decisions import EndJob, StopReason
@@ -155,12 +157,15 @@
     assert len(world.running) == 5
 
 
-def test_large_gang_starts_under_an_endless_stream_of_small_jobs():
+@pytest.mark.parametrize(
+    ("tasks", "adjacency"), [(2, Adjacency.RACK), (1, Adjacency.WORKER)]
+)
+def test_large_gang_starts_under_an_endless_stream_of_small_jobs(tasks, adjacency):
     # Guards against starvation: every small job declares far less than it takes.
     world = build_world(workers=build_workers(workers_per_rack=2))
     fill(world, "org-a", 40, declared_seconds=10.0)
     world.submit(
-        build_job("large", tasks=2, accelerators_per_task=8, adjacency=Adjacency.RACK)
+        build_job("large", tasks=tasks, accelerators_per_task=8, adjacency=adjacency)
     )
     for step in range(600):
         for job_id, gang in list(world.running.items()):
