Render the capacity page from the measured points

Cause: a figure typed by hand goes stale, and each one has to show its arithmetic. Change: make capacity writes docs/CAPACITY.md and the points.

--- a/tools/capacity/__main__.py
+++ b/tools/capacity/__main__.py
@@ -19,6 +19,7 @@
 
 from capacity.decisions import measure_changes, measure_rows
 from capacity.fitting import fit_line
+from capacity.page import render_page
 from capacity.sampling import SAMPLE_FIELDS, sample_as_dict
 from capacity.slopes import (
     Points,
@@ -156,7 +157,9 @@
         results[slope.size] = points
         print_fits(console, slope.size, points)
     output.write_bytes(msgspec.json.format(msgspec.json.encode(results)) + b"\n")
-    console.print(f"{time.monotonic() - began:.0f} s; points in {output}")
+    page = output.with_name("CAPACITY.md")
+    page.write_text(render_page(results))
+    console.print(f"{time.monotonic() - began:.0f} s; {output} and {page} written")
 
 
 if __name__ == "__main__":
