Remove unused functions and list a region's partitions in one place

Cause: the daemon wrote the runner partitions again beside runner_partitions, which only a test called; three names had no user. Change: runner_partitions takes the region and serves both; unused names are gone. Conclusion: no behaviour changes.

--- a/src/egretloft/_internal/daemon/instance.py
+++ b/src/egretloft/_internal/daemon/instance.py
@@ -52,12 +52,12 @@
 from egretloft._internal.platform.protocols import Clock
 from egretloft._internal.platform.system_clock import create_system_clock
 from egretloft._internal.platform.topology import Topology, create_topology
-from egretloft._internal.requests.dispatch import partition_of
 from egretloft._internal.requests.messages import FORWARD_TYPE, KEY_QUERY_TYPE
 from egretloft._internal.requests.service import (
     TICK_SECONDS,
     RequestService,
     create_request_service,
+    runner_partitions,
 )
 from egretloft._internal.scheduling.feasibility import check_job, check_profiles
 from egretloft._internal.scheduling.scheduler import create_scheduler
@@ -106,11 +106,7 @@
         """Read the instance list and offer the partitions that it shows."""
         await self.topology.refresh()
         region = self.settings.region
-        partitions = {
-            partition_of(runner.service, runner.zone)
-            for runner in self.topology.runners.values()
-            if runner.region == region
-        }
+        partitions = runner_partitions(self.topology, region)
         if any(worker.region == region for worker in self.topology.workers.values()):
             partitions.add(gangs_partition(region))
         self.coordination.ownership.set_candidates(partitions)
--- a/src/egretloft/_internal/requests/service.py
+++ b/src/egretloft/_internal/requests/service.py
@@ -347,9 +347,13 @@
     return {(record.service, record.zone) for record in topology.runners.values()}
 
 
-def runner_partitions(topology: Topology) -> set[str]:
-    """Return the partitions to which ``Ownership.set_candidates`` applies."""
-    return {partition_of(service, zone) for service, zone in runner_groups(topology)}
+def runner_partitions(topology: Topology, region: str) -> set[str]:
+    """Return a region's partitions, to which ``Ownership.set_candidates`` applies."""
+    return {
+        partition_of(record.service, record.zone)
+        for record in topology.runners.values()
+        if record.region == region
+    }
 
 
 def create_request_service(
--- a/src/egretloft/_internal/scheduling/placement.py
+++ b/src/egretloft/_internal/scheduling/placement.py
@@ -32,17 +32,6 @@
     return max(0, fit)
 
 
-def free_fit(amount: Amount) -> Fit:
-    """Return the fit into what is free now."""
-
-    def fit(row: WorkerRow) -> int:
-        return fit_amount(
-            amount, row.free_accelerators, row.free_cores, row.free_memory_gb
-        )
-
-    return fit
-
-
 def needs_of(spec: JobSpec, counts: Mapping[str, int]) -> dict[str, Amount]:
     """Return what the gang takes by worker."""
     amount = task_amount(spec)
--- a/src/egretloft/_internal/scheduling/tables.py
+++ b/src/egretloft/_internal/scheduling/tables.py
@@ -87,12 +87,6 @@
             -(-amount.memory_gb * total // worker.memory_gb) if worker.memory_gb else 0,
         )
 
-    def carried_units(self) -> int:
-        """Return how many units could serve guarantees beside pinned work."""
-        if not self.usable or self.probation:
-            return 0
-        return max(0, self.total_units - self.pinned_units)
-
     def room(self) -> int:
         """Return the units that pinned work and earmarks leave; may be negative."""
         if not self.usable or self.probation:
--- a/src/egretloft/_internal/settings.py
+++ b/src/egretloft/_internal/settings.py
@@ -6,7 +6,7 @@
 import re
 import uuid
 import zoneinfo
-from dataclasses import dataclass, fields
+from dataclasses import dataclass
 
 from returns.result import Failure, Result, Success
 
@@ -125,6 +125,3 @@
 def default_instance_id() -> str:
     """Return a fresh id; instances keep nothing, so each start may take a new one."""
     return f"entry-{uuid.uuid4().hex[:12]}"
-
-
-SETTING_NAMES = tuple(field.name for field in fields(Settings))
--- a/tests/lib/request_world.py
+++ b/tests/lib/request_world.py
@@ -49,6 +49,7 @@
 ORGANISATION = "org-a"
 HEARTBEAT_SECONDS = 0.4
 DEAD_SECONDS = 1.0
+REGION = "region-1"
 NEVER_SECONDS = 1e6
 
 
@@ -324,7 +325,7 @@
         self.instances: dict[str, Instance] = {}
         for index in range(instances):
             self.add_instance(f"entry-{index}", zones[index % len(zones)], seed + index)
-        for partition in sorted(runner_partitions(self.topology)):
+        for partition in sorted(runner_partitions(self.topology, REGION)):
             zone = partition.rsplit("/", 1)[1]
             names = [key for key, item in self.instances.items() if item.zone == zone]
             self.owners[partition] = ((names or ["entry-0"])[0], 1)
@@ -337,7 +338,7 @@
             kind=InstanceKind.RUNNER,
             state=InstanceState.LIVE,
             address=runner_id,
-            region="region-1",
+            region=REGION,
             zone=zone,
             service=SERVICE,
             slots=8,
