--- /dev/null
+++ b/src/egretloft/_internal/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""Jobs of many steps on leased targets: acceptance, queue, placing and recovery."""
--- /dev/null
+++ b/src/egretloft/_internal/fleet/constants.py
@@ -0,0 +1,53 @@
+"""Times and limits of the fleet scheduler."""
+
+from __future__ import annotations
+
+# Lease that a renewal grants to all runs of a target, in seconds. It outlasts the
+# change of the leader; a lost target's tasks wait this long before they start again.
+LEASE_SECONDS = 3.5
+# An order to start is refused by the target after this time, so that a copy that is
+# carried out late has no effect.
+START_EXPIRY_SECONDS = 1.0
+# Rate error of a target's clock.
+CLOCK_RATE_ERROR = 0.02
+# Added to every bound that is computed from another clock.
+CLOCK_MARGIN_SECONDS = 0.1
+# Longest wait of a lease renewal for an end.
+HOLD_WAIT_SECONDS = 1.0
+# Time beyond the wait after which a renewal counts as lost.
+HOLD_ANSWER_SECONDS = 0.6
+# A start or a stop without an answer is sent again after this time.
+ORDER_ANSWER_SECONDS = 0.3
+# The leader renews its beat this often.
+BEAT_SECONDS = 0.3
+# A beat that is unchanged for this long lets another instance take over.
+BEAT_SILENCE_SECONDS = 1.0
+# A leader that can confirm its office neither at the store nor with its peers for
+# this long gives no more orders and renews no leases.
+CONFIRMATION_SECONDS = 1.0
+# A gap between two ticks that shows that the process was suspended.
+SUSPENSION_SECONDS = 0.6
+# The leader looks at its tables this often without a reason.
+TICK_SECONDS = 0.05
+# Changes that arrive within this time are handled by one tick.
+TICK_DELAY_SECONDS = 0.004
+# Wait of one call to a feed; a silent connection is found this much later.
+FEED_WAIT_SECONDS = 1.0
+FEED_ANSWER_SECONDS = 0.7
+STORE_CALL_SECONDS = 1.5
+FEED_RETRY_SECONDS = 0.2
+# Rows of one transaction, below the store's limit of 100 entries of all kinds.
+ROWS_PER_TRANSACTION = 40
+
+TABLE_JOBS = "jobs"
+TABLE_CONTROL = "control"
+TABLE_TARGETS = "targets"
+# All rows share one partition, so that each write can depend on the leader's row.
+PARTITION = "egretloft"
+KEY_LEADER = "leader"
+KEY_BEAT = "beat"
+INSTANCE_PREFIX = "instance/"
+CANCEL_SUFFIX = ".c"
+PROGRESS_SUFFIX = ".p"
+# Sorts directly after the suffixes of a job's rows.
+JOB_RANGE_END = "/"
--- /dev/null
+++ b/src/egretloft/_internal/fleet/instance.py
@@ -0,0 +1,303 @@
+"""One instance: views, peers, election, intake, and the leader while in office."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Coroutine
+from dataclasses import dataclass
+from typing import Any
+
+import structlog
+from returns.result import Failure
+
+from egretloft._internal import codec
+from egretloft._internal.fleet.constants import (
+    FEED_RETRY_SECONDS,
+    INSTANCE_PREFIX,
+    PARTITION,
+    STORE_CALL_SECONDS,
+    TABLE_CONTROL,
+)
+from egretloft._internal.fleet.election import Election, create_election
+from egretloft._internal.fleet.intake import Intake, create_intake
+from egretloft._internal.fleet.interfaces import (
+    Expectation,
+    FleetClock,
+    PlatformWords,
+    RowKey,
+    RowStore,
+    RowTransaction,
+    StoredRow,
+    StoreFailureKind,
+    Targets,
+)
+from egretloft._internal.fleet.leader import Leader
+from egretloft._internal.fleet.operators import OperatorView, create_operator_view
+from egretloft._internal.fleet.records import InstanceRecord
+from egretloft._internal.fleet.store_access import StoreAccess, create_store_access
+from egretloft._internal.fleet.watching import TableWatcher, create_table_watcher
+from egretloft._internal.metrics import Metrics
+from egretloft._internal.models.members import Member
+from egretloft._internal.peers.network import PeerNetwork
+
+log = structlog.get_logger(__name__)
+
+ELECTION_TICK_SECONDS = 0.05
+# Without any path to the store for this long, an instance says that it is not ready.
+READY_WITHOUT_STORE_SECONDS = 3.0
+
+
+@dataclass(slots=True, frozen=True)
+class Identity:
+    """Who this instance is."""
+
+    instance_id: str
+    incarnation: str
+    peer_address: str
+    zone: str
+    region: str
+
+
+class Instance:
+    """All parts of one process."""
+
+    def __init__(
+        self,
+        identity: Identity,
+        direct_store: RowStore,
+        targets: Targets,
+        words: PlatformWords,
+        peers: PeerNetwork,
+        clock: FleetClock,
+        metrics: Metrics,
+        generator: random.Random,
+    ) -> None:
+        self.identity = identity
+        self.targets = targets
+        self.words = words
+        self.peers = peers
+        self.clock = clock
+        self.metrics = metrics
+        self.members: dict[str, InstanceRecord] = {}
+        self.store: StoreAccess = create_store_access(
+            direct_store, peers, self.peer_ids, clock, metrics
+        )
+        self.operators: OperatorView = create_operator_view(words, metrics)
+        self.intake: Intake = create_intake(self.store, clock, metrics)
+        self.election: Election = create_election(
+            self.store,
+            clock,
+            identity.instance_id,
+            identity.incarnation,
+            generator,
+            self.waiting_counts,
+        )
+        self.control_watcher: TableWatcher = create_table_watcher(
+            self.store,
+            clock,
+            TABLE_CONTROL,
+            PARTITION,
+            self.on_control_snapshot,
+            self.on_control_rows,
+        )
+        self.operator_watcher: TableWatcher = create_table_watcher(
+            self.store,
+            clock,
+            words.operator_table(),
+            "",
+            self.operators.on_snapshot,
+            self.operators.on_rows,
+        )
+        self.leader: Leader | None = None
+        self.leader_task: asyncio.Task[None] | None = None
+        self.tasks: list[asyncio.Task[Any]] = []
+        self.stopping = False
+
+    # Start and stop.
+
+    async def start(self) -> None:
+        """Begin all periodic work."""
+        await self.peers.start()
+        for work in (
+            self.control_watcher.run(),
+            self.operator_watcher.run(),
+            self.store.probe(),
+            self.run_election(),
+            self.register(),
+        ):
+            self.spawn(work)
+
+    def spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        """Run ``work`` until the instance stops; a defect in it is logged."""
+        task = asyncio.create_task(work)
+        task.add_done_callback(log_defect)
+        self.tasks.append(task)
+
+    async def hand_over(self) -> None:
+        """Give up the office, if held, so that another instance takes it at once."""
+        self.stopping = True
+        leader = self.leader
+        if leader is not None:
+            leader.draining = True
+            await leader.recorder.flush()
+        await self.election.release()
+        if self.leader_task is not None:
+            await asyncio.gather(self.leader_task, return_exceptions=True)
+
+    async def stop(self) -> None:
+        """End all work."""
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        await self.peers.stop()
+
+    def is_ready(self) -> bool:
+        """Return whether this instance can serve callers."""
+        if self.stopping or self.operators.current().configuration is None:
+            return False
+        return self.operator_watcher.age() <= READY_WITHOUT_STORE_SECONDS
+
+    # Peers.
+
+    def peer_ids(self) -> list[str]:
+        """Return the other instances, those of the own zone first."""
+        others = [m for m in self.members if m != self.identity.instance_id]
+        zone = self.identity.zone
+        return sorted(others, key=lambda m: (self.members[m].zone != zone, m))
+
+    async def register(self) -> None:
+        """Write where this instance can be reached, until that has worked."""
+        identity = self.identity
+        key = RowKey(
+            TABLE_CONTROL, PARTITION, INSTANCE_PREFIX + identity.instance_id
+        )
+        record = InstanceRecord(
+            identity.instance_id,
+            identity.incarnation,
+            identity.peer_address,
+            identity.zone,
+            identity.region,
+        )
+        version = 0
+        while True:
+            result = await self.store.commit(
+                RowTransaction(
+                    (Expectation(key, version),), ((key, codec.encode(record)),)
+                ),
+                STORE_CALL_SECONDS,
+            )
+            if not isinstance(result, Failure):
+                return
+            failure = result.failure()
+            if failure.kind is StoreFailureKind.CONFLICT and failure.rows:
+                version = failure.rows[0].version
+                current = failure.rows[0].value
+                if current == codec.encode(record):
+                    return
+                continue
+            await asyncio.sleep(FEED_RETRY_SECONDS)
+
+    def on_control_snapshot(self, rows: tuple[StoredRow, ...]) -> None:
+        """Take the leader's rows and the instances as they are now."""
+        self.members.clear()
+        self.on_control_rows(rows)
+
+    def on_control_rows(self, rows: tuple[StoredRow, ...]) -> None:
+        """Take changes of the leader's rows and of the instances."""
+        self.election.on_rows(rows)
+        changed = False
+        for row in rows:
+            if not row.key.key.startswith(INSTANCE_PREFIX):
+                continue
+            changed = True
+            self.on_instance_row(row)
+        if changed:
+            self.peers.set_members([member_of(m) for m in self.members.values()])
+
+    def on_instance_row(self, row: StoredRow) -> None:
+        """Learn where an instance can be reached."""
+        instance_id = row.key.key.removeprefix(INSTANCE_PREFIX)
+        record = codec.decode(row.value or b"", InstanceRecord)
+        if isinstance(record, Failure):
+            self.members.pop(instance_id, None)
+            return
+        self.members[instance_id] = record.unwrap()
+
+    # Office.
+
+    def waiting_counts(self) -> dict[str, int]:
+        """Return the counts for the beat: the former ones until all jobs are read."""
+        if self.leader is not None and self.leader.recovered:
+            return self.leader.waiting_counts()
+        return self.election.beat.waiting if self.election.beat else {}
+
+    def waiting_in(self, queue: str) -> int:
+        """Return how many jobs of a queue wait, by the newest beat."""
+        return self.waiting_counts().get(queue, 0)
+
+    async def run_election(self) -> None:
+        """Keep the beat or stand for the office, and run the leader's term."""
+        while True:
+            await self.election.tick()
+            term = self.election.term
+            leads = self.leader_task is not None and not self.leader_task.done()
+            if term is not None and not leads:
+                self.leader = Leader(
+                    term,
+                    self.election,
+                    self.store,
+                    self.targets,
+                    self.words,
+                    self.operators.current,
+                    self.clock,
+                    self.metrics,
+                )
+                self.leader_task = asyncio.create_task(self.run_leader(self.leader))
+            await asyncio.sleep(ELECTION_TICK_SECONDS)
+
+    async def run_leader(self, leader: Leader) -> None:
+        """Run one term."""
+        try:
+            await leader.run()
+        except Exception:
+            # A defect must not leave an office in which nothing is decided.
+            self.metrics.count("term_errors")
+            log.exception("term failed", epoch=leader.epoch)
+            self.election.resign("the term failed")
+        finally:
+            self.leader = None
+
+
+def member_of(record: InstanceRecord) -> Member:
+    """Return the peer network's form of an instance."""
+    return Member(
+        instance_id=record.instance_id,
+        incarnation=record.incarnation,
+        address="",
+        peer_address=record.peer_address,
+        region=record.region,
+        zone=record.zone,
+    )
+
+
+def log_defect(task: asyncio.Task[Any]) -> None:
+    """Log why a task ended with an exception."""
+    if not task.cancelled() and task.exception() is not None:
+        log.error("task failed", exc_info=task.exception())
+
+
+def create_instance(
+    identity: Identity,
+    direct_store: RowStore,
+    targets: Targets,
+    words: PlatformWords,
+    peers: PeerNetwork,
+    clock: FleetClock,
+    metrics: Metrics,
+    generator: random.Random,
+) -> Instance:
+    """Return an instance that has not started."""
+    return Instance(
+        identity, direct_store, targets, words, peers, clock, metrics, generator
+    )
--- /dev/null
+++ b/src/egretloft/_internal/fleet/leader.py
@@ -0,0 +1,519 @@
+"""One term of the leader: its tables, its sessions and its tick."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+import structlog
+from returns.result import Failure
+
+from egretloft._internal import codec
+from egretloft._internal.fleet.constants import (
+    CANCEL_SUFFIX,
+    CLOCK_MARGIN_SECONDS,
+    CLOCK_RATE_ERROR,
+    CONFIRMATION_SECONDS,
+    FEED_RETRY_SECONDS,
+    LEASE_SECONDS,
+    PARTITION,
+    PROGRESS_SUFFIX,
+    START_EXPIRY_SECONDS,
+    SUSPENSION_SECONDS,
+    TABLE_JOBS,
+    TABLE_TARGETS,
+    TICK_DELAY_SECONDS,
+    TICK_SECONDS,
+)
+from egretloft._internal.fleet.election import Election, Term
+from egretloft._internal.fleet.interfaces import (
+    FleetClock,
+    PlatformWords,
+    StoredRow,
+    Targets,
+)
+from egretloft._internal.fleet.lifecycle import (
+    runs_to_stop,
+    update_state,
+)
+from egretloft._internal.fleet.models import (
+    JobState,
+    OperatorState,
+    Room,
+    RunKey,
+    TargetReport,
+)
+from egretloft._internal.fleet.orders import create_orders
+from egretloft._internal.fleet.placing import accounted_room
+from egretloft._internal.fleet.recorder import create_recorder
+from egretloft._internal.fleet.records import AcceptedJob, JobProgress, UsedTarget
+from egretloft._internal.fleet.scheduler import Moment, Placement, Scheduler
+from egretloft._internal.fleet.sessions import TargetSession, create_target_session
+from egretloft._internal.fleet.store_access import StoreAccess
+from egretloft._internal.fleet.suspicion import set_aside, stalled_runs
+from egretloft._internal.fleet.tables import (
+    FleetTables,
+    JobRow,
+    RunPhase,
+    RunRow,
+    TargetRow,
+)
+from egretloft._internal.fleet.watching import create_table_watcher, read_table
+from egretloft._internal.metrics import Metrics
+
+log = structlog.get_logger(__name__)
+
+# Attempt numbers of a term start above those of all earlier terms.
+ATTEMPTS_PER_TERM_BITS = 20
+
+
+class Leader:
+    """Schedules all jobs while its epoch is in office."""
+
+    def __init__(
+        self,
+        term: Term,
+        election: Election,
+        store: StoreAccess,
+        targets: Targets,
+        words: PlatformWords,
+        operators: Callable[[], OperatorState],
+        clock: FleetClock,
+        metrics: Metrics,
+    ) -> None:
+        self.term = term
+        self.epoch = term.epoch
+        self.election = election
+        self.store = store
+        self.targets = targets
+        self.words = words
+        self.operators = operators
+        self.clock = clock
+        self.metrics = metrics
+        self.tables = FleetTables()
+        self.scheduler = Scheduler(self.tables)
+        self.recorder = create_recorder(store, election, self.tables, metrics)
+        self.orders = create_orders(self, self.tables, targets, clock, metrics)
+        self.sessions: dict[str, TargetSession] = {}
+        self.session_tasks: dict[str, asyncio.Task[Any]] = {}
+        self.tasks: set[asyncio.Task[Any]] = set()
+        self.wake = asyncio.Event()
+        self.attempts = 0
+        self.in_doubt_until = clock.steady() + self.doubt_seconds()
+        self.in_doubt = True
+        self.last_tick = clock.steady()
+        self.must_confirm_after = 0.0
+        self.draining = False
+        self.recovered = False
+
+    @staticmethod
+    def doubt_seconds() -> float:
+        """Return how long a run of an earlier term may go on without a renewal."""
+        lease = LEASE_SECONDS + START_EXPIRY_SECONDS
+        return lease * (1 + 2 * CLOCK_RATE_ERROR) + 2 * CLOCK_MARGIN_SECONDS
+
+    # What sessions and orders ask.
+
+    def may_order(self) -> bool:
+        """Return whether no other leader can have taken over unseen for long."""
+        if self.election.term is not self.term:
+            return False
+        confirmed_at = self.election.confirmed_at
+        if confirmed_at < self.must_confirm_after:
+            return False
+        if self.clock.steady() - confirmed_at <= CONFIRMATION_SECONDS:
+            return True
+        return self.store.peers_lack_store()
+
+    def on_job_changed(self, job: JobRow) -> None:
+        """Have a job's progress written and the queue looked at."""
+        if job.is_final():
+            self.tables.open_jobs.pop(job.accepted.job_id, None)
+            if not job.finished_at_ms:
+                job.finished_at_ms = int(self.clock.wall() * 1000)
+        self.recorder.mark(job)
+        self.wake.set()
+
+    def on_room_changed(self) -> None:
+        """Have the queue looked at."""
+        self.wake.set()
+
+    def on_fenced(self) -> None:
+        """End the term: a target has seen a newer epoch."""
+        if self.election.term is self.term:
+            self.election.resign("a target has seen a newer epoch")
+
+    # The term.
+
+    async def run(self) -> None:
+        """Recover, then schedule until the term ends."""
+        try:
+            if await self.recover():
+                await self.serve()
+        finally:
+            for task in list(self.tasks):
+                task.cancel()
+            await asyncio.gather(*self.tasks, return_exceptions=True)
+            log.info("term ended", epoch=self.epoch)
+
+    def in_office(self) -> bool:
+        """Return whether the term goes on."""
+        return self.election.term is self.term
+
+    def spawn(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[Any]:
+        """Run ``work`` until the term ends."""
+        task = asyncio.create_task(work)
+        self.tasks.add(task)
+        task.add_done_callback(self.on_task_done)
+        return task
+
+    def on_task_done(self, task: asyncio.Task[Any]) -> None:
+        """Log a defect in a task; the others go on."""
+        self.tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            self.metrics.count("task_errors")
+            log.error("task failed", exc_info=task.exception())
+
+    async def recover(self) -> bool:
+        """Read the used targets; return whether the term still goes on."""
+        while self.in_office():
+            used = await read_table(self.store, TABLE_TARGETS, PARTITION)
+            if not isinstance(used, Failure):
+                break
+            await asyncio.sleep(FEED_RETRY_SECONDS)
+        else:
+            return False
+        for row in used.unwrap().rows:
+            self.add_used_target(row)
+        self.jobs_watcher = create_table_watcher(
+            self.store,
+            self.clock,
+            TABLE_JOBS,
+            PARTITION,
+            self.on_job_rows,
+            self.on_job_rows,
+        )
+        self.targets_watcher = create_table_watcher(
+            self.store,
+            self.clock,
+            self.words.target_table(),
+            "",
+            self.on_target_snapshot,
+            self.on_target_rows,
+        )
+        while self.in_office():
+            known = await asyncio.gather(
+                self.jobs_watcher.step(), self.targets_watcher.step()
+            )
+            if all(known):
+                break
+            await asyncio.sleep(FEED_RETRY_SECONDS)
+        for job in self.tables.jobs.values():
+            job.known_before_term = True
+        self.recovered = True
+        log.info(
+            "state read",
+            epoch=self.epoch,
+            jobs=len(self.tables.jobs),
+            open_jobs=len(self.tables.open_jobs),
+            targets=len(self.tables.targets),
+        )
+        return self.in_office()
+
+    async def serve(self) -> None:
+        """Tick until the term ends."""
+        self.spawn(self.jobs_watcher.run())
+        self.spawn(self.targets_watcher.run())
+        self.spawn(self.recorder.run())
+        self.last_tick = self.clock.steady()
+        while self.in_office():
+            try:
+                await asyncio.wait_for(self.wake.wait(), TICK_SECONDS)
+            except TimeoutError:
+                pass
+            await asyncio.sleep(TICK_DELAY_SECONDS)
+            self.wake.clear()
+            self.tick()
+
+    # Rows.
+
+    def add_used_target(self, row: StoredRow) -> None:
+        """Enter a target that an earlier leader may have given work to."""
+        target_id = row.key.key
+        self.recorder.target_versions[target_id] = row.version
+        record = codec.decode(row.value or b"", UsedTarget)
+        if isinstance(record, Failure):
+            log.error("target row unreadable", target=target_id, version=row.version)
+            return
+        used = record.unwrap()
+        report = TargetReport(
+            target_id=target_id,
+            address=used.address,
+            service=used.service,
+            zone=used.zone,
+            rack=used.rack,
+            labels=frozenset(),
+            room=Room(),
+            draining=True,
+            born_ms=0,
+        )
+        self.add_target(TargetRow(report, listed=False, recorded=True))
+
+    def add_target(self, target: TargetRow) -> None:
+        """Enter a target and begin its session."""
+        target_id = target.report.target_id
+        self.tables.targets[target_id] = target
+        session = create_target_session(
+            self, self.tables, target, self.targets, self.clock, self.metrics
+        )
+        self.sessions[target_id] = session
+        self.session_tasks[target_id] = self.spawn(session.run())
+        if not target.recorded:
+            self.recorder.wake.set()
+
+    def on_target_snapshot(self, rows: tuple[StoredRow, ...]) -> None:
+        """Take the list of targets as it is now."""
+        present = {row.key.key for row in rows}
+        self.on_target_rows(rows)
+        for target_id, target in self.tables.targets.items():
+            if target_id not in present:
+                target.listed = False
+
+    def on_target_rows(self, rows: tuple[StoredRow, ...]) -> None:
+        """Take changes of the list of targets."""
+        for row in rows:
+            if row.value is None:
+                self.on_target_removed(row.key.key)
+                continue
+            report = self.words.target(row)
+            if isinstance(report, Failure):
+                self.metrics.count("target_rows_refused")
+                log.info("target row refused", target=row.key.key, why=report.failure())
+                self.on_target_removed(row.key.key)
+                continue
+            self.on_target_report(report.unwrap())
+        self.wake.set()
+
+    def on_target_removed(self, target_id: str) -> None:
+        """Give no more work to a target that is off the list."""
+        target = self.tables.targets.get(target_id)
+        if target is not None and target.listed:
+            target.listed = False
+            log.info("target unlisted", target=target_id, runs=len(target.runs))
+
+    def on_target_report(self, report: TargetReport) -> None:
+        """Enter or update a target."""
+        target = self.tables.targets.get(report.target_id)
+        if target is None:
+            log.info("target listed", target=report.target_id, zone=report.zone)
+            self.add_target(TargetRow(report))
+            return
+        if report.draining and not target.report.draining:
+            log.info("target draining", target=report.target_id, runs=len(target.runs))
+        moved = target.report.address != report.address
+        target.report = report
+        target.listed = True
+        session = self.sessions[report.target_id]
+        if moved or (target.born_ms and report.born_ms > target.born_ms):
+            target.touched = False
+            session.wake.set()
+
+    def on_job_rows(self, rows: tuple[StoredRow, ...]) -> None:
+        """Take accepted jobs and wishes to cancel; progress only from before."""
+        for row in rows:
+            key = row.key.key
+            if row.value is None or key.endswith((CANCEL_SUFFIX, PROGRESS_SUFFIX)):
+                continue
+            if key not in self.tables.jobs:
+                self.add_job(row)
+        for row in rows:
+            key = row.key.key
+            if row.value is not None and key.endswith(PROGRESS_SUFFIX):
+                self.restore_job(key.removesuffix(PROGRESS_SUFFIX), row)
+        for row in rows:
+            key = row.key.key
+            if row.value is not None and key.endswith(CANCEL_SUFFIX):
+                self.cancel_job(key.removesuffix(CANCEL_SUFFIX), row)
+        self.wake.set()
+
+    def add_job(self, row: StoredRow) -> None:
+        """Enter an accepted job."""
+        record = codec.decode(row.value or b"", AcceptedJob)
+        if isinstance(record, Failure):
+            log.error("job row unreadable", request_id=row.key.key, version=row.version)
+            return
+        job = JobRow(record.unwrap(), arrived_at=self.clock.steady())
+        self.tables.jobs[job.accepted.job_id] = job
+        self.tables.open_jobs[job.accepted.job_id] = job
+        log.info(
+            "job queued",
+            request_id=job.accepted.job_id,
+            version=row.version,
+            queue=job.accepted.queue,
+            priority=job.accepted.priority,
+            tasks=sum(step.tasks for step in job.accepted.spec.steps),
+        )
+
+    def restore_job(self, job_id: str, row: StoredRow) -> None:
+        """Take the progress that an earlier leader wrote."""
+        job = self.tables.jobs.get(job_id)
+        if job is None or job.recorded is not None or job.changes:
+            return
+        record = codec.decode(row.value or b"", JobProgress)
+        if isinstance(record, Failure):
+            log.error("progress unreadable", request_id=job_id, version=row.version)
+            return
+        job.restore(record.unwrap())
+        job.progress_version = row.version
+        if job.is_final():
+            self.tables.open_jobs.pop(job_id, None)
+
+    def cancel_job(self, job_id: str, row: StoredRow) -> None:
+        """Take a wish to cancel."""
+        job = self.tables.jobs.get(job_id)
+        if job is None or job.cancelled:
+            return
+        job.cancelled = True
+        if job.is_final():
+            return
+        update_state(job)
+        log.info(
+            "job cancelled",
+            request_id=job_id,
+            version=row.version,
+            state=job.state.value,
+        )
+        self.on_job_changed(job)
+
+    # The tick.
+
+    def tick(self) -> None:
+        """Look at all tables once and carry out what they ask for."""
+        now = self.clock.steady()
+        if now - self.last_tick > SUSPENSION_SECONDS:
+            log.warning("process was suspended", seconds=round(now - self.last_tick, 3))
+            self.must_confirm_after = now
+        self.last_tick = now
+        for session in self.sessions.values():
+            session.check_lease()
+        self.remove_gone_targets()
+        self.update_doubt(now)
+        if not self.may_order():
+            return
+        self.stop_stalled(now)
+        for run in runs_to_stop(self.tables):
+            self.stop_run(run, "not needed")
+        if self.draining:
+            return
+        moment = Moment(now, self.clock.wall(), self.in_doubt)
+        decisions = self.scheduler.decide(self.operators(), moment)
+        for run in decisions.stops:
+            self.stop_run(run, "room reclaimed")
+        for placement in decisions.placements:
+            self.start_all(placement)
+
+    def update_doubt(self, now: float) -> None:
+        """End the doubt about older runs once all targets are touched or lapsed."""
+        if not self.in_doubt:
+            return
+        untouched = [t for t in self.tables.targets.values() if not t.touched]
+        if not untouched or now >= self.in_doubt_until:
+            self.in_doubt = False
+            log.info("recovered", epoch=self.epoch, untouched=len(untouched))
+
+    def remove_gone_targets(self) -> None:
+        """Drop targets that are off the list, hold no run and do not answer."""
+        now = self.clock.steady()
+        for target_id, target in list(self.tables.targets.items()):
+            if target.listed or target.runs or target.seen > target.acknowledged:
+                continue
+            if target.reachable and target.touched:
+                continue
+            if now < self.in_doubt_until or target.silent_holds < 3:
+                continue
+            if target.clock is not None and not target.clock.has_passed(
+                target.lease_ends_ms, now
+            ):
+                continue
+            log.info("target removed", target=target_id)
+            del self.tables.targets[target_id]
+            del self.sessions[target_id]
+            self.session_tasks.pop(target_id).cancel()
+            self.recorder.forget_target(target_id)
+
+    def stop_stalled(self, now: float) -> None:
+        """Stop runs without progress, and set their targets aside."""
+        for run in stalled_runs(self.tables, now):
+            target = self.tables.targets[run.target_id]
+            set_aside(target, now)
+            task = self.tables.task(run.key.task)
+            if task is not None:
+                task.failed_on.add(run.target_id)
+            self.stop_run(run, "no progress")
+
+    def stop_run(self, run: RunRow, why: str) -> None:
+        """Stop a run; its room stays taken until its end is listed."""
+        run.phase = RunPhase.STOPPING
+        target = self.tables.targets[run.target_id]
+        log.info(
+            "run stopping",
+            request_id=run.key.task.step.job_id,
+            task=run.key.task.index,
+            attempt=run.key.attempt,
+            target=run.target_id,
+            why=why,
+        )
+        self.metrics.count("stops", why=why)
+        self.sessions[run.target_id].wake.set()
+        self.spawn(self.orders.stop(target, run))
+
+    def start_all(self, placement: Placement) -> None:
+        """Start the tasks of a step; a gang shares one attempt number."""
+        now = self.clock.steady()
+        step = placement.step
+        job = self.tables.jobs[step.key.job_id]
+        self.attempts += 1
+        attempt = (self.epoch << ATTEMPTS_PER_TERM_BITS) + self.attempts
+        # All members carry the same checkpoint, as a gang resumes as one.
+        shared = placement.starts[0][0].checkpoint if step.spec.gang else None
+        for task, target in placement.starts:
+            run = RunRow(
+                key=RunKey(task.key, attempt),
+                target_id=target.report.target_id,
+                room=accounted_room(step.spec),
+                priority=placement.priority,
+                phase=RunPhase.STARTING,
+                started_at=now,
+                moved_at=now,
+                checkpoint=task.checkpoint if shared is None else shared,
+            )
+            target.runs[run.key] = run
+            task.run = run
+            self.sessions[run.target_id].wake.set()
+            self.spawn(self.orders.start(target, run))
+        step.begun = True
+        self.metrics.count("starts", len(placement.starts))
+        log.info(
+            "step started",
+            request_id=step.key.job_id,
+            step=step.key.step,
+            occurrence=step.key.occurrence,
+            attempt=attempt,
+            epoch=self.epoch,
+            targets=[target.report.target_id for _, target in placement.starts][:8],
+            waited=round(now - step.ready_at, 3),
+        )
+        if not job.started:
+            job.started = True
+            if job.state is JobState.QUEUED:
+                job.state = JobState.ACTIVE
+            self.on_job_changed(job)
+
+    def waiting_counts(self) -> dict[str, int]:
+        """Return how many accepted jobs of each queue have not started."""
+        counts: dict[str, int] = {}
+        for job in self.tables.open_jobs.values():
+            if not job.started:
+                counts[job.accepted.queue] = counts.get(job.accepted.queue, 0) + 1
+        return counts
--- /dev/null
+++ b/src/egretloft/_internal/fleet/models.py
@@ -0,0 +1,281 @@
+"""Values of the fleet scheduler. No I/O."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+GPUS_PER_WHOLE_TARGET = 8
+
+
+@dataclass(slots=True, frozen=True)
+class Room:
+    """Amounts of what a target has: thousandths of a core, MB and accelerators."""
+
+    cpu: int = 0
+    memory_mb: int = 0
+    gpus: int = 0
+
+    def holds(self, other: Room) -> bool:
+        """Return whether ``other`` fits into this room."""
+        return (
+            other.cpu <= self.cpu
+            and other.memory_mb <= self.memory_mb
+            and other.gpus <= self.gpus
+        )
+
+    def plus(self, other: Room) -> Room:
+        """Return the sum."""
+        return Room(
+            self.cpu + other.cpu,
+            self.memory_mb + other.memory_mb,
+            self.gpus + other.gpus,
+        )
+
+    def minus(self, other: Room) -> Room:
+        """Return the difference; it may be negative."""
+        return Room(
+            self.cpu - other.cpu,
+            self.memory_mb - other.memory_mb,
+            self.gpus - other.gpus,
+        )
+
+
+@dataclass(slots=True, frozen=True)
+class StepSpec:
+    """Tasks of one kind in a job.
+
+    ``estimate_ms`` is the caller's rough estimate of one task's run time. ``after``
+    holds the numbers of the steps that must be done first. ``data_rack`` is where the
+    data is; a task runs ``remote_factor`` times as long elsewhere. ``max_per_target``
+    of 0 means no limit.
+    """
+
+    tasks: int
+    room: Room
+    estimate_ms: int = 0
+    after: tuple[int, ...] = ()
+    checkpoints: bool = False
+    gang: bool = False
+    same_rack: bool = False
+    label: str = ""
+    data_rack: str = ""
+    max_per_target: int = 0
+    speculative: bool = False
+    lasting: bool = False
+    image: str = ""
+    tail_target_ms: int = 0
+    best_effort_cpu: bool = False
+    max_unavailable: int = 0
+
+
+@dataclass(slots=True, frozen=True)
+class JobSpec:
+    """A job as a caller submitted it.
+
+    ``occurrences`` of 0 means that the steps run once, at once; otherwise occurrence K
+    is due at ``start_at_ms + K * interval_ms`` (Unix milliseconds).
+    """
+
+    payload: str
+    steps: tuple[StepSpec, ...]
+    occurrences: int = 0
+    start_at_ms: int = 0
+    interval_ms: int = 0
+
+
+@dataclass(slots=True, frozen=True)
+class Queue:
+    """A route of the configuration; ``priority`` 0 comes first."""
+
+    name: str
+    host: str
+    path_prefix: str
+    service: str
+    priority: int
+    attempts: int
+    slack_factor: float
+    latency_target_ms: int
+    public: bool
+    advised: bool = False
+
+
+@dataclass(slots=True, frozen=True)
+class Organisation:
+    """A holder of keys and of a guarantee in accelerators."""
+
+    name: str
+    keys: frozenset[str]
+    guaranteed_gpus: int
+
+
+@dataclass(slots=True, frozen=True)
+class Configuration:
+    """One version of the operators' configuration."""
+
+    version: int
+    queues: tuple[Queue, ...]
+    guarded_services: frozenset[str]
+    organisations: tuple[Organisation, ...]
+    max_body_bytes: int
+
+    def organisation_of_key(self, key: str) -> Organisation | None:
+        """Return the holder of ``key``."""
+        for organisation in self.organisations:
+            if key in organisation.keys:
+                return organisation
+        return None
+
+    def queue_of(self, host: str, path: str) -> Queue | None:
+        """Return the queue of ``host`` with the longest prefix of ``path``."""
+        best: Queue | None = None
+        for queue in self.queues:
+            if queue.host != host or not path.startswith(queue.path_prefix):
+                continue
+            if best is None or len(queue.path_prefix) > len(best.path_prefix):
+                best = queue
+        return best
+
+
+class JobState(StrEnum):
+    """State of a job as callers see it."""
+
+    QUEUED = "queued"
+    ACTIVE = "active"
+    COMPLETE = "complete"
+    FAILED = "failed"
+    CANCELLED = "cancelled"
+
+
+FINAL_STATES = frozenset({JobState.COMPLETE, JobState.FAILED, JobState.CANCELLED})
+
+
+class EndKind(StrEnum):
+    """How a run ended on its target."""
+
+    DONE = "done"
+    FAILED = "failed"
+    STOPPED = "stopped"
+    LAPSED = "lapsed"
+    BROKEN = "broken"
+    ALONE = "alone"
+
+
+@dataclass(slots=True, frozen=True, order=True)
+class StepKey:
+    """Names a step of one occurrence of a job."""
+
+    job_id: str
+    occurrence: int
+    step: int
+
+
+@dataclass(slots=True, frozen=True, order=True)
+class TaskKey:
+    """Names a task."""
+
+    step: StepKey
+    index: int
+
+
+@dataclass(slots=True, frozen=True)
+class RunKey:
+    """Names one start of a task; ``attempt`` rises with every start."""
+
+    task: TaskKey
+    attempt: int
+
+
+@dataclass(slots=True, frozen=True)
+class ActiveRun:
+    """A run that a target reports as present."""
+
+    run: RunKey
+    checkpoint: str
+    percent: int
+
+
+@dataclass(slots=True, frozen=True)
+class RunEnd:
+    """An end that a target reports; ``number`` rises in each life of the target."""
+
+    number: int
+    run: RunKey
+    kind: EndKind
+    checkpoint: str
+
+
+@dataclass(slots=True, frozen=True)
+class TargetReport:
+    """What a target says of itself in the platform's list."""
+
+    target_id: str
+    address: str
+    service: str
+    zone: str
+    rack: str
+    labels: frozenset[str]
+    room: Room
+    draining: bool
+    born_ms: int
+    remaining_ms: int | None = None
+
+
+@dataclass(slots=True, frozen=True)
+class HoldAnswer:
+    """Answer to a lease renewal: the target's clock and both lists of runs."""
+
+    target_time_ms: int
+    born_ms: int
+    active: tuple[ActiveRun, ...]
+    ends: tuple[RunEnd, ...]
+
+
+class StartRefusal(StrEnum):
+    """Why a target did not start a run."""
+
+    FENCED = "fenced"
+    SUPERSEDED = "superseded"
+    LATE = "late"
+    NO_ROOM = "no_room"
+    TICKET = "ticket"
+    INVALID = "invalid"
+    UNHEALTHY = "unhealthy"
+    OTHER_LIFE = "other_life"
+
+
+@dataclass(slots=True, frozen=True)
+class StartOrder:
+    """An order to start a task. ``expires_at_ms`` is on the target's clock."""
+
+    run: RunKey
+    payload: str
+    expires_at_ms: int
+    epoch: int
+    checkpoint: str
+    ticket: str = ""
+
+
+class TargetFailureKind(StrEnum):
+    """What is known of an order without success."""
+
+    REFUSED = "refused"
+    UNKNOWN = "unknown"
+
+
+@dataclass(slots=True, frozen=True)
+class TargetFailure:
+    """An order to a target that did not succeed."""
+
+    kind: TargetFailureKind
+    message: str
+    refusal: StartRefusal | None = None
+    target_time_ms: int | None = None
+
+
+@dataclass(slots=True, frozen=True)
+class OperatorState:
+    """The operators' wishes as last read from the store."""
+
+    configuration: Configuration | None = None
+    evacuated_zones: frozenset[str] = field(default_factory=frozenset)
--- /dev/null
+++ b/src/egretloft/_internal/fleet/operators.py
@@ -0,0 +1,83 @@
+"""The operators' wishes, followed by every instance."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+import structlog
+from returns.result import Failure
+
+from egretloft._internal.fleet.interfaces import PlatformWords, StoredRow
+from egretloft._internal.fleet.models import Configuration, OperatorState
+from egretloft._internal.metrics import Metrics
+
+log = structlog.get_logger(__name__)
+
+
+class OperatorView:
+    """The newest configuration and the zones that are out of service.
+
+    A configuration never gives way to an older one.
+    """
+
+    def __init__(self, words: PlatformWords, metrics: Metrics) -> None:
+        self.words = words
+        self.metrics = metrics
+        self.state = OperatorState()
+
+    def current(self) -> OperatorState:
+        """Return the state as last read."""
+        return self.state
+
+    def on_snapshot(self, rows: tuple[StoredRow, ...]) -> None:
+        """Take all rows as they are now."""
+        zones = {self.words.evacuated_zone(row) for row in rows if row.value}
+        self.set_zones(frozenset(zone for zone in zones if zone is not None))
+        for row in rows:
+            self.take_configuration(row)
+
+    def on_rows(self, rows: tuple[StoredRow, ...]) -> None:
+        """Take changed rows."""
+        for row in rows:
+            zone = self.words.evacuated_zone(row)
+            if zone is not None and row.value is None:
+                self.set_zones(self.state.evacuated_zones - {zone})
+            elif zone is not None:
+                self.set_zones(self.state.evacuated_zones | {zone})
+            else:
+                self.take_configuration(row)
+
+    def set_zones(self, zones: frozenset[str]) -> None:
+        """Note the zones that are out of service."""
+        if zones != self.state.evacuated_zones:
+            log.info("zones out of service", zones=sorted(zones))
+            self.state = replace(self.state, evacuated_zones=zones)
+
+    def take_configuration(self, row: StoredRow) -> None:
+        """Put a newer configuration in force."""
+        if row.value is None:
+            return
+        result = self.words.configuration(row)
+        if result is None:
+            return
+        if isinstance(result, Failure):
+            self.metrics.count("configurations_refused")
+            log.error("configuration refused", version=row.version, why=result.failure())
+            return
+        configuration: Configuration = result.unwrap()
+        current = self.state.configuration
+        if current is not None and current.version >= configuration.version:
+            return
+        self.state = replace(self.state, configuration=configuration)
+        log.info(
+            "configuration in force",
+            version=configuration.version,
+            row_version=row.version,
+            queues=len(configuration.queues),
+            organisations=len(configuration.organisations),
+        )
+
+
+def create_operator_view(words: PlatformWords, metrics: Metrics) -> OperatorView:
+    """Return a view without a configuration."""
+    return OperatorView(words, metrics)
--- /dev/null
+++ b/src/egretloft/_internal/fleet/orders.py
@@ -0,0 +1,175 @@
+"""Starts and stops of runs, sent until it is certain what became of them.
+
+A start is repeated with the same attempt number, which a target carries out once; it
+expires on the target's clock, so a copy that arrives late has no effect.
+"""
+
+from __future__ import annotations
+
+import asyncio
+
+import structlog
+from returns.result import Failure
+
+from egretloft._internal.fleet.clocks import MILLISECONDS
+from egretloft._internal.fleet.constants import (
+    ORDER_ANSWER_SECONDS,
+    START_EXPIRY_SECONDS,
+)
+from egretloft._internal.fleet.interfaces import FleetClock, Targets
+from egretloft._internal.fleet.lifecycle import remove_run
+from egretloft._internal.fleet.models import (
+    StartOrder,
+    StartRefusal,
+    TargetFailure,
+    TargetFailureKind,
+)
+from egretloft._internal.fleet.sessions import Office
+from egretloft._internal.fleet.tables import FleetTables, RunPhase, RunRow, TargetRow
+from egretloft._internal.metrics import Metrics
+
+log = structlog.get_logger(__name__)
+
+START_TRIES = 3
+# Pause between repeats of a stop.
+STOP_RETRY_SECONDS = 0.2
+# A target that answers that it does nothing now is left alone for this long.
+UNHEALTHY_SECONDS = 1.0
+
+
+class Orders:
+    """Sends starts and stops for one leader."""
+
+    def __init__(
+        self,
+        office: Office,
+        tables: FleetTables,
+        targets: Targets,
+        clock: FleetClock,
+        metrics: Metrics,
+    ) -> None:
+        self.office = office
+        self.tables = tables
+        self.targets = targets
+        self.clock = clock
+        self.metrics = metrics
+
+    async def start(self, target: TargetRow, run: RunRow) -> None:
+        """Order a start until it is confirmed or certainly had no effect."""
+        doubtful = False
+        for _ in range(START_TRIES):
+            if run.phase is not RunPhase.STARTING or not self.office.may_order():
+                return
+            order = self.start_order(target, run)
+            if order is None:
+                return
+            sent = self.clock.steady()
+            result = await self.targets.start(
+                target.report, order, ORDER_ANSWER_SECONDS
+            )
+            if not isinstance(result, Failure):
+                self.on_started(target, run, result.unwrap(), sent)
+                return
+            failure = result.failure()
+            if failure.kind is TargetFailureKind.REFUSED:
+                self.on_refused(target, run, failure, doubtful)
+                return
+            doubtful = True
+            self.metrics.count("start_unanswered")
+        log.warning(
+            "start in doubt",
+            request_id=run.key.task.step.job_id,
+            task=run.key.task.index,
+            attempt=run.key.attempt,
+            target=run.target_id,
+            expires_ms=int(run.order_expires_ms),
+        )
+
+    def start_order(self, target: TargetRow, run: RunRow) -> StartOrder | None:
+        """Return the order, with one expiry for all its copies."""
+        job = self.tables.jobs.get(run.key.task.step.job_id)
+        task = self.tables.task(run.key.task)
+        if job is None or task is None or target.clock is None:
+            return None
+        if not run.order_expires_ms:
+            now_ms = target.clock.earliest_ms(self.clock.steady())
+            run.order_expires_ms = now_ms + START_EXPIRY_SECONDS * MILLISECONDS
+        return StartOrder(
+            run=run.key,
+            payload=job.accepted.spec.payload,
+            expires_at_ms=int(run.order_expires_ms),
+            epoch=self.office.epoch,
+            checkpoint=run.checkpoint,
+        )
+
+    def on_started(
+        self, target: TargetRow, run: RunRow, target_ms: int, sent: float
+    ) -> None:
+        """Note a confirmed start."""
+        now = self.clock.steady()
+        if target.clock is not None:
+            target.clock.observe(target_ms, sent, now)
+        target.lease_ends_ms = max(target.lease_ends_ms, run.order_expires_ms)
+        run.confirmed = True
+        run.moved_at = now
+        if run.phase is RunPhase.STARTING:
+            run.phase = RunPhase.ACTIVE
+        self.metrics.observe_seconds("start_seconds", now - sent)
+
+    def on_refused(
+        self,
+        target: TargetRow,
+        run: RunRow,
+        failure: TargetFailure,
+        doubtful: bool,
+    ) -> None:
+        """Free the run's room, unless an earlier copy may have been carried out."""
+        refusal = failure.refusal
+        self.metrics.count(
+            "start_refusals", reason=refusal.value if refusal else "unreachable"
+        )
+        log.info(
+            "start refused",
+            request_id=run.key.task.step.job_id,
+            task=run.key.task.index,
+            attempt=run.key.attempt,
+            target=run.target_id,
+            epoch=self.office.epoch,
+            reason=refusal.value if refusal else failure.message,
+        )
+        if refusal is StartRefusal.FENCED:
+            self.office.on_fenced()
+            return
+        if doubtful:
+            return
+        remove_run(target, run, self.tables.task(run.key.task))
+        now = self.clock.steady()
+        target.avoided_until = max(target.avoided_until, now + UNHEALTHY_SECONDS)
+        self.office.on_room_changed()
+
+    async def stop(self, target: TargetRow, run: RunRow) -> None:
+        """Order a stop until it is answered or the run has ended."""
+        while run.key in target.runs and self.office.may_order():
+            result = await self.targets.stop(
+                target.report, run.key, self.office.epoch, ORDER_ANSWER_SECONDS
+            )
+            if not isinstance(result, Failure):
+                run.stop_confirmed_at = self.clock.steady()
+                return
+            failure = result.failure()
+            if failure.refusal is StartRefusal.FENCED:
+                self.office.on_fenced()
+                return
+            self.metrics.count("stop_failures")
+            await asyncio.sleep(STOP_RETRY_SECONDS)
+
+
+def create_orders(
+    office: Office,
+    tables: FleetTables,
+    targets: Targets,
+    clock: FleetClock,
+    metrics: Metrics,
+) -> Orders:
+    """Return the orders of one leader."""
+    return Orders(office, tables, targets, clock, metrics)
--- /dev/null
+++ b/src/egretloft/_internal/fleet/reclaiming.py
@@ -0,0 +1,134 @@
+"""Choice of runs that make room for an urgent step.
+
+Answers borrowed accelerators that an urgent job needs back: runs of lower priority
+are stopped in the order of the least work lost, and only where the whole step then
+fits.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from egretloft._internal.fleet.models import Room
+from egretloft._internal.fleet.placing import (
+    FreeRoom,
+    Plan,
+    free_room,
+    place_gang,
+    place_tasks,
+)
+from egretloft._internal.fleet.tables import (
+    FleetTables,
+    RunPhase,
+    RunRow,
+    StepRow,
+    TargetRow,
+)
+
+# A GPU counts as this many cores in work that is lost.
+CORES_PER_GPU = 8
+MILLICORES = 1000
+# Work that a checkpointing task loses at most, in seconds.
+CHECKPOINT_LOSS_SECONDS = 1.0
+
+
+@dataclass(slots=True, frozen=True)
+class Reclaim:
+    """Runs to stop, and the plan for the step that needs their room."""
+
+    victims: tuple[RunRow, ...]
+    plan: Plan
+
+
+def lost_work(tables: FleetTables, run: RunRow, now: float) -> float:
+    """Return the core-seconds that a stop would throw away."""
+    cores = run.room.cpu / MILLICORES + run.room.gpus * CORES_PER_GPU
+    worked = max(0.0, now - run.started_at)
+    job = tables.jobs.get(run.key.task.step.job_id)
+    if job is not None:
+        spec = job.accepted.spec.steps[run.key.task.step.step]
+        if spec.checkpoints:
+            worked = min(worked, CHECKPOINT_LOSS_SECONDS)
+        if spec.gang:
+            cores *= spec.tasks
+    return cores * worked
+
+
+def room_without(target: TargetRow, priority: int) -> FreeRoom:
+    """Return the room if all runs below ``priority`` were gone."""
+    room = target.report.room
+    for run in target.runs.values():
+        if run.priority <= priority and run.phase is not RunPhase.STOPPING:
+            room = room.minus(run.room)
+    return FreeRoom(target, room.cpu, room.memory_mb, room.gpus)
+
+
+def plan_reclaim(
+    tables: FleetTables,
+    step: StepRow,
+    targets: list[TargetRow],
+    reserved: dict[str, Room],
+    priority: int,
+    spread: bool,
+    now: float,
+) -> Reclaim | None:
+    """Return which runs to stop so that the waiting tasks of ``step`` fit.
+
+    ``reserved`` is room by target that is promised to steps further ahead.
+    """
+    rooms = []
+    for target in targets:
+        free = room_without(target, priority)
+        free.take(reserved.get(target.report.target_id, Room()))
+        rooms.append(free)
+    if step.spec.gang:
+        plan = place_gang(step, rooms, spread)
+    else:
+        plan = place_tasks(step, step.waiting(), rooms)
+    if plan is None or not plan.entries:
+        return None
+    victims: dict[int, RunRow] = {}
+    for free in {id(free): free for _, free in plan.entries}.values():
+        for run in victims_on(tables, free, plan, reserved, priority, now):
+            victims[id(run)] = run
+    return Reclaim(tuple(victims.values()), plan)
+
+
+def victims_on(
+    tables: FleetTables,
+    free: FreeRoom,
+    plan: Plan,
+    reserved: dict[str, Room],
+    priority: int,
+    now: float,
+) -> list[RunRow]:
+    """Return the cheapest runs whose end makes room for the plan on one target."""
+    target = free.target
+    needed = Room()
+    for _, planned in plan.entries:
+        if planned is free:
+            needed = needed.plus(plan.room)
+    needed = needed.plus(reserved.get(target.report.target_id, Room()))
+    available = free_room(target)
+    for run in target.runs.values():
+        if run.phase is RunPhase.STOPPING:
+            available.give(run.room)
+    candidates = [
+        run
+        for run in target.runs.values()
+        if run.priority > priority and run.phase is not RunPhase.STOPPING
+    ]
+    candidates.sort(key=lambda run: lost_work(tables, run, now))
+    chosen: list[RunRow] = []
+    for run in candidates:
+        if available.holds(needed):
+            break
+        chosen.append(run)
+        available.give(run.room)
+    for run in reversed(list(chosen)):
+        available.take(run.room)
+        if available.holds(needed):
+            chosen.remove(run)
+        else:
+            available.give(run.room)
+    return chosen
--- /dev/null
+++ b/src/egretloft/_internal/fleet/recorder.py
@@ -0,0 +1,221 @@
+"""Group commit of what the leader learns, conditional on its epoch.
+
+Targets forget an end only after the store holds it, and callers see a state only after
+that too.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass, field
+
+import structlog
+from returns.result import Failure
+
+from egretloft._internal import codec
+from egretloft._internal.fleet.constants import (
+    PARTITION,
+    ROWS_PER_TRANSACTION,
+    STORE_CALL_SECONDS,
+    TABLE_TARGETS,
+)
+from egretloft._internal.fleet.election import LEADER_KEY, Election
+from egretloft._internal.fleet.interfaces import (
+    Expectation,
+    RowKey,
+    RowStore,
+    RowTransaction,
+    StoredRow,
+    StoreFailureKind,
+)
+from egretloft._internal.fleet.models import JobState
+from egretloft._internal.fleet.records import UsedTarget, progress_key
+from egretloft._internal.fleet.tables import FleetTables, JobRow, TargetRow
+from egretloft._internal.metrics import Metrics
+
+log = structlog.get_logger(__name__)
+
+# Pause after a failed write.
+RETRY_SECONDS = 0.1
+# Changes within this time are written together.
+GROUP_SECONDS = 0.003
+
+
+@dataclass(slots=True)
+class Batch:
+    """Rows of one transaction and what its success means."""
+
+    jobs: list[tuple[JobRow, int, JobState]] = field(default_factory=list)
+    targets: list[TargetRow] = field(default_factory=list)
+    removals: list[str] = field(default_factory=list)
+    finished_jobs: list[str] = field(default_factory=list)
+
+    def is_empty(self) -> bool:
+        """Return whether there is nothing to write."""
+        return not (self.jobs or self.targets or self.removals or self.finished_jobs)
+
+
+class Recorder:
+    """Writes progress and used targets."""
+
+    def __init__(
+        self,
+        store: RowStore,
+        election: Election,
+        tables: FleetTables,
+        metrics: Metrics,
+    ) -> None:
+        self.store = store
+        self.election = election
+        self.tables = tables
+        self.metrics = metrics
+        self.wake = asyncio.Event()
+        self.dirty: dict[str, JobRow] = {}
+        self.target_versions: dict[str, int] = {}
+        self.gone_targets: set[str] = set()
+        self.on_recorded: list[asyncio.Event] = []
+        self.failing = False
+
+    def mark(self, job: JobRow) -> None:
+        """Have the job's progress written soon."""
+        job.touch()
+        self.dirty[job.accepted.job_id] = job
+        self.wake.set()
+
+    def forget_target(self, target_id: str) -> None:
+        """Have the row of a target that holds nothing any more removed."""
+        if target_id in self.target_versions:
+            self.gone_targets.add(target_id)
+            self.wake.set()
+
+    async def run(self) -> None:
+        """Write batches until cancelled."""
+        while True:
+            await self.wake.wait()
+            await asyncio.sleep(GROUP_SECONDS)
+            self.wake.clear()
+            if not await self.flush():
+                self.wake.set()
+                await asyncio.sleep(RETRY_SECONDS)
+
+    async def flush(self) -> bool:
+        """Write all that is unwritten; return whether the store holds it."""
+        seen = {t.report.target_id: t.seen for t in self.tables.targets.values()}
+        lives = {t.report.target_id: t.born_ms for t in self.tables.targets.values()}
+        while True:
+            batch = self.next_batch()
+            if batch.is_empty():
+                break
+            if not await self.write(batch):
+                return False
+        for target_id, number in seen.items():
+            target = self.tables.targets.get(target_id)
+            if target is not None and target.born_ms == lives[target_id]:
+                target.noted = max(target.noted, number)
+        for event in self.on_recorded:
+            event.set()
+        return True
+
+    def next_batch(self) -> Batch:
+        """Return the next rows to write."""
+        batch = Batch()
+        for job in list(self.dirty.values())[:ROWS_PER_TRANSACTION]:
+            batch.jobs.append((job, job.changes, job.state))
+        unrecorded = [t for t in self.tables.targets.values() if not t.recorded]
+        batch.targets = unrecorded[:ROWS_PER_TRANSACTION]
+        batch.removals = sorted(self.gone_targets)[: ROWS_PER_TRANSACTION // 2]
+        return batch
+
+    async def write(self, batch: Batch) -> bool:
+        """Write one batch; return whether the store holds it."""
+        term = self.election.term
+        if term is None:
+            return False
+        expectations = [Expectation(LEADER_KEY, term.leader_version)]
+        writes: list[tuple[RowKey, bytes | None]] = []
+        for job, _, _ in batch.jobs:
+            key = progress_key(job.accepted.job_id)
+            expectations.append(Expectation(key, job.progress_version))
+            writes.append((key, codec.encode(job.progress())))
+        for target in batch.targets:
+            key = target_key(target.report.target_id)
+            version = self.target_versions.get(target.report.target_id, 0)
+            expectations.append(Expectation(key, version))
+            writes.append((key, codec.encode(used_target(target))))
+        for target_id in batch.removals:
+            key = target_key(target_id)
+            expectations.append(Expectation(key, self.target_versions[target_id]))
+            writes.append((key, None))
+        result = await self.store.commit(
+            RowTransaction(tuple(expectations), tuple(writes)), STORE_CALL_SECONDS
+        )
+        if isinstance(result, Failure):
+            failure = result.failure()
+            self.metrics.count("record_failures", kind=failure.kind.value)
+            if not self.failing:
+                self.failing = True
+                log.warning("progress not recorded", error=failure.message)
+            if failure.kind is StoreFailureKind.CONFLICT:
+                self.on_conflict(failure.rows, term.leader_version)
+            return False
+        if self.failing:
+            self.failing = False
+            log.info("progress recorded again", jobs=len(batch.jobs))
+        self.on_written(batch, result.unwrap())
+        return True
+
+    def on_written(self, batch: Batch, version: int) -> None:
+        """Note what the store holds now."""
+        for job, changes, state in batch.jobs:
+            job.progress_version = version
+            job.recorded_changes = changes
+            if job.recorded is not state:
+                log.info(
+                    "job state recorded",
+                    request_id=job.accepted.job_id,
+                    state=state.value,
+                    version=version,
+                    epoch=self.election.term.epoch if self.election.term else 0,
+                )
+            job.recorded = state
+            if not job.is_dirty():
+                self.dirty.pop(job.accepted.job_id, None)
+        for target in batch.targets:
+            target.recorded = True
+            self.target_versions[target.report.target_id] = version
+        for target_id in batch.removals:
+            self.target_versions.pop(target_id, None)
+            self.gone_targets.discard(target_id)
+
+    def on_conflict(self, rows: tuple[StoredRow, ...], leader_version: int) -> None:
+        """Learn the versions of rows that an unanswered write left behind."""
+        for row in rows:
+            if row.key == LEADER_KEY:
+                self.election.on_rows((row,))
+                if row.version != leader_version:
+                    self.election.resign("the leader's row changed")
+                continue
+            if row.key.table == TABLE_TARGETS:
+                self.target_versions[row.key.key] = row.version
+                continue
+            for job in self.dirty.values():
+                if progress_key(job.accepted.job_id) == row.key:
+                    job.progress_version = row.version
+
+
+def target_key(target_id: str) -> RowKey:
+    """Return the key of a used target's row."""
+    return RowKey(TABLE_TARGETS, PARTITION, target_id)
+
+
+def used_target(target: TargetRow) -> UsedTarget:
+    """Return the row by which a successor finds the target."""
+    report = target.report
+    return UsedTarget(report.address, report.service, report.zone, report.rack)
+
+
+def create_recorder(
+    store: RowStore, election: Election, tables: FleetTables, metrics: Metrics
+) -> Recorder:
+    """Return a recorder with nothing to write."""
+    return Recorder(store, election, tables, metrics)
--- /dev/null
+++ b/src/egretloft/_internal/fleet/records.py
@@ -0,0 +1,118 @@
+"""Rows that egretloft keeps in the platform's store, as msgpack."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from egretloft._internal.fleet.constants import (
+    CANCEL_SUFFIX,
+    PARTITION,
+    PROGRESS_SUFFIX,
+    TABLE_JOBS,
+)
+from egretloft._internal.fleet.interfaces import RowKey
+from egretloft._internal.fleet.models import JobSpec, JobState
+
+
+@dataclass(slots=True, frozen=True)
+class AcceptedJob:
+    """A job as it was accepted; never changed. Times are Unix milliseconds."""
+
+    job_id: str
+    queue: str
+    service: str
+    organisation: str
+    priority: int
+    attempts: int
+    slack_factor: float
+    latency_target_ms: int
+    accepted_at_ms: int
+    spec: JobSpec
+    advised: bool = False
+
+
+@dataclass(slots=True)
+class StepProgress:
+    """What ended in one step of one occurrence.
+
+    ``failed`` maps a task's index to the attempts that ended as failed, ``saved`` to
+    the newest checkpoint.
+    """
+
+    occurrence: int
+    step: int
+    done: list[int] = field(default_factory=list)
+    failed: dict[int, list[int]] = field(default_factory=dict)
+    saved: dict[int, str] = field(default_factory=dict)
+
+
+@dataclass(slots=True)
+class JobProgress:
+    """State of a job, written by the leader before the targets forget its ends."""
+
+    state: JobState
+    started: bool = False
+    finished_at_ms: int = 0
+    steps: list[StepProgress] = field(default_factory=list)
+
+
+@dataclass(slots=True, frozen=True)
+class CancelRequest:
+    """A caller's wish to end a job."""
+
+    at_ms: int
+
+
+@dataclass(slots=True, frozen=True)
+class LeaderRecord:
+    """The leader in office. ``epoch`` is the fence of all its orders and writes."""
+
+    instance_id: str
+    incarnation: str
+    epoch: int
+
+
+@dataclass(slots=True, frozen=True)
+class BeatRecord:
+    """Sign of life of the leader, with the counts of waiting jobs per queue."""
+
+    epoch: int
+    number: int
+    released: bool = False
+    waiting: dict[str, int] = field(default_factory=dict)
+
+
+@dataclass(slots=True, frozen=True)
+class UsedTarget:
+    """A target that a leader may have given work to."""
+
+    address: str
+    service: str
+    zone: str
+    rack: str
+
+
+@dataclass(slots=True, frozen=True)
+class InstanceRecord:
+    """Where an instance can be reached by the others."""
+
+    instance_id: str
+    incarnation: str
+    peer_address: str
+    zone: str
+    region: str
+
+
+def job_key(job_id: str) -> RowKey:
+    """Return the key of the accepted job."""
+    return RowKey(TABLE_JOBS, PARTITION, job_id)
+
+
+def cancel_key(job_id: str) -> RowKey:
+    """Return the key of the wish to cancel."""
+    return RowKey(TABLE_JOBS, PARTITION, job_id + CANCEL_SUFFIX)
+
+
+def progress_key(job_id: str) -> RowKey:
+    """Return the key of the progress."""
+    return RowKey(TABLE_JOBS, PARTITION, job_id + PROGRESS_SUFFIX)
--- /dev/null
+++ b/src/egretloft/_internal/fleet/scheduler.py
@@ -0,0 +1,208 @@
+"""The scheduling tick: which waiting tasks start where, and which runs make room.
+
+Pure decisions over the tables; the leader carries them out.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from egretloft._internal.fleet.lifecycle import open_steps
+from egretloft._internal.fleet.models import OperatorState, Room
+from egretloft._internal.fleet.placing import (
+    FreeRoom,
+    Plan,
+    free_room,
+    may_spread,
+    place_gang,
+    place_tasks,
+)
+from egretloft._internal.fleet.queueing import WaitingStep, ordered
+from egretloft._internal.fleet.reclaiming import plan_reclaim
+from egretloft._internal.fleet.tables import (
+    FleetTables,
+    RunPhase,
+    RunRow,
+    StepRow,
+    TargetRow,
+    TaskRow,
+)
+
+# Only the most urgent queues may take room from others.
+RECLAIMING_PRIORITY = 0
+MILLISECONDS = 1000.0
+
+
+@dataclass(slots=True, frozen=True)
+class Placement:
+    """Tasks of one step to start together, each with its target."""
+
+    step: StepRow
+    priority: int
+    starts: tuple[tuple[TaskRow, TargetRow], ...]
+
+
+@dataclass(slots=True)
+class Decisions:
+    """Outcome of one tick."""
+
+    placements: list[Placement] = field(default_factory=list)
+    stops: list[RunRow] = field(default_factory=list)
+    waiting: int = 0
+
+
+@dataclass(slots=True, frozen=True)
+class Moment:
+    """Time of a tick: steady and Unix seconds, and which old jobs are in doubt.
+
+    While ``in_doubt`` is true, tasks of jobs from before the leader's term may still
+    run on a target that has not been reached, so they do not start.
+    """
+
+    now: float
+    wall: float
+    in_doubt: bool = False
+
+
+def usable_targets(
+    tables: FleetTables, operators: OperatorState, service: str, now: float
+) -> list[TargetRow]:
+    """Return the targets of a service that may get new work."""
+    return [
+        target
+        for target in tables.targets.values()
+        if target.report.service == service
+        and target.listed
+        and target.recorded
+        and target.touched
+        and target.reachable
+        and not target.report.draining
+        and target.avoided_until <= now
+        and target.report.zone not in operators.evacuated_zones
+    ]
+
+
+def waiting_steps(tables: FleetTables, moment: Moment) -> list[WaitingStep]:
+    """Return the steps with tasks to start, in order."""
+    found: list[WaitingStep] = []
+    for job in tables.open_jobs.values():
+        if moment.in_doubt and job.known_before_term:
+            continue
+        for step in open_steps(job, moment.wall * MILLISECONDS, moment.now):
+            if is_startable(step):
+                found.append(WaitingStep(job, step))
+    return ordered(found, moment.wall)
+
+
+def is_startable(step: StepRow) -> bool:
+    """Return whether the step has tasks that may start; a gang only as a whole."""
+    if step.spec.gang:
+        return all(task.run is None and not task.done for task in step.tasks)
+    return any(task.run is None and not task.done for task in step.tasks)
+
+
+def is_plain(step: StepRow) -> bool:
+    """Return whether only the room decides where the step's tasks may run."""
+    spec = step.spec
+    restricted = spec.gang or spec.label or spec.max_per_target
+    return not restricted and not any(task.failed_on for task in step.tasks)
+
+
+class Scheduler:
+    """Decides per service over the rooms of its targets."""
+
+    def __init__(self, tables: FleetTables) -> None:
+        self.tables = tables
+
+    def decide(self, operators: OperatorState, moment: Moment) -> Decisions:
+        """Return what to start and what to stop now."""
+        decisions = Decisions()
+        services: dict[str, ServiceRound] = {}
+        for waiting in waiting_steps(self.tables, moment):
+            service = waiting.job.accepted.service
+            if service not in services:
+                targets = usable_targets(self.tables, operators, service, moment.now)
+                services[service] = ServiceRound(self.tables, targets, moment)
+            decisions.waiting += 1
+            services[service].consider(waiting, decisions)
+        return decisions
+
+
+class ServiceRound:
+    """One tick over the targets of one service."""
+
+    def __init__(
+        self, tables: FleetTables, targets: list[TargetRow], moment: Moment
+    ) -> None:
+        self.tables = tables
+        self.targets = targets
+        self.moment = moment
+        self.rooms: list[FreeRoom] = [free_room(target) for target in targets]
+        self.reserved: dict[str, Room] = {}
+        self.blocked: list[tuple[int, int, int]] = []
+
+    def consider(self, waiting: WaitingStep, decisions: Decisions) -> None:
+        """Place the step, reserve room for it, or let it wait."""
+        step = waiting.step
+        priority = waiting.job.accepted.priority
+        signature = self.signature(step)
+        if any(all(a >= b for a, b in zip(signature, s)) for s in self.blocked):
+            return
+        spread = may_spread(step, self.targets, self.moment.now)
+        plan = self.place(step, spread)
+        if plan is not None and plan.entries:
+            starts = tuple((task, free.target) for task, free in plan.entries)
+            decisions.placements.append(Placement(step, priority, starts))
+        if plan is None or len(plan.entries) < len(step.waiting()):
+            self.make_room(step, priority, spread, plan, decisions)
+
+    def signature(self, step: StepRow) -> tuple[int, int, int]:
+        """Return a size by which hopeless single tasks are skipped."""
+        room = step.spec.room
+        return (room.cpu, room.memory_mb, room.gpus)
+
+    def place(self, step: StepRow, spread: bool) -> Plan | None:
+        """Place a gang whole, or as many single tasks as fit."""
+        if step.spec.gang:
+            return place_gang(step, self.rooms, spread)
+        return place_tasks(step, step.waiting(), self.rooms)
+
+    def make_room(
+        self,
+        step: StepRow,
+        priority: int,
+        spread: bool,
+        plan: Plan | None,
+        decisions: Decisions,
+    ) -> None:
+        """Reclaim room for an urgent step, or remember what does not fit."""
+        if priority <= RECLAIMING_PRIORITY and (plan is None or not plan.entries):
+            reclaim = plan_reclaim(
+                self.tables,
+                step,
+                self.targets,
+                self.reserved,
+                priority,
+                spread,
+                self.moment.now,
+            )
+            if reclaim is None:
+                return
+            decisions.stops.extend(
+                run for run in reclaim.victims if run.phase is not RunPhase.STOPPING
+            )
+            for run in reclaim.victims:
+                run.phase = RunPhase.STOPPING
+            self.reserve(reclaim.plan)
+            return
+        if is_plain(step):
+            self.blocked.append(self.signature(step))
+
+    def reserve(self, plan: Plan) -> None:
+        """Keep the planned room from the steps that come later."""
+        by_target = {free.target.report.target_id: free for free in self.rooms}
+        for _, planned in plan.entries:
+            target_id = planned.target.report.target_id
+            by_target[target_id].take(plan.room)
+            held = self.reserved.get(target_id, Room())
+            self.reserved[target_id] = held.plus(plan.room)
--- /dev/null
+++ b/src/egretloft/_internal/fleet/watching.py
@@ -0,0 +1,133 @@
+"""Following a table of the platform's store: a snapshot, then its changes."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+import structlog
+from returns.result import Failure, Result, Success
+
+from egretloft._internal.fleet.constants import (
+    FEED_RETRY_SECONDS,
+    FEED_WAIT_SECONDS,
+    STORE_CALL_SECONDS,
+)
+from egretloft._internal.fleet.interfaces import (
+    FleetClock,
+    RowPage,
+    RowStore,
+    StoredRow,
+    StoreFailure,
+    StoreFailureKind,
+)
+
+log = structlog.get_logger(__name__)
+
+# Sorts after every key that starts with the same text.
+NEXT_KEY = "\0"
+
+SnapshotHandler = Callable[[tuple[StoredRow, ...]], None]
+ChangeHandler = Callable[[tuple[StoredRow, ...]], None]
+
+
+async def read_table(
+    store: RowStore, table: str, part: str, from_key: str = "", to_key: str = ""
+) -> Result[RowPage, StoreFailure]:
+    """Return all rows of a table's partition.
+
+    The version is that of the first page: what changed while the other pages were read
+    comes again with the feed.
+    """
+    rows: list[StoredRow] = []
+    version = 0
+    start = from_key
+    while True:
+        result = await store.read(table, part, STORE_CALL_SECONDS, start, to_key)
+        if isinstance(result, Failure):
+            return result
+        page = result.unwrap()
+        version = version or page.version
+        rows.extend(page.rows)
+        if not page.has_more or not page.rows:
+            return Success(RowPage(tuple(rows), version))
+        start = page.rows[-1].key.key + NEXT_KEY
+
+
+class TableWatcher:
+    """Keeps a part of the program informed about one table."""
+
+    def __init__(
+        self,
+        store: RowStore,
+        clock: FleetClock,
+        table: str,
+        part: str,
+        on_snapshot: SnapshotHandler,
+        on_change: ChangeHandler,
+    ) -> None:
+        self.store = store
+        self.clock = clock
+        self.table = table
+        self.part = part
+        self.on_snapshot = on_snapshot
+        self.on_change = on_change
+        self.version: int | None = None
+        self.confirmed_at: float | None = None
+        self.failing = False
+
+    def age(self) -> float:
+        """Return the seconds since the view was last known to be current."""
+        if self.confirmed_at is None:
+            return float("inf")
+        return self.clock.steady() - self.confirmed_at
+
+    async def run(self) -> None:
+        """Follow the table until cancelled."""
+        while True:
+            if not await self.step():
+                await asyncio.sleep(FEED_RETRY_SECONDS)
+
+    async def step(self) -> bool:
+        """Read a snapshot or wait for changes once; return whether that worked."""
+        asked_at = self.clock.steady()
+        if self.version is None:
+            result = await read_table(self.store, self.table, self.part)
+            handler = self.on_snapshot
+        else:
+            result = await self.store.feed(self.table, self.version, FEED_WAIT_SECONDS)
+            handler = self.on_change
+        if isinstance(result, Failure):
+            self.on_failure(result.failure())
+            return False
+        page = result.unwrap()
+        if self.failing:
+            self.failing = False
+            log.info("feed regained", table=self.table, version=page.version)
+        self.confirmed_at = asked_at
+        rows = tuple(row for row in page.rows if row.key.part == self.part)
+        if self.version is None or rows:
+            handler(rows)
+        self.version = page.version
+        return True
+
+    def on_failure(self, failure: StoreFailure) -> None:
+        """Start over after a loss of history; keep the view after other failures."""
+        if failure.kind is StoreFailureKind.HISTORY_LOST:
+            log.info("feed history lost", table=self.table, version=self.version)
+            self.version = None
+        elif not self.failing:
+            self.failing = True
+            log.warning("feed lost", table=self.table, error=failure.message)
+
+
+def create_table_watcher(
+    store: RowStore,
+    clock: FleetClock,
+    table: str,
+    part: str,
+    on_snapshot: SnapshotHandler,
+    on_change: ChangeHandler,
+) -> TableWatcher:
+    """Return a watcher that has read nothing yet."""
+    return TableWatcher(store, clock, table, part, on_snapshot, on_change)
--- a/src/egretloft/_internal/metrics.py
+++ b/src/egretloft/_internal/metrics.py
@@ -11,6 +11,8 @@
 HIGHEST_MICROSECONDS = 3_600_000_000
 SIGNIFICANT_DIGITS = 2
 
+RENDERED_PERCENTILES = (50.0, 90.0, 99.0, 99.9)
+
 Labels = tuple[tuple[str, str], ...]
 
 
@@ -44,6 +46,24 @@
         """Return the value of one counter."""
         return self.counters[name, tuple(sorted(labels.items()))]
 
+    def render_text(self) -> str:
+        """Return all values as lines ``name{label="value"} number``."""
+        lines: list[str] = []
+        for (name, labels), value in sorted(self.counters.items()):
+            lines.append(f"egretloft_{name}_total{render_labels(labels)} {value}")
+        for (name, labels), gauge in sorted(self.gauges.items()):
+            lines.append(f"egretloft_{name}{render_labels(labels)} {gauge:g}")
+        for (name, labels), histogram in sorted(
+            self.histograms.items(), key=lambda item: item[0]
+        ):
+            for percent in RENDERED_PERCENTILES:
+                seconds = histogram.get_value_at_percentile(percent) / 1e6
+                extra = (*labels, ("quantile", f"{percent / 100:g}"))
+                lines.append(f"egretloft_{name}{render_labels(extra)} {seconds:g}")
+            count = histogram.get_total_count()
+            lines.append(f"egretloft_{name}_count{render_labels(labels)} {count}")
+        return "\n".join(lines) + "\n"
+
     def snapshot(self) -> dict[str, list[dict[str, object]]]:
         """Return all values as plain data for JSON; durations are in seconds."""
         return {
@@ -72,6 +92,13 @@
         }
 
 
+def render_labels(labels: Labels) -> str:
+    """Return labels in the text form, empty without labels."""
+    if not labels:
+        return ""
+    return "{" + ",".join(f'{name}="{value}"' for name, value in labels) + "}"
+
+
 def create_metrics() -> Metrics:
     """Return an empty set of metrics."""
     return Metrics()
--- a/src/egretloft/_internal/platform/http_call.py
+++ b/src/egretloft/_internal/platform/http_call.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Mapping
 from dataclasses import dataclass
 
@@ -100,3 +101,56 @@
     )
     session._retry_connection = False
     return session
+
+
+# Calls in progress on a session that was replaced may go on for this long.
+REPLACED_SESSION_SECONDS = 5.0
+
+
+class RenewableSession:
+    """A session that is replaced after a call without an answer.
+
+    A connection may go silent for good while new ones work; the others of the same
+    age are then in doubt too, so the next call opens a new one.
+    """
+
+    def __init__(self) -> None:
+        self.session = create_http_session()
+
+    async def exchange(
+        self,
+        method: str,
+        url: str,
+        timeout_seconds: float,
+        body: bytes | None = None,
+        headers: Mapping[str, str] | None = None,
+    ) -> Result[HttpAnswer, HttpFailure]:
+        """Send one request and read the whole answer."""
+        session = self.session
+        result = await exchange(session, method, url, timeout_seconds, body, headers)
+        if isinstance(result, Failure) and session is self.session:
+            self.replace()
+        return result
+
+    def replace(self) -> None:
+        """Use new connections from now on, and close the old ones later."""
+        old = self.session
+        self.session = create_http_session()
+        loop = asyncio.get_running_loop()
+        loop.call_later(REPLACED_SESSION_SECONDS, close_later, old)
+
+
+def close_later(session: aiohttp.ClientSession) -> None:
+    """Close a session that is no longer used."""
+    task = asyncio.ensure_future(session.close())
+    closing_sessions.add(task)
+    task.add_done_callback(closing_sessions.discard)
+
+
+# Keeps references to running closes, as the event loop holds only weak ones.
+closing_sessions: set[asyncio.Future[None]] = set()
+
+
+def create_renewable_session() -> RenewableSession:
+    """Return a session for one target; needs a running event loop."""
+    return RenewableSession()
--- a/src/egretloft/_internal/platform/system_clock.py
+++ b/src/egretloft/_internal/platform/system_clock.py
@@ -12,6 +12,10 @@
         """Return the monotonic clock in seconds."""
         return time.monotonic()
 
+    def steady(self) -> float:
+        """Return a monotonic clock that goes on while the machine is suspended."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
+
     def wall(self) -> float:
         """Return Unix time in seconds."""
         return time.time()
--- /dev/null
+++ b/src/egretloft/platform/program.py
@@ -0,0 +1,134 @@
+"""The process on an entry machine: start, service, reload and planned stop."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import signal
+import uuid
+from pathlib import Path
+
+import structlog
+from aiohttp import web
+from returns.result import Failure
+
+from egretloft import __version__
+from egretloft._internal.fleet.instance import Identity, Instance, create_instance
+from egretloft._internal.log_writer import LogWriter
+from egretloft._internal.metrics import Metrics, create_metrics
+from egretloft._internal.peers.network import create_peer_network
+from egretloft._internal.platform.system_clock import create_system_clock
+from egretloft.platform.ingress import create_ingress, create_readiness_handler
+from egretloft.platform.rows import create_platform_row_store
+from egretloft.platform.settings import PlatformSettings, read_settings
+from egretloft.platform.targets import create_platform_targets
+from egretloft.platform.words import create_platform_row_words
+
+log = structlog.get_logger(__name__)
+
+# The balancer sends new connections until it has missed two checks a second apart.
+DRAIN_SECONDS = 2.6
+# Left of the platform's grace when the process ends at the latest.
+GRACE_RESERVE_SECONDS = 1.2
+KEEPALIVE_SECONDS = 15.0
+DRAIN_POLL_SECONDS = 0.05
+METRICS_PATH = "/metrics"
+
+
+def address_of(text: str) -> tuple[str, int]:
+    """Return host and port of ``IP:PORT``."""
+    host, _, port = text.rpartition(":")
+    return host, int(port)
+
+
+async def listen(handler: web.Server, address: str) -> web.ServerRunner:
+    """Serve ``handler`` at ``address``; raises ``OSError``."""
+    runner = web.ServerRunner(handler, keepalive_timeout=KEEPALIVE_SECONDS)
+    await runner.setup()
+    host, port = address_of(address)
+    await web.TCPSite(runner, host, port, backlog=512, shutdown_timeout=0.5).start()
+    return runner
+
+
+def create_platform_instance(
+    settings: PlatformSettings, metrics: Metrics
+) -> Instance:
+    """Return the instance that the settings describe; needs a running event loop."""
+    generator = random.Random()
+    incarnation = uuid.uuid4().hex
+    clock = create_system_clock()
+    peers = create_peer_network(
+        settings.instance_id,
+        settings.ip,
+        settings.first_peer_port,
+        clock,
+        metrics,
+        generator,
+    )
+    identity = Identity(
+        settings.instance_id,
+        incarnation,
+        f"{settings.ip}:{settings.first_peer_port}",
+        settings.zone,
+        settings.region,
+    )
+    return create_instance(
+        identity,
+        create_platform_row_store(settings.store_address),
+        create_platform_targets(),
+        create_platform_row_words(),
+        peers,
+        clock,
+        metrics,
+        generator,
+    )
+
+
+async def run_program(path: Path, settings: PlatformSettings, logs: LogWriter) -> int:
+    """Serve until SIGTERM and return the exit code."""
+    loop = asyncio.get_running_loop()
+    stop = asyncio.Event()
+    loop.add_signal_handler(signal.SIGTERM, stop.set)
+    loop.add_signal_handler(signal.SIGINT, stop.set)
+    loop.add_signal_handler(signal.SIGHUP, reload_settings, path, settings)
+    logs.start()
+    metrics = create_metrics()
+    instance = create_platform_instance(settings, metrics)
+    ingress = create_ingress(instance)
+    readiness = create_readiness_handler(instance.is_ready)
+
+    async def check(request: web.BaseRequest) -> web.StreamResponse:
+        if request.path == METRICS_PATH:
+            return web.Response(text=metrics.render_text())
+        return readiness(request)
+
+    runners = [
+        await listen(web.Server(ingress.handle), settings.http_address),
+        await listen(web.Server(check), settings.readiness_address),
+    ]
+    await instance.start()
+    log.info("instance started", version=__version__, http=settings.http_address)
+    await stop.wait()
+    log.info("planned stop begins", in_flight=ingress.in_flight)
+    started = loop.time()
+    await instance.hand_over()
+    latest = started + settings.grace_seconds - GRACE_RESERVE_SECONDS
+    while loop.time() < latest:
+        if loop.time() - started >= DRAIN_SECONDS and not ingress.in_flight:
+            break
+        await asyncio.sleep(DRAIN_POLL_SECONDS)
+    for runner in runners:
+        await runner.cleanup()
+    await instance.stop()
+    log.info("planned stop ends", in_flight=ingress.in_flight)
+    logs.flush()
+    return 0
+
+
+def reload_settings(path: Path, settings: PlatformSettings) -> None:
+    """Check the settings file again; addresses change only with a restart."""
+    result = read_settings(path)
+    if isinstance(result, Failure):
+        log.error("settings refused", why=result.failure())
+    else:
+        log.info("settings reloaded", changed=result.unwrap() != settings)
--- /dev/null
+++ b/src/egretloft/platform/rows.py
@@ -0,0 +1,155 @@
+"""The platform's metadata store as a ``RowStore``."""
+
+from __future__ import annotations
+
+import base64
+import binascii
+from urllib.parse import urlencode
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+from egretloft._internal.fleet.constants import FEED_ANSWER_SECONDS
+from egretloft._internal.fleet.interfaces import (
+    RowKey,
+    RowPage,
+    RowTransaction,
+    StoredRow,
+    StoreFailure,
+    StoreFailureKind,
+)
+from egretloft._internal.platform.http_call import (
+    HttpAnswer,
+    HttpFailure,
+    RenewableSession,
+    create_renewable_session,
+)
+from egretloft.platform.wire import (
+    WireExpectation,
+    WireRemove,
+    WireRow,
+    WireRows,
+    WireTransaction,
+    WireWrite,
+)
+
+JSON_HEADERS = {"Content-Type": "application/json"}
+OK = 200
+HISTORY_GONE = 410
+CONDITION_FAILED = 412
+NOT_DONE = frozenset({400, 403, 404, 429, 503})
+
+encoder = msgspec.json.Encoder()
+rows_decoder = msgspec.json.Decoder(WireRows)
+
+
+class PlatformRowStore:
+    """Calls of the store by this instance's own path."""
+
+    def __init__(self, address: str, session: RenewableSession) -> None:
+        self.base = f"http://{address}"
+        self.session = session
+
+    async def commit(
+        self, transaction: RowTransaction, timeout_seconds: float
+    ) -> Result[int, StoreFailure]:
+        """Apply a transaction and return its version."""
+        result = await self.session.exchange(
+            "POST",
+            f"{self.base}/rows-tx",
+            timeout_seconds,
+            encoder.encode(wire_transaction(transaction)),
+            JSON_HEADERS,
+        )
+        page = page_of(result)
+        return page.map(lambda rows: rows.version)
+
+    async def read(
+        self,
+        table: str,
+        part: str,
+        timeout_seconds: float,
+        from_key: str = "",
+        to_key: str = "",
+    ) -> Result[RowPage, StoreFailure]:
+        """Return rows from ``from_key`` up to, without, ``to_key``."""
+        query = {"table_name": table, "part": part}
+        if from_key:
+            query["from"] = from_key
+        if to_key:
+            query["target"] = to_key
+        url = f"{self.base}/rows-get?{urlencode(query)}"
+        return page_of(await self.session.exchange("GET", url, timeout_seconds))
+
+    async def feed(
+        self, table: str, after_version: int, wait_seconds: float
+    ) -> Result[RowPage, StoreFailure]:
+        """Return the rows of ``table`` changed since ``after_version``."""
+        query = {
+            "table_name": table,
+            "after": str(after_version),
+            "wait_ms": str(int(wait_seconds * 1000)),
+        }
+        url = f"{self.base}/rows-feed?{urlencode(query)}"
+        timeout = wait_seconds + FEED_ANSWER_SECONDS
+        return page_of(await self.session.exchange("GET", url, timeout))
+
+
+def wire_transaction(transaction: RowTransaction) -> WireTransaction:
+    """Return a transaction in the platform's names."""
+    writes: list[WireWrite] = []
+    removes: list[WireRemove] = []
+    for key, value in transaction.writes:
+        if value is None:
+            removes.append(WireRemove(key.table, key.part, key.key))
+            continue
+        text = base64.b64encode(value).decode("ascii")
+        writes.append(WireWrite(key.table, key.part, key.key, text))
+    expectations = [
+        WireExpectation(e.key.table, e.key.part, e.key.key, e.version)
+        for e in transaction.expectations
+    ]
+    return WireTransaction(expectations, writes, removes)
+
+
+def page_of(result: Result[HttpAnswer, HttpFailure]) -> Result[RowPage, StoreFailure]:
+    """Return the rows of an answer, or what is known without it."""
+    if isinstance(result, Failure):
+        lost = result.failure()
+        kind = StoreFailureKind.UNKNOWN if lost.sent else StoreFailureKind.REFUSED
+        return Failure(StoreFailure(kind, lost.message))
+    answer = result.unwrap()
+    if answer.status == HISTORY_GONE:
+        return Failure(StoreFailure(StoreFailureKind.HISTORY_LOST, "history is gone"))
+    if answer.status not in (OK, CONDITION_FAILED):
+        done = answer.status not in NOT_DONE
+        kind = StoreFailureKind.UNKNOWN if done else StoreFailureKind.REFUSED
+        return Failure(StoreFailure(kind, f"the store answered {answer.status}"))
+    try:
+        page = rows_decoder.decode(answer.body)
+        rows = tuple(stored_row(row) for row in page.rows)
+    except msgspec.MsgspecError as error:
+        message = f"answer of the store unreadable: {error}"
+        return Failure(StoreFailure(StoreFailureKind.UNKNOWN, message))
+    if answer.status == CONDITION_FAILED:
+        message = "a condition does not hold"
+        return Failure(StoreFailure(StoreFailureKind.CONFLICT, message, rows))
+    return Success(RowPage(rows, page.schema_version, page.has_more))
+
+
+def stored_row(row: WireRow) -> StoredRow:
+    """Return a row in the product's terms; an absent one has no value."""
+    key = RowKey(row.table_name, row.part, row.key)
+    if row.deleted or row.schema_version == 0:
+        return StoredRow(key, None, row.schema_version)
+    try:
+        value = base64.b64decode(row.value, validate=True)
+    except binascii.Error:
+        # Another writer's row. Its reader refuses the empty value with a log line.
+        value = b""
+    return StoredRow(key, value, row.schema_version)
+
+
+def create_platform_row_store(address: str) -> PlatformRowStore:
+    """Return the store at ``address``; needs a running event loop."""
+    return PlatformRowStore(address, create_renewable_session())
--- /dev/null
+++ b/src/egretloft/platform/settings.py
@@ -0,0 +1,88 @@
+"""The settings file that the platform writes for a process."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from pathlib import Path
+
+from returns.result import Failure, Result, Success
+
+SETTINGS_VARIABLE = "EGRETLOFT_SETTINGS"
+DEFAULT_SETTINGS_PATH = "/etc/egretloft/node.conf"
+
+
+@dataclass(slots=True, frozen=True)
+class PlatformSettings:
+    """What this process takes from the settings file.
+
+    Addresses are ``IP:PORT``. ``first_peer_port`` is the first of the ports that are
+    free for the streams between instances.
+    """
+
+    instance_id: str
+    ip: str
+    zone: str
+    region: str
+    http_address: str
+    readiness_address: str
+    first_peer_port: int
+    store_address: str
+    grace_seconds: float
+    advice_address: str
+    row_bytes: int
+
+
+REQUIRED = (
+    "node_name",
+    "ip",
+    "zone",
+    "region",
+    "bind_addresses.http",
+    "bind_addresses.readiness",
+    "port_range",
+    "platform.address",
+)
+
+
+def parse_lines(text: str) -> dict[str, str]:
+    """Return the fields of lines ``name=value``; other lines are left out."""
+    fields: dict[str, str] = {}
+    for line in text.splitlines():
+        name, separator, value = line.partition("=")
+        if separator and not name.lstrip().startswith("#"):
+            fields[name.strip()] = value.strip()
+    return fields
+
+
+def parse_settings(text: str) -> Result[PlatformSettings, str]:
+    """Return the settings, or what is missing or wrong."""
+    fields = parse_lines(text)
+    missing = [name for name in REQUIRED if not fields.get(name)]
+    if missing:
+        return Failure("missing settings: " + ", ".join(missing))
+    try:
+        settings = PlatformSettings(
+            instance_id=fields["node_name"],
+            ip=fields["ip"],
+            zone=fields["zone"],
+            region=fields["region"],
+            http_address=fields["bind_addresses.http"],
+            readiness_address=fields["bind_addresses.readiness"],
+            first_peer_port=int(fields["port_range"].split(",")[0]),
+            store_address=fields["platform.address"],
+            grace_seconds=float(fields.get("parameters.grace_s", "6")),
+            advice_address=fields.get("hint", ""),
+            row_bytes=int(fields.get("platform.row_bytes", "65536")),
+        )
+    except ValueError as error:
+        return Failure(f"a setting is no number: {error}")
+    return Success(settings)
+
+
+def read_settings(path: Path) -> Result[PlatformSettings, str]:
+    """Return the settings in a file."""
+    try:
+        text = path.read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        return Failure(f"{path}: {error}")
+    return parse_settings(text)
--- /dev/null
+++ b/src/egretloft/platform/targets.py
@@ -0,0 +1,214 @@
+"""Runners as ``Targets``: starts, stops and lease renewals."""
+
+from __future__ import annotations
+
+import math
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+from egretloft._internal.fleet.models import (
+    ActiveRun,
+    EndKind,
+    HoldAnswer,
+    RunEnd,
+    RunKey,
+    StartOrder,
+    StartRefusal,
+    StepKey,
+    TargetFailure,
+    TargetFailureKind,
+    TargetReport,
+    TaskKey,
+)
+from egretloft._internal.platform.http_call import (
+    RenewableSession,
+    create_renewable_session,
+)
+from egretloft.platform.wire import (
+    WireHold,
+    WireHoldAnswer,
+    WireRunnerAnswer,
+    WireStart,
+    WireStop,
+)
+
+OK = 200
+CONFLICT = 409
+OTHER_BOOT = 421
+UNHEALTHY = frozenset({429, 503})
+REFUSALS = {
+    "fence": StartRefusal.FENCED,
+    "old": StartRefusal.SUPERSEDED,
+    "late": StartRefusal.LATE,
+    "room": StartRefusal.NO_ROOM,
+    "ticket": StartRefusal.TICKET,
+}
+
+encoder = msgspec.json.Encoder()
+answer_decoder = msgspec.json.Decoder(WireRunnerAnswer)
+hold_decoder = msgspec.json.Decoder(WireHoldAnswer)
+
+
+def task_name(task: TaskKey) -> str:
+    """Return a task's name on the wire."""
+    step = task.step
+    return f"{step.job_id}.{step.occurrence}.{step.step}.{task.index}"
+
+
+def parse_run(name: object, attempt: object) -> RunKey:
+    """Return the run that a list names; raises ``ValueError``."""
+    job_id, occurrence, step, index = str(name).rsplit(".", 3)
+    key = StepKey(job_id, int(occurrence), int(step))
+    return RunKey(TaskKey(key, int(index)), int(str(attempt)))
+
+
+class PlatformTargets:
+    """Calls of runners, with a session of its own for each of them."""
+
+    def __init__(self) -> None:
+        self.sessions: dict[str, RenewableSession] = {}
+
+    def session(self, target: TargetReport) -> RenewableSession:
+        """Return the session of one runner."""
+        session = self.sessions.get(target.target_id)
+        if session is None:
+            session = create_renewable_session()
+            self.sessions[target.target_id] = session
+        return session
+
+    async def call(
+        self,
+        target: TargetReport,
+        path: str,
+        body: msgspec.Struct,
+        timeout_seconds: float,
+    ) -> Result[bytes, TargetFailure]:
+        """Send an order and return the body of its success."""
+        result = await self.session(target).exchange(
+            "POST",
+            f"http://{target.address}{path}",
+            timeout_seconds,
+            encoder.encode(body),
+            {
+                "Content-Type": "application/json",
+                "Expected-Instance": target.target_id,
+            },
+        )
+        if isinstance(result, Failure):
+            lost = result.failure()
+            return Failure(TargetFailure(TargetFailureKind.UNKNOWN, lost.message))
+        answer = result.unwrap()
+        if answer.status == OK:
+            return Success(answer.body)
+        return Failure(failure_of(answer.status, answer.body))
+
+    async def start(
+        self, target: TargetReport, order: StartOrder, timeout_seconds: float
+    ) -> Result[int, TargetFailure]:
+        """Start a run and return the target's clock."""
+        body = WireStart(
+            task_id=task_name(order.run.task),
+            attempt=order.run.attempt,
+            spec=order.payload,
+            expires_at_ms=order.expires_at_ms,
+            fencing_token=order.epoch,
+            checkpoint=order.checkpoint,
+            token=order.ticket,
+        )
+        result = await self.call(target, "/run-start", body, timeout_seconds)
+        return result.bind(target_time)
+
+    async def stop(
+        self,
+        target: TargetReport,
+        run: RunKey,
+        epoch: int,
+        timeout_seconds: float,
+    ) -> Result[int, TargetFailure]:
+        """Stop a run and return the target's clock."""
+        body = WireStop(task_name(run.task), run.attempt, epoch)
+        result = await self.call(target, "/run-stop", body, timeout_seconds)
+        return result.bind(target_time)
+
+    async def hold(
+        self,
+        target: TargetReport,
+        epoch: int,
+        noted: int,
+        expires_at_ms: int | None,
+        wait_seconds: float,
+        timeout_seconds: float,
+    ) -> Result[HoldAnswer, TargetFailure]:
+        """Renew the lease of all runs on the target and return its lists."""
+        body = WireHold(
+            fencing_token=epoch,
+            last_seen=noted,
+            expires_at_ms=expires_at_ms or 0,
+            wait_ms=int(wait_seconds * 1000),
+        )
+        result = await self.call(target, "/hold", body, timeout_seconds)
+        return result.bind(hold_answer)
+
+
+def unreadable(error: Exception) -> Failure[TargetFailure]:
+    """Return the failure of an answer that makes no sense."""
+    message = f"answer of the target unreadable: {error}"
+    return Failure(TargetFailure(TargetFailureKind.UNKNOWN, message))
+
+
+def target_time(body: bytes) -> Result[int, TargetFailure]:
+    """Return the runner's clock in an answer."""
+    try:
+        return Success(math.floor(answer_decoder.decode(body).server_time_ms))
+    except msgspec.MsgspecError as error:
+        return unreadable(error)
+
+
+def hold_answer(body: bytes) -> Result[HoldAnswer, TargetFailure]:
+    """Return both lists of a runner."""
+    try:
+        wire = hold_decoder.decode(body)
+        # Rows may have more entries than are used here.
+        active = tuple(
+            ActiveRun(parse_run(row[0], row[1]), str(row[2]), int(float(row[3])))
+            for row in wire.active
+        )
+        ends = tuple(
+            RunEnd(
+                int(row[0]),
+                parse_run(row[1], row[2]),
+                EndKind(str(row[3])),
+                str(row[4]),
+            )
+            for row in wire.finished
+        )
+    except (msgspec.MsgspecError, ValueError, IndexError) as error:
+        return unreadable(error)
+    return Success(HoldAnswer(math.floor(wire.server_time_ms), wire.born, active, ends))
+
+
+def failure_of(status: int, body: bytes) -> TargetFailure:
+    """Return what an answer without success tells."""
+    try:
+        wire = answer_decoder.decode(body) if body else WireRunnerAnswer()
+    except msgspec.MsgspecError:
+        wire = WireRunnerAnswer()
+    message = f"the target answered {status} {wire.reason}".rstrip()
+    refusal: StartRefusal | None = None
+    if status == CONFLICT:
+        refusal = REFUSALS.get(wire.reason)
+    elif status == OTHER_BOOT:
+        refusal = StartRefusal.OTHER_LIFE
+    elif status in UNHEALTHY:
+        refusal = StartRefusal.UNHEALTHY
+    elif status == 400:
+        refusal = StartRefusal.INVALID
+    known = refusal is not None
+    kind = TargetFailureKind.REFUSED if known else TargetFailureKind.UNKNOWN
+    return TargetFailure(kind, message, refusal, math.floor(wire.server_time_ms))
+
+
+def create_platform_targets() -> PlatformTargets:
+    """Return the targets; needs a running event loop."""
+    return PlatformTargets()
