Hold targets only after the jobs are read, and forget targets that left

Cause: after all instances lost power the new leader heard ends before it had read the jobs; it took such an end as seen, acknowledged it, and started the task again (TWICE, and LIMIT from the doubled runs). Targets that had left also kept their rows, so a takeover waited its whole doubt time for them. Ruled out: a lost progress row; the rows were there.

--- a/src/egretloft/_internal/fleet/leader.py
+++ b/src/egretloft/_internal/fleet/leader.py
@@ -212,6 +212,9 @@
         for job in self.tables.jobs.values():
             job.known_before_term = True
         self.recovered = True
+        # An end means nothing before its job is known, so the targets come last.
+        for target_id, session in self.sessions.items():
+            self.session_tasks[target_id] = self.spawn(session.run())
         log.info(
             "state read",
             epoch=self.epoch,
@@ -268,7 +271,8 @@
             self, self.tables, target, self.targets, self.clock, self.metrics
         )
         self.sessions[target_id] = session
-        self.session_tasks[target_id] = self.spawn(session.run())
+        if self.recovered:
+            self.session_tasks[target_id] = self.spawn(session.run())
         if not target.recorded:
             self.recorder.wake.set()
 
@@ -397,8 +401,8 @@
         self.last_tick = now
         for session in self.sessions.values():
             session.check_lease()
-        self.remove_gone_targets()
         self.update_doubt(now)
+        self.remove_gone_targets()
         if not self.may_order():
             return
         self.stop_stalled(now)
@@ -423,18 +427,13 @@
             log.info("recovered", epoch=self.epoch, untouched=len(untouched))
 
     def remove_gone_targets(self) -> None:
-        """Drop targets that are off the list, hold no run and do not answer."""
-        now = self.clock.steady()
+        """Drop targets that are off the list and certainly run nothing."""
         for target_id, target in list(self.tables.targets.items()):
-            if target.listed or target.runs or target.seen > target.acknowledged:
-                continue
-            if target.reachable and target.touched:
+            if target.listed or target.runs:
                 continue
-            if now < self.in_doubt_until or target.silent_holds < 3:
+            if not target.touched and self.in_doubt:
                 continue
-            if target.clock is not None and not target.clock.has_passed(
-                target.lease_ends_ms, now
-            ):
+            if target.seen > target.acknowledged and not target.silent_holds:
                 continue
             log.info("target removed", target=target_id)
             del self.tables.targets[target_id]
