Reclaim room beyond a guarantee only where little work is lost

Change: an urgent step that its organisation's guarantee covers reclaims as before; others only where the lost work is below 0.3 of their own; targets that are cheap to free go first.

--- a/src/egretloft/_internal/fleet/election.py
+++ b/src/egretloft/_internal/fleet/election.py
@@ -255,6 +255,4 @@
     waiting_counts: Callable[[], dict[str, int]],
 ) -> Election:
     """Return an election in which this instance does not lead yet."""
-    return Election(
-        store, clock, instance_id, incarnation, generator, waiting_counts
-    )
+    return Election(store, clock, instance_id, incarnation, generator, waiting_counts)
--- a/src/egretloft/_internal/fleet/instance.py
+++ b/src/egretloft/_internal/fleet/instance.py
@@ -39,7 +39,7 @@
 from egretloft._internal.fleet.watching import TableWatcher, create_table_watcher
 from egretloft._internal.metrics import Metrics
 from egretloft._internal.models.members import Member
-from egretloft._internal.peers.network import PeerNetwork
+from egretloft._internal.peers.protocols import Peers
 
 log = structlog.get_logger(__name__)
 
@@ -68,7 +68,7 @@
         direct_store: RowStore,
         targets: Targets,
         words: PlatformWords,
-        peers: PeerNetwork,
+        peers: Peers,
         clock: FleetClock,
         metrics: Metrics,
         generator: random.Random,
@@ -118,7 +118,6 @@
 
     async def start(self) -> None:
         """Begin all periodic work."""
-        await self.peers.start()
         for work in (
             self.control_watcher.run(),
             self.operator_watcher.run(),
@@ -149,8 +148,10 @@
         """End all work."""
         for task in self.tasks:
             task.cancel()
+        if self.leader_task is not None:
+            self.leader_task.cancel()
+            await asyncio.gather(self.leader_task, return_exceptions=True)
         await asyncio.gather(*self.tasks, return_exceptions=True)
-        await self.peers.stop()
 
     def is_ready(self) -> bool:
         """Return whether this instance can serve callers."""
@@ -169,9 +170,7 @@
     async def register(self) -> None:
         """Write where this instance can be reached, until that has worked."""
         identity = self.identity
-        key = RowKey(
-            TABLE_CONTROL, PARTITION, INSTANCE_PREFIX + identity.instance_id
-        )
+        key = RowKey(TABLE_CONTROL, PARTITION, INSTANCE_PREFIX + identity.instance_id)
         record = InstanceRecord(
             identity.instance_id,
             identity.incarnation,
@@ -292,7 +291,7 @@
     direct_store: RowStore,
     targets: Targets,
     words: PlatformWords,
-    peers: PeerNetwork,
+    peers: Peers,
     clock: FleetClock,
     metrics: Metrics,
     generator: random.Random,
--- a/src/egretloft/_internal/fleet/intake.py
+++ b/src/egretloft/_internal/fleet/intake.py
@@ -198,9 +198,7 @@
             left = deadline - ANSWER_SECONDS - self.clock.steady()
             if left <= 0:
                 return Failure(doubtful or out_of_time())
-            result = await self.store.commit(
-                transaction, min(left, STORE_CALL_SECONDS)
-            )
+            result = await self.store.commit(transaction, min(left, STORE_CALL_SECONDS))
             if isinstance(result, Success):
                 return result
             failure = result.failure()
@@ -224,9 +222,7 @@
             return result
         return Success(self.decode_job(job_id, result.unwrap().rows))
 
-    def decode_job(
-        self, job_id: str, rows: tuple[StoredRow, ...]
-    ) -> StoredJob | None:
+    def decode_job(self, job_id: str, rows: tuple[StoredRow, ...]) -> StoredJob | None:
         """Return the job that its rows describe."""
         values = {row.key.key: row.value for row in rows if row.value is not None}
         if job_id not in values:
--- a/src/egretloft/_internal/fleet/operators.py
+++ b/src/egretloft/_internal/fleet/operators.py
@@ -62,7 +62,9 @@
             return
         if isinstance(result, Failure):
             self.metrics.count("configurations_refused")
-            log.error("configuration refused", version=row.version, why=result.failure())
+            log.error(
+                "configuration refused", version=row.version, why=result.failure()
+            )
             return
         configuration: Configuration = result.unwrap()
         current = self.state.configuration
--- a/src/egretloft/_internal/fleet/placing.py
+++ b/src/egretloft/_internal/fleet/placing.py
@@ -20,12 +20,17 @@
 
 @dataclass(slots=True)
 class FreeRoom:
-    """Room of a target that a plan may still take."""
+    """Room of a target that a plan may still take.
+
+    ``reclaim_cost`` is the work in core-seconds that is lost if all of this room is
+    to be free; 0 where it is free now.
+    """
 
     target: TargetRow
     cpu: int
     memory_mb: int
     gpus: int
+    reclaim_cost: float = 0.0
 
     def holds(self, room: Room) -> bool:
         """Return whether ``room`` fits."""
@@ -85,11 +90,15 @@
     return sum(1 for run in target.runs.values() if run.key.task.step == step.key)
 
 
-def rank(free: FreeRoom, spec: StepSpec, room: Room) -> tuple[int, int, int, int]:
+Rank = tuple[int, float, int, int, int]
+
+
+def rank(free: FreeRoom, spec: StepSpec, room: Room) -> Rank:
     """Return the order of targets for a task: data first, then the tightest fit."""
     away = int(bool(spec.data_rack) and free.target.report.rack != spec.data_rack)
     return (
         away,
+        free.reclaim_cost,
         free.gpus - room.gpus,
         free.cpu - room.cpu,
         free.memory_mb - room.memory_mb,
@@ -127,7 +136,7 @@
 ) -> FreeRoom | None:
     """Return the best target for one task, or ``None`` if none has room."""
     best: FreeRoom | None = None
-    best_rank: tuple[int, int, int, int] | None = None
+    best_rank: Rank | None = None
     known = {free.target.report.target_id for free in candidates}
     avoided = task.failed_on if not known <= task.failed_on else frozenset[str]()
     for free in candidates:
@@ -161,15 +170,17 @@
 
 def place_in_one_rack(step: StepRow, rooms: list[FreeRoom]) -> Plan | None:
     """Place a gang in the rack where the least room remains."""
-    best: tuple[tuple[int, int], list[FreeRoom]] | None = None
+    best: tuple[tuple[int, float, int], list[FreeRoom]] | None = None
     for rack, members in racks_of(rooms).items():
         plan = place_tasks(step, step.tasks, members)
         fits = len(plan.entries) == len(step.tasks)
         left = sum(free.gpus for free in members)
+        used = {id(free): free.reclaim_cost for _, free in plan.entries}
         plan.undo()
         away = int(bool(step.spec.data_rack) and rack != step.spec.data_rack)
-        if fits and (best is None or (away, left) < best[0]):
-            best = ((away, left), members)
+        order = (away, sum(used.values()), left)
+        if fits and (best is None or order < best[0]):
+            best = (order, members)
     if best is None:
         return None
     return place_tasks(step, step.tasks, best[1])
--- a/src/egretloft/_internal/fleet/queueing.py
+++ b/src/egretloft/_internal/fleet/queueing.py
@@ -29,7 +29,9 @@
     """Return the time in which the job should end, from its estimates."""
     chain_ms = longest_chain_ms(job)
     accepted = job.accepted
-    return (accepted.slack_factor * chain_ms + accepted.latency_target_ms) / MILLISECONDS
+    return (
+        accepted.slack_factor * chain_ms + accepted.latency_target_ms
+    ) / MILLISECONDS
 
 
 def longest_chain_ms(job: JobRow) -> float:
--- a/src/egretloft/_internal/fleet/reclaiming.py
+++ b/src/egretloft/_internal/fleet/reclaiming.py
@@ -28,6 +28,9 @@
 # A GPU counts as this many cores in work that is lost.
 CORES_PER_GPU = 8
 MILLICORES = 1000
+MILLISECONDS = 1000.0
+# Work that may be lost for each unit of urgent work beyond a guarantee.
+WORTHWHILE_LOSS = 0.3
 # Work that a checkpointing task loses at most, in seconds.
 CHECKPOINT_LOSS_SECONDS = 1.0
 
@@ -54,13 +57,27 @@
     return cores * worked
 
 
-def room_without(target: TargetRow, priority: int) -> FreeRoom:
-    """Return the room if all runs below ``priority`` were gone."""
+def room_without(
+    tables: FleetTables, target: TargetRow, priority: int, now: float
+) -> FreeRoom:
+    """Return the room if all runs below ``priority`` were gone, and its cost."""
     room = target.report.room
+    cost = 0.0
     for run in target.runs.values():
-        if run.priority <= priority and run.phase is not RunPhase.STOPPING:
+        if run.phase is RunPhase.STOPPING:
+            continue
+        if run.priority <= priority:
             room = room.minus(run.room)
-    return FreeRoom(target, room.cpu, room.memory_mb, room.gpus)
+        else:
+            cost += lost_work(tables, run, now)
+    return FreeRoom(target, room.cpu, room.memory_mb, room.gpus, cost)
+
+
+def step_work(step: StepRow) -> float:
+    """Return the core-seconds of a step by its estimate."""
+    spec = step.spec
+    cores = spec.room.cpu / MILLICORES + spec.room.gpus * CORES_PER_GPU
+    return cores * spec.tasks * spec.estimate_ms / MILLISECONDS
 
 
 def plan_reclaim(
@@ -70,15 +87,17 @@
     reserved: dict[str, Room],
     priority: int,
     spread: bool,
+    entitled: bool,
     now: float,
 ) -> Reclaim | None:
     """Return which runs to stop so that the waiting tasks of ``step`` fit.
 
-    ``reserved`` is room by target that is promised to steps further ahead.
+    ``reserved`` is room by target that is promised to steps further ahead. Without
+    ``entitled``, more work must be gained than is lost.
     """
     rooms = []
     for target in targets:
-        free = room_without(target, priority)
+        free = room_without(tables, target, priority, now)
         free.take(reserved.get(target.report.target_id, Room()))
         rooms.append(free)
     if step.spec.gang:
@@ -91,6 +110,9 @@
     for free in {id(free): free for _, free in plan.entries}.values():
         for run in victims_on(tables, free, plan, reserved, priority, now):
             victims[id(run)] = run
+    lost = sum(lost_work(tables, run, now) for run in victims.values())
+    if not entitled and lost > step_work(step) * WORTHWHILE_LOSS:
+        return None
     return Reclaim(tuple(victims.values()), plan)
 
 
--- a/src/egretloft/_internal/fleet/scheduler.py
+++ b/src/egretloft/_internal/fleet/scheduler.py
@@ -7,6 +7,7 @@
 
 from dataclasses import dataclass, field
 
+from egretloft._internal.fleet.guarantees import Guarantees, create_guarantees
 from egretloft._internal.fleet.lifecycle import open_steps
 from egretloft._internal.fleet.models import OperatorState, Room
 from egretloft._internal.fleet.placing import (
@@ -118,11 +119,14 @@
         """Return what to start and what to stop now."""
         decisions = Decisions()
         services: dict[str, ServiceRound] = {}
+        guarantees = create_guarantees(self.tables, operators)
         for waiting in waiting_steps(self.tables, moment):
             service = waiting.job.accepted.service
             if service not in services:
                 targets = usable_targets(self.tables, operators, service, moment.now)
-                services[service] = ServiceRound(self.tables, targets, moment)
+                services[service] = ServiceRound(
+                    self.tables, targets, guarantees, moment
+                )
             decisions.waiting += 1
             services[service].consider(waiting, decisions)
         return decisions
@@ -132,9 +136,14 @@
     """One tick over the targets of one service."""
 
     def __init__(
-        self, tables: FleetTables, targets: list[TargetRow], moment: Moment
+        self,
+        tables: FleetTables,
+        targets: list[TargetRow],
+        guarantees: Guarantees,
+        moment: Moment,
     ) -> None:
         self.tables = tables
+        self.guarantees = guarantees
         self.targets = targets
         self.moment = moment
         self.rooms: list[FreeRoom] = [free_room(target) for target in targets]
@@ -154,7 +163,7 @@
             starts = tuple((task, free.target) for task, free in plan.entries)
             decisions.placements.append(Placement(step, priority, starts))
         if plan is None or len(plan.entries) < len(step.waiting()):
-            self.make_room(step, priority, spread, plan, decisions)
+            self.make_room(waiting, priority, spread, plan, decisions)
 
     def signature(self, step: StepRow) -> tuple[int, int, int]:
         """Return a size by which hopeless single tasks are skipped."""
@@ -169,13 +178,14 @@
 
     def make_room(
         self,
-        step: StepRow,
+        waiting: WaitingStep,
         priority: int,
         spread: bool,
         plan: Plan | None,
         decisions: Decisions,
     ) -> None:
         """Reclaim room for an urgent step, or remember what does not fit."""
+        step = waiting.step
         if priority <= RECLAIMING_PRIORITY and (plan is None or not plan.entries):
             reclaim = plan_reclaim(
                 self.tables,
@@ -184,6 +194,7 @@
                 self.reserved,
                 priority,
                 spread,
+                self.guarantees.covers(waiting.job),
                 self.moment.now,
             )
             if reclaim is None:
--- a/src/egretloft/_internal/fleet/suspicion.py
+++ b/src/egretloft/_internal/fleet/suspicion.py
@@ -66,16 +66,16 @@
         if not target.reachable or target.silent_holds:
             continue
         for run in target.runs.values():
-            if run.phase is RunPhase.ACTIVE and run.confirmed and is_stalled(
-                tables, target, run, now
+            if (
+                run.phase is RunPhase.ACTIVE
+                and run.confirmed
+                and is_stalled(tables, target, run, now)
             ):
                 found.append(run)
     return found
 
 
-def is_stalled(
-    tables: FleetTables, target: TargetRow, run: RunRow, now: float
-) -> bool:
+def is_stalled(tables: FleetTables, target: TargetRow, run: RunRow, now: float) -> bool:
     """Return whether the run should have moved on since it was last seen moving."""
     job = tables.jobs.get(run.key.task.step.job_id)
     if job is None:
--- a/src/egretloft/platform/program.py
+++ b/src/egretloft/platform/program.py
@@ -16,7 +16,8 @@
 from egretloft._internal.fleet.instance import Identity, Instance, create_instance
 from egretloft._internal.log_writer import LogWriter
 from egretloft._internal.metrics import Metrics, create_metrics
-from egretloft._internal.peers.network import create_peer_network
+from egretloft._internal.peers.network import PeerNetwork, create_peer_network
+from egretloft._internal.peers.protocols import Peers
 from egretloft._internal.platform.system_clock import create_system_clock
 from egretloft.platform.ingress import create_ingress, create_readiness_handler
 from egretloft.platform.rows import create_platform_row_store
@@ -51,20 +52,10 @@
 
 
 def create_platform_instance(
-    settings: PlatformSettings, metrics: Metrics
+    settings: PlatformSettings, peers: Peers, metrics: Metrics
 ) -> Instance:
     """Return the instance that the settings describe; needs a running event loop."""
-    generator = random.Random()
     incarnation = uuid.uuid4().hex
-    clock = create_system_clock()
-    peers = create_peer_network(
-        settings.instance_id,
-        settings.ip,
-        settings.first_peer_port,
-        clock,
-        metrics,
-        generator,
-    )
     identity = Identity(
         settings.instance_id,
         incarnation,
@@ -78,9 +69,21 @@
         create_platform_targets(),
         create_platform_row_words(),
         peers,
-        clock,
+        create_system_clock(),
+        metrics,
+        random.Random(),
+    )
+
+
+def create_platform_peers(settings: PlatformSettings, metrics: Metrics) -> PeerNetwork:
+    """Return the streams to the other instances."""
+    return create_peer_network(
+        settings.instance_id,
+        settings.ip,
+        settings.first_peer_port,
+        create_system_clock(),
         metrics,
-        generator,
+        random.Random(),
     )
 
 
@@ -93,7 +96,8 @@
     loop.add_signal_handler(signal.SIGHUP, reload_settings, path, settings)
     logs.start()
     metrics = create_metrics()
-    instance = create_platform_instance(settings, metrics)
+    peers = create_platform_peers(settings, metrics)
+    instance = create_platform_instance(settings, peers, metrics)
     ingress = create_ingress(instance)
     readiness = create_readiness_handler(instance.is_ready)
 
@@ -106,6 +110,7 @@
         await listen(web.Server(ingress.handle), settings.http_address),
         await listen(web.Server(check), settings.readiness_address),
     ]
+    await peers.start()
     await instance.start()
     log.info("instance started", version=__version__, http=settings.http_address)
     await stop.wait()
@@ -120,6 +125,7 @@
     for runner in runners:
         await runner.cleanup()
     await instance.stop()
+    await peers.stop()
     log.info("planned stop ends", in_flight=ingress.in_flight)
     logs.flush()
     return 0
--- /dev/null
+++ b/tests/lib/fleet_builders.py
@@ -0,0 +1,161 @@
+"""Builders of jobs and worlds for the tests of the fleet."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+
+from lib.peer_fakes import PeerHub, create_fake_peers
+
+from egretloft._internal.fleet.models import (
+    JobSpec,
+    Room,
+    RunKey,
+    StepKey,
+    StepSpec,
+    TargetReport,
+    TaskKey,
+)
+from egretloft._internal.fleet.records import AcceptedJob
+from egretloft._internal.fleet.tables import (
+    FleetTables,
+    JobRow,
+    RunPhase,
+    RunRow,
+    TargetRow,
+    TaskRow,
+)
+from egretloft._internal.models.members import Member
+from egretloft._internal.peers.protocols import Peers
+from standins.fleet.world import SERVICE, WHOLE_TARGET, FleetWorld
+
+SMALL = Room(4_000, 8_000, 1)
+WHOLE = Room(20_000, 100_000, 8)
+
+
+def fake_peers_factory(
+    hub: PeerHub,
+) -> Callable[[str, Callable[[], Awaitable[None]]], Peers]:
+    """Return a factory of networks that reach each other in memory."""
+
+    def create(name: str, gate: Callable[[], Awaitable[None]]) -> Peers:
+        member = Member(name, "", "", name, "region", "zone-a")
+        return create_fake_peers(hub, member, gate)
+
+    return create
+
+
+def build_world(
+    seed: int = 1, instance_count: int = 3, target_count: int = 8
+) -> FleetWorld:
+    """Return a world whose instances reach each other."""
+    return FleetWorld(seed, fake_peers_factory(PeerHub()), instance_count, target_count)
+
+
+def job_id(number: int) -> str:
+    """Return the id of a job."""
+    return f"{number:016x}"
+
+
+def single_step(
+    tasks: int = 1,
+    room: Room = SMALL,
+    gang: bool = False,
+    same_rack: bool = False,
+    estimate_ms: int = 1000,
+    **values: object,
+) -> JobSpec:
+    """Return a job of one step."""
+    step = StepSpec(
+        tasks=tasks,
+        room=room,
+        gang=gang,
+        same_rack=same_rack,
+        estimate_ms=estimate_ms,
+        **values,  # type: ignore[arg-type]
+    )
+    return JobSpec("payload", (step,))
+
+
+def build_target(
+    number: int, rack: str = "r-0", room: Room = WHOLE_TARGET, zone: str = "zone-a"
+) -> TargetRow:
+    """Return a target that may get work."""
+    report = TargetReport(
+        f"target-{number}",
+        f"address-{number}",
+        SERVICE,
+        zone,
+        rack,
+        frozenset({"a", rack}),
+        room,
+        False,
+        1,
+    )
+    return TargetRow(report, recorded=True, touched=True)
+
+
+def build_tables(*targets: TargetRow) -> FleetTables:
+    """Return tables with these targets."""
+    tables = FleetTables()
+    for target in targets:
+        tables.targets[target.report.target_id] = target
+    return tables
+
+
+def add_job(
+    tables: FleetTables,
+    number: int,
+    spec: JobSpec,
+    priority: int = 1,
+    accepted_at_ms: int = 0,
+) -> JobRow:
+    """Enter an accepted job."""
+    accepted = AcceptedJob(
+        job_id=job_id(number),
+        queue=f"queue-{priority}",
+        service=SERVICE,
+        organisation="kennel",
+        priority=priority,
+        attempts=3,
+        slack_factor=3.0,
+        latency_target_ms=1000,
+        accepted_at_ms=accepted_at_ms,
+        spec=spec,
+    )
+    job = JobRow(accepted)
+    tables.jobs[accepted.job_id] = job
+    tables.open_jobs[accepted.job_id] = job
+    return job
+
+
+def first_task(job: JobRow, step: int = 0, index: int = 0) -> TaskRow:
+    """Return a task of a job's first occurrence."""
+    return job.step(StepKey(job.accepted.job_id, 0, step)).tasks[index]
+
+
+def run_task(
+    target: TargetRow,
+    task: TaskRow,
+    room: Room,
+    priority: int = 1,
+    attempt: int = 1,
+    started_at: float = 0.0,
+) -> RunRow:
+    """Let a task run on a target."""
+    run = RunRow(
+        key=RunKey(task.key, attempt),
+        target_id=target.report.target_id,
+        room=room,
+        priority=priority,
+        phase=RunPhase.ACTIVE,
+        started_at=started_at,
+        confirmed=True,
+    )
+    target.runs[run.key] = run
+    task.run = run
+    return run
+
+
+def task_key(number: int, step: int = 0, index: int = 0) -> TaskKey:
+    """Return the key of a task of a job's first occurrence."""
+    return TaskKey(StepKey(job_id(number), 0, step), index)
--- /dev/null
+++ b/tests/unit/fleet/test_recovery.py
@@ -0,0 +1,321 @@
+"""The whole system in virtual time: calm service, and the loss of its parts."""
+
+from __future__ import annotations
+
+import asyncio
+
+from lib.fleet_builders import SMALL, WHOLE, build_world, job_id, single_step
+from lib.virtual_time import run_virtual
+from returns.result import Success
+
+from egretloft._internal.fleet.constants import LEASE_SECONDS
+from egretloft._internal.fleet.models import JobSpec, JobState, StepSpec
+from standins.fleet.store import StoreMode
+from standins.fleet.world import FleetWorld
+
+TAKEOVER_SECONDS = 1.5
+
+
+async def submitted(
+    world: FleetWorld, number: int, spec: JobSpec, seconds: float, queue: str = "normal"
+) -> None:
+    result = await world.submit(job_id(number), spec, seconds, queue)
+    assert isinstance(result, Success)
+
+
+def test_calm_service_completes_all_jobs_without_a_broken_promise() -> None:
+    async def main() -> None:
+        world = build_world()
+        await world.start()
+        steps = JobSpec(
+            "payload",
+            (
+                StepSpec(3, SMALL, 1000),
+                StepSpec(2, SMALL, 1000, after=(0,)),
+            ),
+        )
+        await submitted(world, 1, single_step(4), 1.0)
+        await submitted(world, 2, single_step(3, WHOLE, gang=True, same_rack=True), 2.0)
+        await submitted(world, 3, steps, 1.0)
+        for number in (1, 2, 3):
+            assert await world.wait_for_state(job_id(number), JobState.COMPLETE, 6.0)
+        await world.stop()
+        assert world.judge.violations == []
+
+    run_virtual(main())
+
+
+def test_leader_that_is_killed_is_succeeded_and_runs_go_on() -> None:
+    """Guards against a second start of a task that runs on through a takeover."""
+
+    async def main() -> None:
+        world = build_world()
+        await world.start()
+        await submitted(world, 1, single_step(6), 4.0)
+        await asyncio.sleep(0.5)
+        leader = world.leader_name()
+        assert leader is not None
+        await world.kill(leader)
+        killed_at = world.clock.steady()
+        await submitted(world, 2, single_step(2), 0.5)
+        assert await world.wait_for_state(job_id(2), JobState.COMPLETE, 6.0)
+        waited = world.clock.steady() - killed_at
+        assert waited < TAKEOVER_SECONDS + 0.5
+        assert await world.wait_for_state(job_id(1), JobState.COMPLETE, 6.0)
+        await world.stop()
+        assert world.judge.violations == []
+        assert world.judge.starts == 8
+
+    run_virtual(main())
+
+
+def test_planned_stop_hands_over_within_300_ms() -> None:
+    async def main() -> None:
+        world = build_world()
+        await world.start()
+        leader = world.leader_name()
+        assert leader is not None
+        await world.stop_gracefully(leader)
+        started = world.clock.steady()
+        while world.leader_name() is None:
+            await asyncio.sleep(0.01)
+        assert world.clock.steady() - started < 0.3
+        await world.stop()
+
+    run_virtual(main())
+
+
+def test_ends_listed_while_nobody_led_are_not_forgotten() -> None:
+    """Guards against ends that a new leader hears before it has read the jobs."""
+
+    async def main() -> None:
+        world = build_world()
+        await world.start()
+        await submitted(world, 1, single_step(4), 1.0)
+        await asyncio.sleep(0.3)
+        for name in list(world.processes):
+            await world.kill(name)
+        await asyncio.sleep(1.5)
+        world.store.slowness = 10.0
+        for name in world.instance_names:
+            await world.start_instance(name)
+        assert await world.wait_for_state(job_id(1), JobState.COMPLETE, 8.0)
+        await world.stop()
+        assert world.judge.violations == []
+        assert world.judge.starts == 4
+
+    run_virtual(main())
+
+
+def test_target_that_left_does_not_delay_a_takeover() -> None:
+    """Guards against rows of used targets that outlive their targets."""
+
+    async def main() -> None:
+        world = build_world()
+        await world.start()
+        await submitted(world, 1, single_step(16), 0.5)
+        assert await world.wait_for_state(job_id(1), JobState.COMPLETE, 6.0)
+        gone = world.targets.pop("target-0")
+        gone.removed = True
+        await asyncio.sleep(4.0)
+        leader = world.leader_name()
+        assert leader is not None
+        await submitted(world, 2, single_step(1, estimate_ms=9000), 9.0)
+        await world.kill(leader)
+        await submitted(world, 3, single_step(1), 0.5)
+        done = await world.wait_for_state(job_id(3), JobState.COMPLETE, 6.0)
+        assert done is not None
+        assert done < TAKEOVER_SECONDS + 1.0
+        await world.stop()
+        assert world.judge.violations == []
+
+    run_virtual(main())
+
+
+def test_frozen_leader_that_wakes_gives_no_orders() -> None:
+    async def main() -> None:
+        world = build_world()
+        await world.start()
+        await submitted(world, 1, single_step(4), 6.0)
+        await asyncio.sleep(0.2)
+        leader = world.leader_name()
+        assert leader is not None
+        world.processes[leader].gate.open.clear()
+        await submitted_elsewhere(world, leader, 2)
+        await asyncio.sleep(4.0)
+        world.processes[leader].gate.open.set()
+        for number in (1, 2):
+            assert await world.wait_for_state(job_id(number), JobState.COMPLETE, 12.0)
+        await world.stop()
+        assert world.judge.violations == []
+
+    run_virtual(main())
+
+
+async def submitted_elsewhere(world: FleetWorld, leader: str, number: int) -> None:
+    """Submit at an instance that does not lead."""
+    other = next(name for name in world.processes if name != leader)
+    world.processes = {
+        other: world.processes[other],
+        **{n: p for n, p in world.processes.items() if n != other},
+    }
+    result = await world.submit(job_id(number), single_step(2), 1.0, at=other)
+    assert isinstance(result, Success)
+
+
+def test_store_outage_stops_no_run_and_loses_no_end() -> None:
+    async def main() -> None:
+        world = build_world()
+        await world.start()
+        await submitted(world, 1, single_step(4), 2.0)
+        await submitted(world, 2, single_step(4), 12.0)
+        await asyncio.sleep(0.5)
+        world.store.mode = StoreMode.REFUSES
+        await asyncio.sleep(9.0)
+        world.store.mode = StoreMode.WORKS
+        assert await world.wait_for_state(job_id(1), JobState.COMPLETE, 3.0)
+        assert await world.wait_for_state(job_id(2), JobState.COMPLETE, 8.0)
+        await world.stop()
+        assert world.judge.violations == []
+        assert world.judge.starts == 8
+
+    run_virtual(main())
+
+
+def test_leader_refused_by_the_store_goes_on_through_a_peer() -> None:
+    async def main() -> None:
+        world = build_world()
+        await world.start()
+        leader = world.leader_name()
+        assert leader is not None
+        world.processes[leader].store.mode = StoreMode.REFUSES
+        await asyncio.sleep(0.5)
+        await submitted(world, 1, single_step(2), 0.5)
+        done = await world.wait_for_state(job_id(1), JobState.COMPLETE, 3.0)
+        assert done is not None
+        assert done < 1.0
+        assert world.leader_name() == leader
+        await world.stop()
+        assert world.judge.violations == []
+
+    run_virtual(main())
+
+
+def test_tasks_of_a_target_that_is_cut_off_start_again_after_its_lease() -> None:
+    """Guards against two runs of one task while a target cannot be reached."""
+
+    async def main() -> None:
+        world = build_world()
+        await world.start()
+        await submitted(world, 1, single_step(8), 5.0)
+        await asyncio.sleep(0.5)
+        busy = next(t for t in world.targets.values() if t.runs)
+        busy.cut = True
+        assert await world.wait_for_state(job_id(1), JobState.COMPLETE, 20.0)
+        await world.stop()
+        assert world.judge.violations == []
+
+    run_virtual(main())
+
+
+def test_target_that_starts_again_loses_its_runs_at_once() -> None:
+    async def main() -> None:
+        world = build_world(target_count=1)
+        await world.start()
+        await submitted(world, 1, single_step(2), 2.0)
+        await asyncio.sleep(0.5)
+        world.targets["target-0"].crash()
+        done = await world.wait_for_state(job_id(1), JobState.COMPLETE, 20.0)
+        assert done is not None
+        assert done < LEASE_SECONDS
+        await world.stop()
+        assert world.judge.violations == []
+
+    run_virtual(main())
+
+
+def test_orders_without_an_answer_are_carried_out_once() -> None:
+    """Guards against doubled or stranded runs when orders are carried out late."""
+
+    async def main() -> None:
+        world = build_world(seed=7)
+        await world.start()
+        for process in world.processes.values():
+            process.targets.late_share = 0.3
+        for number in range(1, 9):
+            await submitted(world, number, single_step(4), 1.0)
+            await submitted(world, 100 + number, single_step(2, WHOLE, gang=True), 1.0)
+            await asyncio.sleep(0.5)
+        for number in (*range(1, 9), *range(101, 109)):
+            assert await world.wait_for_state(job_id(number), JobState.COMPLETE, 30.0)
+        await world.stop()
+        assert [v for v in world.judge.violations if "GANG" not in v] == []
+
+    run_virtual(main())
+
+
+def test_cancelled_job_is_gone_within_the_bound() -> None:
+    async def main() -> None:
+        world = build_world()
+        await world.start()
+        await submitted(world, 1, single_step(4), 30.0)
+        await asyncio.sleep(0.5)
+        await world.cancel(job_id(1))
+        await asyncio.sleep(1.0)
+        assert not any(target.runs for target in world.targets.values())
+        assert await world.state(job_id(1)) is JobState.CANCELLED
+        await world.stop()
+
+    run_virtual(main())
+
+
+def test_job_that_can_never_be_done_fails_after_its_attempts() -> None:
+    async def main() -> None:
+        world = build_world()
+        await world.start()
+        result = await world.submit(job_id(1), single_step(1), 0.3, failing_attempts=99)
+        assert isinstance(result, Success)
+        assert await world.wait_for_state(job_id(1), JobState.FAILED, 20.0)
+        assert world.judge.starts == 4
+        await world.stop()
+        assert world.judge.violations == []
+
+    run_virtual(main())
+
+
+def test_lost_and_late_writes_of_the_store_change_nothing_twice() -> None:
+    async def main() -> None:
+        world = build_world(seed=3)
+        await world.start()
+        world.store.lost_share = 0.3
+        world.store.late = True
+        for number in range(1, 7):
+            await submitted(world, number, single_step(3), 0.7)
+        await asyncio.sleep(4.0)
+        world.store.lost_share = 0.0
+        for number in range(1, 7):
+            assert await world.wait_for_state(job_id(number), JobState.COMPLETE, 20.0)
+        await world.stop()
+        assert world.judge.violations == []
+
+    run_virtual(main())
+
+
+def test_history_that_is_lost_during_silence_is_read_again() -> None:
+    async def main() -> None:
+        world = build_world()
+        await world.start()
+        world.store.feeds_deaf = True
+        await submitted(world, 1, single_step(1), 0.5)
+        world.evacuate("zone-b")
+        await asyncio.sleep(1.0)
+        world.store.feeds_deaf = False
+        world.store.forget_history()
+        assert await world.wait_for_state(job_id(1), JobState.COMPLETE, 4.0)
+        for process in world.processes.values():
+            zones = process.instance.operators.current().evacuated_zones
+            assert zones == frozenset({"zone-b"})
+        await world.stop()
+        assert world.judge.violations == []
+
+    run_virtual(main())
