Keep room for waiting gangs and spare steps that lost work before

Ruled out: lack of room; the service was below its capacity meanwhile. Change: a gang that does not fit keeps the targets where it will fit soonest from less urgent steps for 5 s; work lost before counts in the cost of a stop.

--- a/src/egretloft/_internal/fleet/reclaiming.py
+++ b/src/egretloft/_internal/fleet/reclaiming.py
@@ -33,6 +33,10 @@
 WORTHWHILE_LOSS = 0.3
 # Time in which the targets chosen for a step are not changed, as stops take a while.
 STOP_PATIENCE_SECONDS = 2.0
+# Time for which the targets reserved for a waiting gang are not changed.
+RESERVATION_SECONDS = 5.0
+# A run that should have ended by its estimate may still take this long.
+LEAST_REST_SECONDS = 1.0
 # Work that a checkpointing task loses at most, in seconds.
 CHECKPOINT_LOSS_SECONDS = 1.0
 
@@ -56,9 +60,65 @@
             worked = min(worked, CHECKPOINT_LOSS_SECONDS)
         if spec.gang:
             cores *= spec.tasks
+        # A step that lost work before is spared, so that it ends at last.
+        return cores * worked + job.step(run.key.task.step).reclaimed_work
     return cores * worked
 
 
+def note_reclaimed(tables: FleetTables, runs: list[RunRow], now: float) -> None:
+    """Remember what the steps of stopped runs lost."""
+    for run in runs:
+        job = tables.jobs.get(run.key.task.step.job_id)
+        if job is not None:
+            lost = lost_work(tables, run, now)
+            step = job.step(run.key.task.step)
+            step.reclaimed_work = max(step.reclaimed_work, lost)
+
+
+def plan_reservation(
+    tables: FleetTables,
+    step: StepRow,
+    targets: list[TargetRow],
+    reserved: dict[str, Room],
+    priority: int,
+    spread: bool,
+    now: float,
+) -> Plan | None:
+    """Return where a waiting gang would fit once less urgent runs have ended.
+
+    Nothing is stopped: the room is only kept from less urgent steps.
+    """
+    chosen = [t for t in targets if t.report.target_id in step.reclaim_targets]
+    keeps = bool(chosen) and now < step.reclaim_until
+    rooms = []
+    for target in chosen if keeps else targets:
+        free = room_without(tables, target, priority, now)
+        free.reclaim_cost = longest_rest_seconds(tables, target, priority, now)
+        free.take(reserved.get(target.report.target_id, Room()))
+        rooms.append(free)
+    plan = place_gang(step, rooms, spread)
+    if plan is not None and not keeps:
+        used = {free.target.report.target_id for _, free in plan.entries}
+        step.reclaim_targets = frozenset(used)
+        step.reclaim_until = now + RESERVATION_SECONDS
+    return plan
+
+
+def longest_rest_seconds(
+    tables: FleetTables, target: TargetRow, priority: int, now: float
+) -> float:
+    """Return when the less urgent runs of a target will have ended by estimate."""
+    longest = 0.0
+    for run in target.runs.values():
+        job = tables.jobs.get(run.key.task.step.job_id)
+        if run.priority <= priority or job is None:
+            continue
+        spec = job.accepted.spec.steps[run.key.task.step.step]
+        rest = spec.estimate_ms / MILLISECONDS - (now - run.started_at)
+        longest = max(longest, rest, LEAST_REST_SECONDS)
+    return longest
+
+
 def total_lost_work(tables: FleetTables, runs: list[RunRow], now: float) -> float:
     """Return the core-seconds that stops would throw away; a gang counts once."""
     total = 0.0
--- a/src/egretloft/_internal/fleet/scheduler.py
+++ b/src/egretloft/_internal/fleet/scheduler.py
@@ -19,7 +19,11 @@
     place_tasks,
 )
 from egretloft._internal.fleet.queueing import WaitingStep, ordered
-from egretloft._internal.fleet.reclaiming import plan_reclaim
+from egretloft._internal.fleet.reclaiming import (
+    note_reclaimed,
+    plan_reclaim,
+    plan_reservation,
+)
 from egretloft._internal.fleet.tables import (
     FleetTables,
     RunPhase,
@@ -207,13 +211,30 @@
             decisions.stops.extend(
                 run for run in reclaim.victims if run.phase is not RunPhase.STOPPING
             )
+            note_reclaimed(self.tables, list(reclaim.victims), self.moment.now)
             for run in reclaim.victims:
                 run.phase = RunPhase.STOPPING
             self.reserve(reclaim.plan)
             return
-        if is_plain(step):
+        if step.spec.gang:
+            self.reserve_for_gang(step, priority, spread)
+        elif is_plain(step):
             self.blocked.append(self.signature(step))
 
+    def reserve_for_gang(self, step: StepRow, priority: int, spread: bool) -> None:
+        """Keep less urgent steps from the room that a waiting gang will get."""
+        plan = plan_reservation(
+            self.tables,
+            step,
+            self.targets,
+            self.reserved,
+            priority,
+            spread,
+            self.moment.now,
+        )
+        if plan is not None:
+            self.reserve(plan)
+
     def reserve(self, plan: Plan) -> None:
         """Keep the planned room from the steps that come later."""
         by_target = {free.target.report.target_id: free for free in self.rooms}
--- a/src/egretloft/_internal/fleet/tables.py
+++ b/src/egretloft/_internal/fleet/tables.py
@@ -74,6 +74,7 @@
     begun: bool = False
     reclaim_targets: frozenset[str] = frozenset()
     reclaim_until: float = 0.0
+    reclaimed_work: float = 0.0
 
     def is_done(self) -> bool:
         """Return whether all tasks ended as done."""
