Spread guaranteed gangs that no rack can hold, and make ticks cheaper

Change: a covered gang spreads when no rack can be freed, any gang after 2 s while most of the service is idle; targets set aside are the last resort after 2.5 s; rooms without less urgent runs are computed once a tick, racks that cannot hold a gang are skipped, tasks fill targets in one sorted pass, and ticks take a quarter of the processor at most.

--- a/src/egretloft/_internal/fleet/leader.py
+++ b/src/egretloft/_internal/fleet/leader.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import time
 from collections.abc import Callable, Coroutine
 from typing import Any
 
@@ -66,6 +67,8 @@
 
 log = structlog.get_logger(__name__)
 
+# Ticks take at most a quarter of the processor.
+TICK_PAUSE_FACTOR = 3.0
 # Attempt numbers of a term start above those of all earlier terms.
 ATTEMPTS_PER_TERM_BITS = 20
 
@@ -108,6 +111,7 @@
         self.must_confirm_after = 0.0
         self.draining = False
         self.recovered = False
+        self.tick_pause = 0.0
 
     @staticmethod
     def doubt_seconds() -> float:
@@ -236,9 +240,14 @@
         while self.in_office():
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(self.wake.wait(), TICK_SECONDS)
-            await asyncio.sleep(TICK_DELAY_SECONDS)
+            await asyncio.sleep(max(TICK_DELAY_SECONDS, self.tick_pause))
             self.wake.clear()
+            started = time.perf_counter()
             self.tick()
+            spent = time.perf_counter() - started
+            self.metrics.observe_seconds("tick_seconds", spent)
+            # A long tick leaves most of the processor to renewals and callers.
+            self.tick_pause = min(TICK_SECONDS, TICK_PAUSE_FACTOR * spent)
 
     # Rows.
 
--- a/src/egretloft/_internal/fleet/placing.py
+++ b/src/egretloft/_internal/fleet/placing.py
@@ -16,6 +16,10 @@
 # A gang that wants one rack is spread once it has waited this multiple of its
 # estimated time: from then on waiting costs more than the slower run.
 SPREAD_AFTER_ESTIMATES = 2.0
+# While most accelerators are idle a gang is spread after this time, as it then waits
+# for a shape that ends of other work do not bring.
+SPREAD_WHEN_IDLE_SECONDS = 2.0
+IDLE_SHARE = 0.5
 
 
 @dataclass(slots=True)
@@ -23,7 +27,7 @@
     """Room of a target that a plan may still take.
 
     ``reclaim_cost`` is the work in core-seconds that is lost if all of this room is
-    to be free; 0 where it is free now.
+    to be free; 0 where it is free now. A target that is set aside is ``doubtful``.
     """
 
     target: TargetRow
@@ -31,6 +35,7 @@
     memory_mb: int
     gpus: int
     reclaim_cost: float = 0.0
+    doubtful: bool = False
 
     def holds(self, room: Room) -> bool:
         """Return whether ``room`` fits."""
@@ -85,18 +90,26 @@
     return not spec.label or spec.label in target.report.labels
 
 
-def count_on_target(step: StepRow, target: TargetRow) -> int:
-    """Return how many tasks of the step run on the target."""
-    return sum(1 for run in target.runs.values() if run.key.task.step == step.key)
+def counts_on_targets(step: StepRow, rooms: list[FreeRoom]) -> dict[int, int]:
+    """Return how many tasks of a limited step run on each target."""
+    if not step.spec.max_per_target:
+        return {}
+    return {
+        id(free): sum(
+            run.key.task.step == step.key for run in free.target.runs.values()
+        )
+        for free in rooms
+    }
 
 
-Rank = tuple[int, float, int, int, int]
+Rank = tuple[bool, int, float, int, int, int]
 
 
 def rank(free: FreeRoom, spec: StepSpec, room: Room) -> Rank:
     """Return the order of targets for a task: data first, then the tightest fit."""
     away = int(bool(spec.data_rack) and free.target.report.rack != spec.data_rack)
     return (
+        free.doubtful,
         away,
         free.reclaim_cost,
         free.gpus - room.gpus,
@@ -113,8 +126,13 @@
     """
     spec = step.spec
     plan = Plan(accounted_room(spec))
-    candidates = [free for free in rooms if accepts(free.target, spec)]
-    counts = {id(free): count_on_target(step, free.target) for free in candidates}
+    candidates = [
+        free for free in rooms if free.holds(plan.room) and accepts(free.target, spec)
+    ]
+    if not spec.max_per_target and not any(task.failed_on for task in tasks):
+        fill_in_order(plan, tasks, candidates, spec)
+        return plan
+    counts = counts_on_targets(step, candidates)
     for task in tasks:
         best = choose(task, candidates, counts, spec, plan.room)
         if best is None and task.failed_on:
@@ -122,11 +140,27 @@
         if best is None:
             break
         best.take(plan.room)
-        counts[id(best)] += 1
+        if spec.max_per_target:
+            counts[id(best)] += 1
         plan.entries.append((task, best))
     return plan
 
 
+def fill_in_order(
+    plan: Plan, tasks: list[TaskRow], candidates: list[FreeRoom], spec: StepSpec
+) -> None:
+    """Place tasks that may go anywhere: fill the best target, then the next one."""
+    order = iter(sorted(candidates, key=lambda free: rank(free, spec, plan.room)))
+    free = next(order, None)
+    for task in tasks:
+        while free is not None and not free.holds(plan.room):
+            free = next(order, None)
+        if free is None:
+            return
+        free.take(plan.room)
+        plan.entries.append((task, free))
+
+
 def choose(
     task: TaskRow,
     candidates: list[FreeRoom],
@@ -137,8 +171,7 @@
     """Return the best target for one task, or ``None`` if none has room."""
     best: FreeRoom | None = None
     best_rank: Rank | None = None
-    known = {free.target.report.target_id for free in candidates}
-    avoided = task.failed_on if not known <= task.failed_on else frozenset[str]()
+    avoided = targets_to_avoid(task, candidates) if task.failed_on else NOTHING
     for free in candidates:
         if not free.holds(room) or free.target.report.target_id in avoided:
             continue
@@ -150,6 +183,36 @@
     return best
 
 
+NOTHING: frozenset[str] = frozenset()
+
+
+def targets_to_avoid(
+    task: TaskRow, candidates: list[FreeRoom]
+) -> set[str] | frozenset[str]:
+    """Return where the task failed, or nothing if it has failed everywhere."""
+    known = {free.target.report.target_id for free in candidates}
+    return NOTHING if known <= task.failed_on else task.failed_on
+
+
+def fitting_tasks(step: StepRow, rooms: Iterable[FreeRoom]) -> int:
+    """Return how many tasks of the step the rooms hold at most."""
+    room = accounted_room(step.spec)
+    limit = step.spec.max_per_target or step.spec.tasks
+    total = 0
+    for free in rooms:
+        if not accepts(free.target, step.spec):
+            continue
+        fits = limit
+        if room.cpu:
+            fits = min(fits, free.cpu // room.cpu)
+        if room.memory_mb:
+            fits = min(fits, free.memory_mb // room.memory_mb)
+        if room.gpus:
+            fits = min(fits, free.gpus // room.gpus)
+        total += max(0, fits)
+    return total
+
+
 def place_gang(step: StepRow, rooms: list[FreeRoom], may_spread: bool) -> Plan | None:
     """Place all members of a gang, or none.
 
@@ -157,6 +220,8 @@
     The gang is spread over racks only with ``may_spread``.
     """
     tasks = step.tasks
+    if fitting_tasks(step, rooms) < len(tasks):
+        return None
     if step.spec.same_rack:
         plan = place_in_one_rack(step, rooms)
         if plan is not None or not may_spread:
@@ -172,6 +237,8 @@
     """Place a gang in the rack where the least room remains."""
     best: tuple[tuple[int, float, int], list[FreeRoom]] | None = None
     for rack, members in racks_of(rooms).items():
+        if fitting_tasks(step, members) < len(step.tasks):
+            continue
         plan = place_tasks(step, step.tasks, members)
         fits = len(plan.entries) == len(step.tasks)
         left = sum(free.gpus for free in members)
@@ -208,4 +275,18 @@
     if not step.spec.same_rack:
         return True
     patience = step.spec.estimate_ms / 1000.0 * SPREAD_AFTER_ESTIMATES
+    if is_mostly_idle(targets):
+        patience = min(patience, SPREAD_WHEN_IDLE_SECONDS)
     return now - step.ready_at > patience or not fits_one_empty_rack(step, targets)
+
+
+def is_mostly_idle(targets: list[TargetRow]) -> bool:
+    """Return whether less than half of the accelerators and cores are in use."""
+    cpu = gpus = used_cpu = used_gpus = 0
+    for target in targets:
+        used = target.used()
+        cpu += target.report.room.cpu
+        gpus += target.report.room.gpus
+        used_cpu += used.cpu
+        used_gpus += used.gpus
+    return used_gpus <= gpus * IDLE_SHARE and used_cpu <= cpu * IDLE_SHARE
--- a/src/egretloft/_internal/fleet/reclaiming.py
+++ b/src/egretloft/_internal/fleet/reclaiming.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from egretloft._internal.fleet.models import Room, StepKey
 from egretloft._internal.fleet.placing import (
@@ -76,24 +76,24 @@
 
 
 def plan_reservation(
-    tables: FleetTables,
+    lesser: LesserRuns,
     step: StepRow,
     targets: list[TargetRow],
     reserved: dict[str, Room],
     priority: int,
     spread: bool,
-    now: float,
 ) -> Plan | None:
     """Return where a waiting gang would fit once less urgent runs have ended.
 
     Nothing is stopped: the room is only kept from less urgent steps.
     """
+    now = lesser.now
     chosen = [t for t in targets if t.report.target_id in step.reclaim_targets]
     keeps = bool(chosen) and now < step.reclaim_until
     rooms = []
     for target in chosen if keeps else targets:
-        free = room_without(tables, target, priority, now)
-        free.reclaim_cost = longest_rest_seconds(tables, target, priority, now)
+        free = lesser.room(target, priority)
+        free.reclaim_cost = lesser.rest_seconds(target, priority)
         free.take(reserved.get(target.report.target_id, Room()))
         rooms.append(free)
     plan = place_gang(step, rooms, spread)
@@ -134,6 +134,34 @@
     return total
 
 
+class LesserRuns:
+    """Rooms that come free when all less urgent runs end, computed once a tick."""
+
+    def __init__(self, tables: FleetTables, now: float) -> None:
+        self.tables = tables
+        self.now = now
+        self.rooms: dict[tuple[str, int], FreeRoom] = {}
+        self.rests: dict[tuple[str, int], float] = {}
+
+    def room(self, target: TargetRow, priority: int) -> FreeRoom:
+        """Return a copy of the room without runs below ``priority``, and its cost."""
+        key = (target.report.target_id, priority)
+        known = self.rooms.get(key)
+        if known is None:
+            known = room_without(self.tables, target, priority, self.now)
+            self.rooms[key] = known
+        return replace(known)
+
+    def rest_seconds(self, target: TargetRow, priority: int) -> float:
+        """Return when the less urgent runs of a target will have ended."""
+        key = (target.report.target_id, priority)
+        if key not in self.rests:
+            self.rests[key] = longest_rest_seconds(
+                self.tables, target, priority, self.now
+            )
+        return self.rests[key]
+
+
 def room_without(
     tables: FleetTables, target: TargetRow, priority: int, now: float
 ) -> FreeRoom:
@@ -158,25 +186,25 @@
 
 
 def plan_reclaim(
-    tables: FleetTables,
+    lesser: LesserRuns,
     step: StepRow,
     targets: list[TargetRow],
     reserved: dict[str, Room],
     priority: int,
     spread: bool,
     entitled: bool,
-    now: float,
 ) -> Reclaim | None:
     """Return which runs to stop so that the waiting tasks of ``step`` fit.
 
     ``reserved`` is room by target that is promised to steps further ahead. Without
     ``entitled``, more work must be gained than is lost.
     """
+    tables, now = lesser.tables, lesser.now
     chosen = [t for t in targets if t.report.target_id in step.reclaim_targets]
     waits_for_stops = bool(chosen) and now < step.reclaim_until
     rooms = []
     for target in chosen if waits_for_stops else targets:
-        free = room_without(tables, target, priority, now)
+        free = lesser.room(target, priority)
         free.take(reserved.get(target.report.target_id, Room()))
         rooms.append(free)
     if step.spec.gang:
--- a/src/egretloft/_internal/fleet/scheduler.py
+++ b/src/egretloft/_internal/fleet/scheduler.py
@@ -20,6 +20,7 @@
 )
 from egretloft._internal.fleet.queueing import WaitingStep, ordered
 from egretloft._internal.fleet.reclaiming import (
+    LesserRuns,
     note_reclaimed,
     plan_reclaim,
     plan_reservation,
@@ -33,6 +34,8 @@
     TaskRow,
 )
 
+# A step that has waited for this long may use targets that are set aside.
+LAST_RESORT_SECONDS = 2.5
 # Only the most urgent queues may take room from others.
 RECLAIMING_PRIORITY = 0
 MILLISECONDS = 1000.0
@@ -70,9 +73,13 @@
 
 
 def usable_targets(
-    tables: FleetTables, operators: OperatorState, service: str, now: float
+    tables: FleetTables, operators: OperatorState, service: str
 ) -> list[TargetRow]:
-    """Return the targets of a service that may get new work."""
+    """Return the targets of a service that may get new work.
+
+    Those that are set aside are among them, as the last resort of a step that has
+    waited for long.
+    """
     return [
         target
         for target in tables.targets.values()
@@ -82,7 +89,6 @@
         and target.touched
         and target.reachable
         and not target.report.draining
-        and target.avoided_until <= now
         and target.report.zone not in operators.evacuated_zones
     ]
 
@@ -132,7 +138,7 @@
         for waiting in waiting_steps(self.tables, moment):
             service = waiting.job.accepted.service
             if service not in services:
-                targets = usable_targets(self.tables, operators, service, moment.now)
+                targets = usable_targets(self.tables, operators, service)
                 services[service] = ServiceRound(
                     self.tables, targets, guarantees, moment
                 )
@@ -153,9 +159,14 @@
     ) -> None:
         self.tables = tables
         self.guarantees = guarantees
+        self.lesser = LesserRuns(tables, moment.now)
         self.targets = targets
         self.moment = moment
         self.rooms: list[FreeRoom] = [free_room(target) for target in targets]
+        for free in self.rooms:
+            free.doubtful = free.target.avoided_until > moment.now
+        self.sound_rooms = [free for free in self.rooms if not free.doubtful]
+        self.sound_targets = [free.target for free in self.sound_rooms]
         self.reserved: dict[str, Room] = {}
         self.blocked: list[tuple[int, int, int]] = []
 
@@ -166,7 +177,7 @@
         signature = self.signature(step)
         if any(is_at_least(signature, blocked) for blocked in self.blocked):
             return
-        spread = may_spread(step, self.targets, self.moment.now)
+        spread = may_spread(step, self.sound_targets, self.moment.now)
         plan = self.place(step, spread)
         if plan is not None and plan.entries:
             starts = tuple((task, free.target) for task, free in plan.entries)
@@ -181,9 +192,11 @@
 
     def place(self, step: StepRow, spread: bool) -> Plan | None:
         """Place a gang whole, or as many single tasks as fit."""
+        waited = self.moment.now - step.ready_at
+        rooms = self.rooms if waited > LAST_RESORT_SECONDS else self.sound_rooms
         if step.spec.gang:
-            return place_gang(step, self.rooms, spread)
-        return place_tasks(step, step.waiting(), self.rooms)
+            return place_gang(step, rooms, spread)
+        return place_tasks(step, step.waiting(), rooms)
 
     def make_room(
         self,
@@ -196,41 +209,64 @@
         """Reclaim room for an urgent step, or remember what does not fit."""
         step = waiting.step
         if priority <= RECLAIMING_PRIORITY and (plan is None or not plan.entries):
-            reclaim = plan_reclaim(
-                self.tables,
-                step,
-                self.targets,
-                self.reserved,
-                priority,
-                spread,
-                self.guarantees.covers(waiting.job),
-                self.moment.now,
-            )
-            if reclaim is None:
+            covered = self.guarantees.covers(waiting.job)
+            if self.reclaim(step, priority, spread, covered, decisions) or spread:
                 return
-            decisions.stops.extend(
-                run for run in reclaim.victims if run.phase is not RunPhase.STOPPING
-            )
-            note_reclaimed(self.tables, list(reclaim.victims), self.moment.now)
-            for run in reclaim.victims:
-                run.phase = RunPhase.STOPPING
-            self.reserve(reclaim.plan)
+            # No rack can be freed for a step whose room is guaranteed: it runs on
+            # several racks rather than wait.
+            if covered and not self.start_spread(step, priority, decisions):
+                self.reclaim(step, priority, True, covered, decisions)
             return
         if step.spec.gang:
             self.reserve_for_gang(step, priority, spread)
         elif is_plain(step):
             self.blocked.append(self.signature(step))
 
+    def reclaim(
+        self,
+        step: StepRow,
+        priority: int,
+        spread: bool,
+        covered: bool,
+        decisions: Decisions,
+    ) -> bool:
+        """Stop less urgent runs for a step; return whether it will fit then."""
+        reclaim = plan_reclaim(
+            self.lesser,
+            step,
+            self.sound_targets,
+            self.reserved,
+            priority,
+            spread,
+            covered,
+        )
+        if reclaim is None:
+            return False
+        note_reclaimed(self.tables, list(reclaim.victims), self.moment.now)
+        for run in reclaim.victims:
+            run.phase = RunPhase.STOPPING
+        decisions.stops.extend(reclaim.victims)
+        self.reserve(reclaim.plan)
+        return True
+
+    def start_spread(self, step: StepRow, priority: int, decisions: Decisions) -> bool:
+        """Start a gang on several racks if it fits now; return whether it did."""
+        plan = self.place(step, True)
+        if plan is None or not plan.entries:
+            return False
+        starts = tuple((task, free.target) for task, free in plan.entries)
+        decisions.placements.append(Placement(step, priority, starts))
+        return True
+
     def reserve_for_gang(self, step: StepRow, priority: int, spread: bool) -> None:
         """Keep less urgent steps from the room that a waiting gang will get."""
         plan = plan_reservation(
-            self.tables,
+            self.lesser,
             step,
-            self.targets,
+            self.sound_targets,
             self.reserved,
             priority,
             spread,
-            self.moment.now,
         )
         if plan is not None:
             self.reserve(plan)
--- a/src/egretloft/_internal/fleet/tables.py
+++ b/src/egretloft/_internal/fleet/tables.py
@@ -221,10 +221,12 @@
 
     def used(self) -> Room:
         """Return the room that runs take, those being stopped included."""
-        room = Room()
+        cpu = memory_mb = gpus = 0
         for run in self.runs.values():
-            room = room.plus(run.room)
-        return room
+            cpu += run.room.cpu
+            memory_mb += run.room.memory_mb
+            gpus += run.room.gpus
+        return Room(cpu, memory_mb, gpus)
 
 
 @dataclass(slots=True, eq=False)
--- a/src/egretloft/platform/program.py
+++ b/src/egretloft/platform/program.py
@@ -44,10 +44,12 @@
 
 async def listen(handler: web.Server, address: str) -> web.ServerRunner:
     """Serve ``handler`` at ``address``; raises ``OSError``."""
-    runner = web.ServerRunner(handler, keepalive_timeout=KEEPALIVE_SECONDS)
+    runner = web.ServerRunner(
+        handler, keepalive_timeout=KEEPALIVE_SECONDS, shutdown_timeout=0.5
+    )
     await runner.setup()
     host, port = address_of(address)
-    await web.TCPSite(runner, host, port, backlog=512, shutdown_timeout=0.5).start()
+    await web.TCPSite(runner, host, port, backlog=512).start()
     return runner
 
 
--- a/tests/unit/fleet/test_placing.py
+++ b/tests/unit/fleet/test_placing.py
@@ -225,3 +225,40 @@
     add_job(tables, 1, single_step(1, WHOLE), priority=1, accepted_at_ms=1)
     add_job(tables, 2, single_step(1, WHOLE), priority=1, accepted_at_ms=999_000)
     assert started(decide(tables)) == [(job_id(2), ["target-0"])]
+
+
+def test_guaranteed_gang_is_spread_where_no_rack_can_be_freed() -> None:
+    """Guards against an urgent gang that waits for a rack past its bound."""
+    targets = [build_target(n, f"r-{n // 2}") for n in range(4)]
+    tables = build_tables(*targets)
+    for number, target in ((1, targets[0]), (2, targets[2])):
+        holder = add_job(tables, number, single_step(1, WHOLE), priority=0)
+        run_task(target, first_task(holder), WHOLE, 0, started_at=NOW)
+    gang = single_step(2, WHOLE, gang=True, same_rack=True, estimate_ms=9000)
+    add_job(tables, 3, gang, priority=0)
+    found = started(decide(tables, operators(guaranteed=64)))
+    assert found == [(job_id(3), ["target-1", "target-3"])]
+
+
+def test_target_set_aside_is_the_last_resort_of_a_step_that_waited() -> None:
+    """Guards against a job that waits for ever for the only target it may use."""
+    target = build_target(0)
+    target.avoided_until = NOW + 30.0
+    tables = build_tables(target)
+    job = add_job(tables, 1, single_step(1))
+    assert started(decide(tables)) == []
+    first_step(job).ready_at = NOW - 5.0
+    assert started(decide(tables)) == [(job_id(1), ["target-0"])]
+
+
+def test_gang_is_spread_soon_while_most_of_the_service_is_idle() -> None:
+    targets = [build_target(n, f"r-{n // 2}") for n in range(8)]
+    tables = build_tables(*targets)
+    for number, target in enumerate(targets[::2], start=10):
+        holder = add_job(tables, number, single_step(1, WHOLE), priority=1)
+        run_task(target, first_task(holder), WHOLE, 1, started_at=NOW)
+    gang = single_step(2, WHOLE, gang=True, same_rack=True, estimate_ms=60_000)
+    job = add_job(tables, 1, gang)
+    assert started(decide(tables)) == []
+    first_step(job).ready_at = NOW - 2.5
+    assert started(decide(tables)) == [(job_id(1), ["target-1", "target-3"])]
