Stay ready through an outage that hits all, remove old rows, serve metrics

Cause: after 3 s without the store every instance reported not ready, so callers found none when it came back; rows of ended jobs stayed for ever; metrics shared the readiness address. Ruled out: serving less by staying ready; calls are refused at once with a Retry-After. Change: an instance is not ready only if it alone lacks the store; rows go 10 minutes after a job's end; /metrics has a port of its own, named in the deploy file; queues with advice are refused at once, as their starts would be; unused fields are gone.

--- a/src/egretloft/_internal/fleet/constants.py
+++ b/src/egretloft/_internal/fleet/constants.py
@@ -42,6 +42,8 @@
 DISTANT_FEED_PAUSE_SECONDS = 0.8
 STORE_CALL_SECONDS = 1.0
 FEED_RETRY_SECONDS = 0.2
+# The state of an ended job is known to callers for at least this long.
+RETENTION_SECONDS = 600.0
 # Rows of one transaction, below the store's limit of 100 entries of all kinds.
 ROWS_PER_TRANSACTION = 40
 
--- a/src/egretloft/_internal/fleet/instance.py
+++ b/src/egretloft/_internal/fleet/instance.py
@@ -46,7 +46,7 @@
 log = structlog.get_logger(__name__)
 
 ELECTION_TICK_SECONDS = 0.05
-# Without any path to the store for this long, an instance says that it is not ready.
+# An instance that alone has been without the store for this long is not ready.
 READY_WITHOUT_STORE_SECONDS = 3.0
 
 
@@ -160,7 +160,10 @@
         """Return whether this instance can serve callers."""
         if self.stopping or self.operators.current().configuration is None:
             return False
-        return self.operator_watcher.age() <= READY_WITHOUT_STORE_SECONDS
+        if self.operator_watcher.age() <= READY_WITHOUT_STORE_SECONDS:
+            return True
+        # While nobody reaches the store, another instance would serve no better.
+        return self.store.peers_lack_store()
 
     # Peers.
 
--- a/src/egretloft/_internal/fleet/intake.py
+++ b/src/egretloft/_internal/fleet/intake.py
@@ -67,6 +67,7 @@
     STORE_UNAVAILABLE = "store_unavailable"
     OUTCOME_UNKNOWN = "outcome_unknown"
     NO_SUCH_JOB = "no_such_job"
+    UNSUPPORTED = "unsupported"
 
 
 @dataclass(slots=True, frozen=True)
@@ -156,6 +157,13 @@
         ``deadline`` is on the steady clock.
         """
         queue = caller.queue
+        if queue.advised:
+            # Its targets refuse each start without a ticket, which is not asked for.
+            return Failure(
+                IntakeRefusal(
+                    IntakeRefusalKind.UNSUPPORTED, "queues with advice are not served"
+                )
+            )
         accepted = AcceptedJob(
             job_id=job_id,
             queue=queue.name,
@@ -167,7 +175,6 @@
             latency_target_ms=queue.latency_target_ms,
             accepted_at_ms=int(self.clock.wall() * MILLISECONDS),
             spec=spec,
-            advised=queue.advised,
         )
         key = job_key(job_id)
         transaction = RowTransaction(
--- a/src/egretloft/_internal/fleet/leader.py
+++ b/src/egretloft/_internal/fleet/leader.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import itertools
 import time
 from collections.abc import Callable, Coroutine
 from typing import Any
@@ -21,6 +22,7 @@
     LEASE_SECONDS,
     PARTITION,
     PROGRESS_SUFFIX,
+    RETENTION_SECONDS,
     START_EXPIRY_SECONDS,
     SUSPENSION_SECONDS,
     TABLE_JOBS,
@@ -357,7 +359,7 @@
         if isinstance(record, Failure):
             log.error("job row unreadable", request_id=row.key.key, version=row.version)
             return
-        job = JobRow(record.unwrap(), arrived_at=self.clock.steady())
+        job = JobRow(record.unwrap())
         self.tables.jobs[job.accepted.job_id] = job
         self.tables.open_jobs[job.accepted.job_id] = job
         log.info(
@@ -413,6 +415,7 @@
             session.check_lease()
         self.update_doubt(now)
         self.remove_gone_targets()
+        self.remove_old_jobs()
         if not self.may_order():
             return
         self.stop_stalled(now)
@@ -451,6 +454,15 @@
             self.session_tasks.pop(target_id).cancel()
             self.recorder.forget_target(target_id)
 
+    def remove_old_jobs(self) -> None:
+        """Forget jobs that ended long ago, and have their rows removed."""
+        oldest_ms = (self.clock.wall() - RETENTION_SECONDS) * 1000
+        # Jobs come in the order of their arrival, so the first ones end first.
+        for job_id, job in list(itertools.islice(self.tables.jobs.items(), 20)):
+            if job.is_final() and not job.is_dirty() and job.finished_at_ms < oldest_ms:
+                del self.tables.jobs[job_id]
+                self.recorder.forget_job(job_id, job.cancelled)
+
     def stop_stalled(self, now: float) -> None:
         """Stop runs without progress, and set their targets aside."""
         for run in stalled_runs(self.tables, now):
--- a/src/egretloft/_internal/fleet/models.py
+++ b/src/egretloft/_internal/fleet/models.py
@@ -5,8 +5,6 @@
 from dataclasses import dataclass, field
 from enum import StrEnum
 
-GPUS_PER_WHOLE_TARGET = 8
-
 
 @dataclass(slots=True, frozen=True)
 class Room:
@@ -115,7 +113,6 @@
 
     version: int
     queues: tuple[Queue, ...]
-    guarded_services: frozenset[str]
     organisations: tuple[Organisation, ...]
     max_body_bytes: int
 
@@ -218,7 +215,6 @@
     room: Room
     draining: bool
     born_ms: int
-    remaining_ms: int | None = None
 
 
 @dataclass(slots=True, frozen=True)
--- a/src/egretloft/_internal/fleet/recorder.py
+++ b/src/egretloft/_internal/fleet/recorder.py
@@ -29,7 +29,12 @@
     StoreFailureKind,
 )
 from egretloft._internal.fleet.models import JobState
-from egretloft._internal.fleet.records import UsedTarget, progress_key
+from egretloft._internal.fleet.records import (
+    UsedTarget,
+    cancel_key,
+    job_key,
+    progress_key,
+)
 from egretloft._internal.fleet.tables import FleetTables, JobRow, TargetRow
 from egretloft._internal.metrics import Metrics
 
@@ -48,11 +53,11 @@
     jobs: list[tuple[JobRow, int, JobState]] = field(default_factory=list)
     targets: list[TargetRow] = field(default_factory=list)
     removals: list[str] = field(default_factory=list)
-    finished_jobs: list[str] = field(default_factory=list)
+    ended_jobs: dict[str, bool] = field(default_factory=dict)
 
     def is_empty(self) -> bool:
         """Return whether there is nothing to write."""
-        return not (self.jobs or self.targets or self.removals or self.finished_jobs)
+        return not (self.jobs or self.targets or self.removals or self.ended_jobs)
 
 
 class Recorder:
@@ -73,7 +78,7 @@
         self.dirty: dict[str, JobRow] = {}
         self.target_versions: dict[str, int] = {}
         self.gone_targets: set[str] = set()
-        self.on_recorded: list[asyncio.Event] = []
+        self.ended_jobs: dict[str, bool] = {}
         self.failing = False
 
     def mark(self, job: JobRow) -> None:
@@ -88,6 +93,11 @@
             self.gone_targets.add(target_id)
             self.wake.set()
 
+    def forget_job(self, job_id: str, cancelled: bool) -> None:
+        """Have all rows of an ended job removed."""
+        self.ended_jobs[job_id] = cancelled
+        self.wake.set()
+
     async def run(self) -> None:
         """Write batches until cancelled."""
         while True:
@@ -112,8 +122,6 @@
             target = self.tables.targets.get(target_id)
             if target is not None and target.born_ms == lives[target_id]:
                 target.noted = max(target.noted, number)
-        for event in self.on_recorded:
-            event.set()
         return True
 
     def next_batch(self) -> Batch:
@@ -124,6 +132,8 @@
         unrecorded = [t for t in self.tables.targets.values() if not t.recorded]
         batch.targets = unrecorded[:ROWS_PER_TRANSACTION]
         batch.removals = sorted(self.gone_targets)[: ROWS_PER_TRANSACTION // 2]
+        for job_id in list(self.ended_jobs)[: ROWS_PER_TRANSACTION // 4]:
+            batch.ended_jobs[job_id] = self.ended_jobs[job_id]
         return batch
 
     async def write(self, batch: Batch) -> bool:
@@ -146,6 +156,11 @@
             key = target_key(target_id)
             expectations.append(Expectation(key, self.target_versions[target_id]))
             writes.append((key, None))
+        for job_id, cancelled in batch.ended_jobs.items():
+            writes.append((job_key(job_id), None))
+            writes.append((progress_key(job_id), None))
+            if cancelled:
+                writes.append((cancel_key(job_id), None))
         result = await self.store.commit(
             RowTransaction(tuple(expectations), tuple(writes)), STORE_CALL_SECONDS
         )
@@ -186,6 +201,8 @@
         for target_id in batch.removals:
             self.target_versions.pop(target_id, None)
             self.gone_targets.discard(target_id)
+        for job_id in batch.ended_jobs:
+            self.ended_jobs.pop(job_id, None)
 
     def on_conflict(self, rows: tuple[StoredRow, ...], leader_version: int) -> None:
         """Learn the versions of rows that an unanswered write left behind."""
--- a/src/egretloft/_internal/fleet/records.py
+++ b/src/egretloft/_internal/fleet/records.py
@@ -28,7 +28,6 @@
     latency_target_ms: int
     accepted_at_ms: int
     spec: JobSpec
-    advised: bool = False
 
 
 @dataclass(slots=True)
--- a/src/egretloft/_internal/fleet/tables.py
+++ b/src/egretloft/_internal/fleet/tables.py
@@ -112,7 +112,6 @@
     recorded_changes: int = 0
     finished_at_ms: int = 0
     steps: dict[StepKey, StepRow] = field(default_factory=dict)
-    arrived_at: float = 0.0
     known_before_term: bool = False
 
     def touch(self) -> None:
--- a/src/egretloft/cli/platform_daemon.py
+++ b/src/egretloft/cli/platform_daemon.py
@@ -40,8 +40,15 @@
     type=click.Choice(LOG_LEVELS),
     help="Lowest level of the JSON lines on standard output.",
 )
+@click.option(
+    "--metrics-port",
+    envvar="EGRETLOFT_METRICS_PORT",
+    default=9464,
+    type=click.IntRange(0, 65535),
+    help="Port of /metrics on this machine's address; 0 chooses one.",
+)
 @click.version_option(__version__)
-def main(path: Path, log_level: str) -> None:
+def main(path: Path, log_level: str, metrics_port: int) -> None:
     """Run one instance on the users' platform.
 
     SIGTERM begins a planned stop; SIGHUP checks the settings file again.
@@ -56,7 +63,7 @@
     level = logging.getLevelNamesMapping()[log_level.upper()]
     logs = configure_program_logging(level, settings.instance_id)
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-        sys.exit(runner.run(run_program(path, settings, logs)))
+        sys.exit(runner.run(run_program(path, settings, metrics_port, logs)))
 
 
 if __name__ == "__main__":
--- a/src/egretloft/platform/ingress.py
+++ b/src/egretloft/platform/ingress.py
@@ -36,6 +36,7 @@
     IntakeRefusalKind.STORE_UNAVAILABLE: 503,
     IntakeRefusalKind.OUTCOME_UNKNOWN: 504,
     IntakeRefusalKind.NO_SUCH_JOB: 410,
+    IntakeRefusalKind.UNSUPPORTED: 503,
 }
 
 
--- a/src/egretloft/platform/program.py
+++ b/src/egretloft/platform/program.py
@@ -89,7 +89,9 @@
     )
 
 
-async def run_program(path: Path, settings: PlatformSettings, logs: LogWriter) -> int:
+async def run_program(
+    path: Path, settings: PlatformSettings, metrics_port: int, logs: LogWriter
+) -> int:
     """Serve until SIGTERM and return the exit code."""
     loop = asyncio.get_running_loop()
     stop = asyncio.Event()
@@ -104,13 +106,18 @@
     readiness = create_readiness_handler(instance.is_ready)
 
     async def check(request: web.BaseRequest) -> web.StreamResponse:
-        if request.path == METRICS_PATH:
-            return web.Response(text=metrics.render_text())
         return readiness(request)
 
+    async def serve_metrics(request: web.BaseRequest) -> web.StreamResponse:
+        if request.path != METRICS_PATH:
+            return web.Response(status=404)
+        return web.Response(text=metrics.render_text())
+
+    metrics_address = f"{settings.ip}:{metrics_port}"
     runners = [
         await listen(web.Server(ingress.handle), settings.http_address),
         await listen(web.Server(check), settings.readiness_address),
+        await listen(web.Server(serve_metrics), metrics_address),
     ]
     await peers.start()
     await instance.start()
--- a/src/egretloft/platform/settings.py
+++ b/src/egretloft/platform/settings.py
@@ -28,8 +28,6 @@
     first_peer_port: int
     store_address: str
     grace_seconds: float
-    advice_address: str
-    row_bytes: int
 
 
 REQUIRED = (
@@ -71,8 +69,6 @@
             first_peer_port=int(fields["port_range"].split(",")[0]),
             store_address=fields["platform.address"],
             grace_seconds=float(fields.get("parameters.grace_s", "6")),
-            advice_address=fields.get("hint", ""),
-            row_bytes=int(fields.get("platform.row_bytes", "65536")),
         )
     except ValueError as error:
         return Failure(f"a setting is no number: {error}")
--- a/src/egretloft/platform/wire.py
+++ b/src/egretloft/platform/wire.py
@@ -79,7 +79,6 @@
     free_resources: WireRoom
     labels: list[str]
     born: int = 0
-    remaining_ms: int | None = None
 
 
 class WireRoute(msgspec.Struct):
@@ -98,13 +97,6 @@
     hint: dict[str, float] | None = None
 
 
-class WireService(msgspec.Struct):
-    """A service in the config."""
-
-    name: str
-    enforce_limits: bool = False
-
-
 class WireGuarantee(msgspec.Struct):
     """What belongs to a tenant at all times."""
 
@@ -130,7 +122,6 @@
 
     version: int
     routes: list[WireRoute] = []
-    backends: list[WireService] = []
     tenants: list[WireTenant] = []
     limits: WireLimits = msgspec.field(default_factory=WireLimits)
 
--- a/src/egretloft/platform/words.py
+++ b/src/egretloft/platform/words.py
@@ -85,7 +85,6 @@
                 room=room_of(wire.free_resources),
                 draining=wire.state == "draining",
                 born_ms=wire.born,
-                remaining_ms=wire.remaining_ms,
             )
         )
 
@@ -100,9 +99,6 @@
     return Configuration(
         version=wire.version,
         queues=tuple(queue_of(route) for route in wire.routes),
-        guarded_services=frozenset(
-            service.name for service in wire.backends if service.enforce_limits
-        ),
         organisations=tuple(
             Organisation(
                 tenant.name, frozenset(tenant.api_keys), tenant.guaranteed.gpus
--- a/tests/unit/adapter/test_words.py
+++ b/tests/unit/adapter/test_words.py
@@ -93,7 +93,6 @@
     assert result is not None
     configuration = result.unwrap()
     assert configuration.version == 7
-    assert configuration.guarded_services == {"desk"}
     longest = configuration.queue_of("a.example", "/x/y/0011223344556677")
     assert longest is not None
     assert longest.name == "r-2"
--- a/tests/unit/fleet/test_placing.py
+++ b/tests/unit/fleet/test_placing.py
@@ -37,7 +37,7 @@
 
 def operators(guaranteed: int = 16) -> OperatorState:
     kennel = Organisation("kennel", frozenset({"key"}), guaranteed)
-    return OperatorState(Configuration(1, (), frozenset(), (kennel,), 1000))
+    return OperatorState(Configuration(1, (), (kennel,), 1000))
 
 
 def decide(
--- a/tests/unit/fleet/test_recovery.py
+++ b/tests/unit/fleet/test_recovery.py
@@ -4,9 +4,11 @@
 
 import asyncio
 
+import pytest
 from returns.result import Success
 
-from egretloft._internal.fleet.constants import LEASE_SECONDS
+from egretloft._internal.fleet import leader
+from egretloft._internal.fleet.constants import LEASE_SECONDS, TABLE_JOBS
 from egretloft._internal.fleet.intake import IntakeRefusalKind
 from egretloft._internal.fleet.models import JobSpec, JobState, StepSpec
 from lib.fleet_builders import SMALL, WHOLE, build_world, job_id, single_step
@@ -15,6 +17,8 @@
 from standins.fleet.world import FleetWorld
 
 TAKEOVER_SECONDS = 1.5
+# Shorter than the real one, so that the test takes less time.
+RETENTION_SECONDS = 30.0
 
 
 async def submitted(
@@ -54,9 +58,9 @@
         await world.start()
         await submitted(world, 1, single_step(6), 4.0)
         await asyncio.sleep(0.5)
-        leader = world.leader_name()
-        assert leader is not None
-        await world.kill(leader)
+        leading = world.leader_name()
+        assert leading is not None
+        await world.kill(leading)
         killed_at = world.clock.steady()
         await submitted(world, 2, single_step(2), 0.5)
         assert await world.wait_for_state(job_id(2), JobState.COMPLETE, 6.0)
@@ -74,9 +78,9 @@
     async def main() -> None:
         world = build_world()
         await world.start()
-        leader = world.leader_name()
-        assert leader is not None
-        await world.stop_gracefully(leader)
+        leading = world.leader_name()
+        assert leading is not None
+        await world.stop_gracefully(leading)
         started = world.clock.steady()
         while world.leader_name() is None:
             await asyncio.sleep(0.01)
@@ -119,10 +123,10 @@
         gone = world.targets.pop("target-0")
         gone.removed = True
         await asyncio.sleep(4.0)
-        leader = world.leader_name()
-        assert leader is not None
+        leading = world.leader_name()
+        assert leading is not None
         await submitted(world, 2, single_step(1, estimate_ms=9000), 9.0)
-        await world.kill(leader)
+        await world.kill(leading)
         await submitted(world, 3, single_step(1), 0.5)
         done = await world.wait_for_state(job_id(3), JobState.COMPLETE, 6.0)
         assert done is not None
@@ -139,12 +143,12 @@
         await world.start()
         await submitted(world, 1, single_step(4), 6.0)
         await asyncio.sleep(0.2)
-        leader = world.leader_name()
-        assert leader is not None
-        world.processes[leader].gate.open.clear()
-        await submitted_elsewhere(world, leader, 2)
+        leading = world.leader_name()
+        assert leading is not None
+        world.processes[leading].gate.open.clear()
+        await submitted_elsewhere(world, leading, 2)
         await asyncio.sleep(4.0)
-        world.processes[leader].gate.open.set()
+        world.processes[leading].gate.open.set()
         for number in (1, 2):
             assert await world.wait_for_state(job_id(number), JobState.COMPLETE, 12.0)
         await world.stop()
@@ -187,15 +191,15 @@
     async def main() -> None:
         world = build_world()
         await world.start()
-        leader = world.leader_name()
-        assert leader is not None
-        world.processes[leader].store.mode = StoreMode.REFUSES
+        leading = world.leader_name()
+        assert leading is not None
+        world.processes[leading].store.mode = StoreMode.REFUSES
         await asyncio.sleep(0.5)
         await submitted(world, 1, single_step(2), 0.5)
         done = await world.wait_for_state(job_id(1), JobState.COMPLETE, 3.0)
         assert done is not None
         assert done < 1.0
-        assert world.leader_name() == leader
+        assert world.leader_name() == leading
         await world.stop()
         assert world.judge.violations == []
 
@@ -355,9 +359,9 @@
         await submitted(world, 1, spec, 6.0)
         await asyncio.sleep(0.5)
         slowest = [t for t in world.targets.values() if t.runs][-1]
-        leader = world.leader_name()
-        assert leader is not None
-        await world.kill(leader)
+        leading = world.leader_name()
+        assert leading is not None
+        await world.kill(leading)
         slowest.silent = True
         await asyncio.sleep(1.4)
         slowest.silent = False
@@ -367,3 +371,51 @@
         assert world.judge.starts == 3
 
     run_virtual(main())
+
+
+def test_rows_of_a_job_that_ended_long_ago_are_removed(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a store that fills with ended jobs."""
+    monkeypatch.setattr(leader, "RETENTION_SECONDS", RETENTION_SECONDS)
+
+    async def main() -> None:
+        world = build_world()
+        await world.start()
+        await submitted(world, 1, single_step(1), 0.5)
+        assert await world.wait_for_state(job_id(1), JobState.COMPLETE, 3.0)
+        await asyncio.sleep(RETENTION_SECONDS - 10)
+        assert await world.state(job_id(1)) is JobState.COMPLETE
+        await asyncio.sleep(20)
+        assert not any(key.table == TABLE_JOBS for key in world.store.rows)
+        await world.stop()
+
+    run_virtual(main())
+
+
+def test_instances_stay_ready_through_an_outage_that_hits_all() -> None:
+    """Guards against callers without any instance when the store comes back."""
+
+    async def main() -> None:
+        world = build_world()
+        await world.start()
+        world.store.mode = StoreMode.REFUSES
+        await asyncio.sleep(5.0)
+        assert all(p.instance.is_ready() for p in world.processes.values())
+        await world.stop()
+
+    run_virtual(main())
+
+
+def test_instance_without_store_and_peers_is_not_ready() -> None:
+    async def main() -> None:
+        world = build_world(instance_count=1)
+        await world.start()
+        process = next(iter(world.processes.values()))
+        assert process.instance.is_ready()
+        process.store.mode = StoreMode.SILENT
+        await asyncio.sleep(5.0)
+        assert not process.instance.is_ready()
+        await world.stop()
+
+    run_virtual(main())
--- a/tools/soak/programs.py
+++ b/tools/soak/programs.py
@@ -61,7 +61,11 @@
 
     async def start(self) -> None:
         """Start a life; its output is appended to the log."""
-        environment = {**os.environ, "EGRETLOFT_SETTINGS": str(self.write_settings())}
+        environment = {
+            **os.environ,
+            "EGRETLOFT_SETTINGS": str(self.write_settings()),
+            "EGRETLOFT_METRICS_PORT": "0",
+        }
         with self.log_path.open("ab") as output:
             self.process = await asyncio.create_subprocess_exec(
                 sys.executable,
--- a/tools/soak/run.py
+++ b/tools/soak/run.py
@@ -19,7 +19,6 @@
     WireGuarantee,
     WireJob,
     WireRoute,
-    WireService,
     WireStep,
     WireTenant,
 )
@@ -142,7 +141,6 @@
         config = WireConfig(
             version,
             routes,
-            [WireService(SERVICE)],
             [WireTenant("kennel", [KEY], WireGuarantee(16))],
         )
         self.store.put("op", "config", msgspec.json.encode(config))
--- a/tools/standins/fleet/world.py
+++ b/tools/standins/fleet/world.py
@@ -325,7 +325,6 @@
     return Configuration(
         version=version,
         queues=(queue("urgent", 0), queue("normal", 1), queue("patient", 2)),
-        guarded_services=frozenset(),
         organisations=(Organisation(ORGANISATION, frozenset({KEY}), 16),),
         max_body_bytes=262_144,
     )
