Split the reading of rows from the leader's term

Ruled out: nothing, no behaviour changes. Change: state_reader.py turns rows into entities; the leader keeps the term and the tick. Before and after: 89 tests of fleet and adapter passed.

--- a/src/egretloft/_internal/fleet/leader.py
+++ b/src/egretloft/_internal/fleet/leader.py
@@ -12,16 +12,13 @@
 import structlog
 from returns.result import Failure
 
-from egretloft._internal import codec
 from egretloft._internal.fleet.constants import (
-    CANCEL_SUFFIX,
     CLOCK_MARGIN_SECONDS,
     CLOCK_RATE_ERROR,
     CONFIRMATION_SECONDS,
     FEED_RETRY_SECONDS,
     LEASE_SECONDS,
     PARTITION,
-    PROGRESS_SUFFIX,
     RETENTION_SECONDS,
     START_EXPIRY_SECONDS,
     SUSPENSION_SECONDS,
@@ -35,26 +32,22 @@
 from egretloft._internal.fleet.interfaces import (
     FleetClock,
     PlatformWords,
-    StoredRow,
     Targets,
 )
 from egretloft._internal.fleet.lifecycle import (
     runs_to_stop,
-    update_state,
 )
 from egretloft._internal.fleet.models import (
     JobState,
     OperatorState,
-    Room,
     RunKey,
-    TargetReport,
 )
 from egretloft._internal.fleet.orders import create_orders
 from egretloft._internal.fleet.placing import accounted_room
 from egretloft._internal.fleet.recorder import create_recorder
-from egretloft._internal.fleet.records import AcceptedJob, JobProgress, UsedTarget
 from egretloft._internal.fleet.scheduler import Moment, Placement, Scheduler
 from egretloft._internal.fleet.sessions import TargetSession, create_target_session
+from egretloft._internal.fleet.state_reader import create_state_reader
 from egretloft._internal.fleet.store_access import StoreAccess
 from egretloft._internal.fleet.suspicion import set_aside, stalled_runs
 from egretloft._internal.fleet.tables import (
@@ -102,6 +95,9 @@
         self.scheduler = Scheduler(self.tables)
         self.recorder = create_recorder(store, election, self.tables, metrics)
         self.orders = create_orders(self, self.tables, targets, clock, metrics)
+        self.reader = create_state_reader(
+            self, self.tables, self.recorder, words, metrics
+        )
         self.sessions: dict[str, TargetSession] = {}
         self.session_tasks: dict[str, asyncio.Task[Any]] = {}
         self.tasks: set[asyncio.Task[Any]] = set()
@@ -147,6 +143,10 @@
         """Have the queue looked at."""
         self.wake.set()
 
+    def on_target_changed(self, target: TargetRow) -> None:
+        """Have a target that started again looked at."""
+        self.sessions[target.report.target_id].wake.set()
+
     def on_fenced(self) -> None:
         """End the term: a target has seen a newer epoch."""
         if self.election.term is self.term:
@@ -193,22 +193,22 @@
         else:
             return False
         for row in used.unwrap().rows:
-            self.add_used_target(row)
+            self.reader.add_used_target(row)
         self.jobs_watcher = create_table_watcher(
             self.store,
             self.clock,
             TABLE_JOBS,
             PARTITION,
-            self.on_job_rows,
-            self.on_job_rows,
+            self.reader.on_job_rows,
+            self.reader.on_job_rows,
         )
         self.targets_watcher = create_table_watcher(
             self.store,
             self.clock,
             self.words.target_table(),
             "",
-            self.on_target_snapshot,
-            self.on_target_rows,
+            self.reader.on_target_snapshot,
+            self.reader.on_target_rows,
             lambda: TARGET_FEED_PAUSE_SECONDS,
         )
         while self.in_office():
@@ -251,30 +251,6 @@
             # A long tick leaves most of the processor to renewals and callers.
             self.tick_pause = min(TICK_SECONDS, TICK_PAUSE_FACTOR * spent)
 
-    # Rows.
-
-    def add_used_target(self, row: StoredRow) -> None:
-        """Enter a target that an earlier leader may have given work to."""
-        target_id = row.key.key
-        self.recorder.target_versions[target_id] = row.version
-        record = codec.decode(row.value or b"", UsedTarget)
-        if isinstance(record, Failure):
-            log.error("target row unreadable", target=target_id, version=row.version)
-            return
-        used = record.unwrap()
-        report = TargetReport(
-            target_id=target_id,
-            address=used.address,
-            service=used.service,
-            zone=used.zone,
-            rack=used.rack,
-            labels=frozenset(),
-            room=Room(),
-            draining=True,
-            born_ms=0,
-        )
-        self.add_target(TargetRow(report, listed=False, recorded=True))
-
     def add_target(self, target: TargetRow) -> None:
         """Enter a target and begin its session."""
         target_id = target.report.target_id
@@ -288,120 +264,6 @@
         if not target.recorded:
             self.recorder.wake.set()
 
-    def on_target_snapshot(self, rows: tuple[StoredRow, ...]) -> None:
-        """Take the list of targets as it is now."""
-        present = {row.key.key for row in rows}
-        self.on_target_rows(rows)
-        for target_id, target in self.tables.targets.items():
-            if target_id not in present:
-                target.listed = False
-
-    def on_target_rows(self, rows: tuple[StoredRow, ...]) -> None:
-        """Take changes of the list of targets."""
-        for row in rows:
-            if row.value is None:
-                self.on_target_removed(row.key.key)
-                continue
-            report = self.words.target(row)
-            if isinstance(report, Failure):
-                self.metrics.count("target_rows_refused")
-                log.info("target row refused", target=row.key.key, why=report.failure())
-                self.on_target_removed(row.key.key)
-                continue
-            self.on_target_report(report.unwrap())
-        self.wake.set()
-
-    def on_target_removed(self, target_id: str) -> None:
-        """Give no more work to a target that is off the list."""
-        target = self.tables.targets.get(target_id)
-        if target is not None and target.listed:
-            target.listed = False
-            log.info("target unlisted", target=target_id, runs=len(target.runs))
-
-    def on_target_report(self, report: TargetReport) -> None:
-        """Enter or update a target."""
-        target = self.tables.targets.get(report.target_id)
-        if target is None:
-            log.info("target listed", target=report.target_id, zone=report.zone)
-            self.add_target(TargetRow(report))
-            return
-        if report.draining and not target.report.draining:
-            log.info("target draining", target=report.target_id, runs=len(target.runs))
-        moved = target.report.address != report.address
-        target.report = report
-        target.listed = True
-        session = self.sessions[report.target_id]
-        if moved or (target.born_ms and report.born_ms > target.born_ms):
-            target.touched = False
-            session.wake.set()
-
-    def on_job_rows(self, rows: tuple[StoredRow, ...]) -> None:
-        """Take accepted jobs and wishes to cancel; progress only from before."""
-        for row in rows:
-            key = row.key.key
-            if row.value is None or key.endswith((CANCEL_SUFFIX, PROGRESS_SUFFIX)):
-                continue
-            if key not in self.tables.jobs:
-                self.add_job(row)
-        for row in rows:
-            key = row.key.key
-            if row.value is not None and key.endswith(PROGRESS_SUFFIX):
-                self.restore_job(key.removesuffix(PROGRESS_SUFFIX), row)
-        for row in rows:
-            key = row.key.key
-            if row.value is not None and key.endswith(CANCEL_SUFFIX):
-                self.cancel_job(key.removesuffix(CANCEL_SUFFIX), row)
-        self.wake.set()
-
-    def add_job(self, row: StoredRow) -> None:
-        """Enter an accepted job."""
-        record = codec.decode(row.value or b"", AcceptedJob)
-        if isinstance(record, Failure):
-            log.error("job row unreadable", request_id=row.key.key, version=row.version)
-            return
-        job = JobRow(record.unwrap())
-        self.tables.jobs[job.accepted.job_id] = job
-        self.tables.open_jobs[job.accepted.job_id] = job
-        log.info(
-            "job queued",
-            request_id=job.accepted.job_id,
-            version=row.version,
-            queue=job.accepted.queue,
-            priority=job.accepted.priority,
-            tasks=sum(step.tasks for step in job.accepted.spec.steps),
-        )
-
-    def restore_job(self, job_id: str, row: StoredRow) -> None:
-        """Take the progress that an earlier leader wrote."""
-        job = self.tables.jobs.get(job_id)
-        if job is None or job.recorded is not None or job.changes:
-            return
-        record = codec.decode(row.value or b"", JobProgress)
-        if isinstance(record, Failure):
-            log.error("progress unreadable", request_id=job_id, version=row.version)
-            return
-        job.restore(record.unwrap())
-        job.progress_version = row.version
-        if job.is_final():
-            self.tables.open_jobs.pop(job_id, None)
-
-    def cancel_job(self, job_id: str, row: StoredRow) -> None:
-        """Take a wish to cancel."""
-        job = self.tables.jobs.get(job_id)
-        if job is None or job.cancelled:
-            return
-        job.cancelled = True
-        if job.is_final():
-            return
-        update_state(job)
-        log.info(
-            "job cancelled",
-            request_id=job_id,
-            version=row.version,
-            state=job.state.value,
-        )
-        self.on_job_changed(job)
-
     # The tick.
 
     def tick(self) -> None:
--- /dev/null
+++ b/src/egretloft/_internal/fleet/state_reader.py
@@ -0,0 +1,200 @@
+"""Rows of the store, taken into the leader's tables."""
+
+from __future__ import annotations
+
+from typing import Protocol
+
+import structlog
+from returns.result import Failure
+
+from egretloft._internal import codec
+from egretloft._internal.fleet.constants import CANCEL_SUFFIX, PROGRESS_SUFFIX
+from egretloft._internal.fleet.interfaces import PlatformWords, StoredRow
+from egretloft._internal.fleet.lifecycle import update_state
+from egretloft._internal.fleet.models import Room, TargetReport
+from egretloft._internal.fleet.recorder import Recorder
+from egretloft._internal.fleet.records import AcceptedJob, JobProgress, UsedTarget
+from egretloft._internal.fleet.tables import FleetTables, JobRow, TargetRow
+from egretloft._internal.metrics import Metrics
+
+log = structlog.get_logger(__name__)
+
+
+class StateOffice(Protocol):
+    """What the rows' reader asks of the leader."""
+
+    def add_target(self, target: TargetRow) -> None:
+        """Enter a target and begin its session."""
+
+    def on_target_changed(self, target: TargetRow) -> None:
+        """Have a target that started again looked at."""
+
+    def on_job_changed(self, job: JobRow) -> None:
+        """Have a job's progress written and the queue looked at."""
+
+    def on_room_changed(self) -> None:
+        """Have the queue looked at."""
+
+
+class StateReader:
+    """Turns rows of jobs and targets into entities."""
+
+    def __init__(
+        self,
+        office: StateOffice,
+        tables: FleetTables,
+        recorder: Recorder,
+        words: PlatformWords,
+        metrics: Metrics,
+    ) -> None:
+        self.office = office
+        self.tables = tables
+        self.recorder = recorder
+        self.words = words
+        self.metrics = metrics
+
+    def add_used_target(self, row: StoredRow) -> None:
+        """Enter a target that an earlier leader may have given work to."""
+        target_id = row.key.key
+        self.recorder.target_versions[target_id] = row.version
+        record = codec.decode(row.value or b"", UsedTarget)
+        if isinstance(record, Failure):
+            log.error("target row unreadable", target=target_id, version=row.version)
+            return
+        used = record.unwrap()
+        report = TargetReport(
+            target_id=target_id,
+            address=used.address,
+            service=used.service,
+            zone=used.zone,
+            rack=used.rack,
+            labels=frozenset(),
+            room=Room(),
+            draining=True,
+            born_ms=0,
+        )
+        self.office.add_target(TargetRow(report, listed=False, recorded=True))
+
+    def on_target_snapshot(self, rows: tuple[StoredRow, ...]) -> None:
+        """Take the list of targets as it is now."""
+        present = {row.key.key for row in rows}
+        self.on_target_rows(rows)
+        for target_id, target in self.tables.targets.items():
+            if target_id not in present:
+                target.listed = False
+
+    def on_target_rows(self, rows: tuple[StoredRow, ...]) -> None:
+        """Take changes of the list of targets."""
+        for row in rows:
+            if row.value is None:
+                self.on_target_removed(row.key.key)
+                continue
+            report = self.words.target(row)
+            if isinstance(report, Failure):
+                self.metrics.count("target_rows_refused")
+                log.info("target row refused", target=row.key.key, why=report.failure())
+                self.on_target_removed(row.key.key)
+                continue
+            self.on_target_report(report.unwrap())
+        self.office.on_room_changed()
+
+    def on_target_removed(self, target_id: str) -> None:
+        """Give no more work to a target that is off the list."""
+        target = self.tables.targets.get(target_id)
+        if target is not None and target.listed:
+            target.listed = False
+            log.info("target unlisted", target=target_id, runs=len(target.runs))
+
+    def on_target_report(self, report: TargetReport) -> None:
+        """Enter or update a target."""
+        target = self.tables.targets.get(report.target_id)
+        if target is None:
+            log.info("target listed", target=report.target_id, zone=report.zone)
+            self.office.add_target(TargetRow(report))
+            return
+        if report.draining and not target.report.draining:
+            log.info("target draining", target=report.target_id, runs=len(target.runs))
+        moved = target.report.address != report.address
+        target.report = report
+        target.listed = True
+        if moved or (target.born_ms and report.born_ms > target.born_ms):
+            target.touched = False
+            self.office.on_target_changed(target)
+
+    def on_job_rows(self, rows: tuple[StoredRow, ...]) -> None:
+        """Take accepted jobs and wishes to cancel; progress only from before."""
+        for row in rows:
+            key = row.key.key
+            if row.value is None or key.endswith((CANCEL_SUFFIX, PROGRESS_SUFFIX)):
+                continue
+            if key not in self.tables.jobs:
+                self.add_job(row)
+        for row in rows:
+            key = row.key.key
+            if row.value is not None and key.endswith(PROGRESS_SUFFIX):
+                self.restore_job(key.removesuffix(PROGRESS_SUFFIX), row)
+        for row in rows:
+            key = row.key.key
+            if row.value is not None and key.endswith(CANCEL_SUFFIX):
+                self.cancel_job(key.removesuffix(CANCEL_SUFFIX), row)
+        self.office.on_room_changed()
+
+    def add_job(self, row: StoredRow) -> None:
+        """Enter an accepted job."""
+        record = codec.decode(row.value or b"", AcceptedJob)
+        if isinstance(record, Failure):
+            log.error("job row unreadable", request_id=row.key.key, version=row.version)
+            return
+        job = JobRow(record.unwrap())
+        self.tables.jobs[job.accepted.job_id] = job
+        self.tables.open_jobs[job.accepted.job_id] = job
+        log.info(
+            "job queued",
+            request_id=job.accepted.job_id,
+            version=row.version,
+            queue=job.accepted.queue,
+            priority=job.accepted.priority,
+            tasks=sum(step.tasks for step in job.accepted.spec.steps),
+        )
+
+    def restore_job(self, job_id: str, row: StoredRow) -> None:
+        """Take the progress that an earlier leader wrote."""
+        job = self.tables.jobs.get(job_id)
+        if job is None or job.recorded is not None or job.changes:
+            return
+        record = codec.decode(row.value or b"", JobProgress)
+        if isinstance(record, Failure):
+            log.error("progress unreadable", request_id=job_id, version=row.version)
+            return
+        job.restore(record.unwrap())
+        job.progress_version = row.version
+        if job.is_final():
+            self.tables.open_jobs.pop(job_id, None)
+
+    def cancel_job(self, job_id: str, row: StoredRow) -> None:
+        """Take a wish to cancel."""
+        job = self.tables.jobs.get(job_id)
+        if job is None or job.cancelled:
+            return
+        job.cancelled = True
+        if job.is_final():
+            return
+        update_state(job)
+        log.info(
+            "job cancelled",
+            request_id=job_id,
+            version=row.version,
+            state=job.state.value,
+        )
+        self.office.on_job_changed(job)
+
+
+def create_state_reader(
+    office: StateOffice,
+    tables: FleetTables,
+    recorder: Recorder,
+    words: PlatformWords,
+    metrics: Metrics,
+) -> StateReader:
+    """Return a reader for the tables of one term."""
+    return StateReader(office, tables, recorder, words, metrics)
