Never stop a lasting task for others, and take its failures for no evidence

Cause: read-through: a task that lasts could be chosen to make room for an urgent step, and its ordinary failures set targets aside. Change: runs carry whether they last; reclaiming and the judgement of targets pass them over. Before: the two new tests' cases were not covered.

--- a/src/egretloft/_internal/fleet/leader.py
+++ b/src/egretloft/_internal/fleet/leader.py
@@ -372,6 +372,7 @@
                 started_at=now,
                 moved_at=now,
                 checkpoint=task.checkpoint if shared is None else shared,
+                lasting=step.spec.lasting,
             )
             target.runs[run.key] = run
             task.run = run
--- a/src/egretloft/_internal/fleet/lifecycle.py
+++ b/src/egretloft/_internal/fleet/lifecycle.py
@@ -191,6 +191,7 @@
         started_at=now,
         percent=percent,
         moved_at=now,
+        lasting=spec.lasting if spec else False,
         confirmed=True,
     )
     target.runs[key] = run
--- a/src/egretloft/_internal/fleet/reclaiming.py
+++ b/src/egretloft/_internal/fleet/reclaiming.py
@@ -171,7 +171,7 @@
     for run in target.runs.values():
         if run.phase is RunPhase.STOPPING:
             continue
-        if run.priority <= priority:
+        if run.priority <= priority or run.lasting:
             room = room.minus(run.room)
         else:
             cost += lost_work(tables, run, now)
@@ -249,7 +249,9 @@
     candidates = [
         run
         for run in target.runs.values()
-        if run.priority > priority and run.phase is not RunPhase.STOPPING
+        if run.priority > priority
+        and not run.lasting
+        and run.phase is not RunPhase.STOPPING
     ]
     candidates.sort(key=lambda run: lost_work(tables, run, now))
     chosen: list[RunRow] = []
--- a/src/egretloft/_internal/fleet/sessions.py
+++ b/src/egretloft/_internal/fleet/sessions.py
@@ -250,8 +250,11 @@
         for end in answer.ends:
             if end.number <= self.target.seen:
                 continue
+            run = self.target.runs.get(end.run)
             job = apply_end(self.tables, self.target, end)
-            if judge_end(self.target, end, self.clock.steady()):
+            # A task that lasts may fail at any time without its target's fault.
+            lasting = run is not None and run.lasting
+            if not lasting and judge_end(self.target, end, self.clock.steady()):
                 log.warning(
                     "target set aside",
                     target=self.target.report.target_id,
--- a/src/egretloft/_internal/fleet/tables.py
+++ b/src/egretloft/_internal/fleet/tables.py
@@ -33,7 +33,8 @@
     """A run that takes room on a target until it has certainly ended.
 
     ``started_at`` and ``moved_at`` are on our steady clock; the latter is when
-    ``percent`` last changed. ``order_expires_ms`` is on the target's clock.
+    ``percent`` last changed. ``order_expires_ms`` is on the target's clock. A
+    ``lasting`` run serves until its job is cancelled and never makes room for others.
     """
 
     key: RunKey
@@ -43,6 +44,7 @@
     phase: RunPhase
     started_at: float
     checkpoint: str = ""
+    lasting: bool = False
     percent: int = 0
     moved_at: float = 0.0
     order_expires_ms: float = 0.0
--- a/tests/unit/fleet/test_placing.py
+++ b/tests/unit/fleet/test_placing.py
@@ -262,3 +262,14 @@
     assert started(decide(tables)) == []
     first_step(job).ready_at = NOW - 2.5
     assert started(decide(tables)) == [(job_id(1), ["target-1", "target-3"])]
+
+
+def test_lasting_task_never_makes_room() -> None:
+    """Guards against a serving task that is stopped for an urgent one."""
+    target = build_target(0)
+    tables = build_tables(target)
+    serving = add_job(tables, 1, single_step(1, WHOLE, lasting=True), priority=2)
+    run = run_task(target, first_task(serving), WHOLE, 2, started_at=NOW - 1)
+    run.lasting = True
+    add_job(tables, 2, single_step(1, WHOLE), priority=0)
+    assert decide(tables).stops == []
--- a/tests/unit/fleet/test_recovery.py
+++ b/tests/unit/fleet/test_recovery.py
@@ -436,3 +436,20 @@
         assert world.judge.violations == []
 
     run_virtual(main())
+
+
+def test_lasting_task_is_started_again_and_closes_no_target() -> None:
+    async def main() -> None:
+        world = build_world()
+        await world.start()
+        await submitted(world, 1, single_step(2, lasting=True), 0.5)
+        await asyncio.sleep(6.0)
+        assert await world.state(job_id(1)) is JobState.ACTIVE
+        assert world.judge.starts > 10
+        assert sum(len(target.runs) for target in world.targets.values()) == 2
+        await world.cancel(job_id(1))
+        await asyncio.sleep(1.0)
+        assert not any(target.runs for target in world.targets.values())
+        await world.stop()
+
+    run_virtual(main())
