--- a/src/egretloft/_internal/fleet/constants.py
+++ b/src/egretloft/_internal/fleet/constants.py
@@ -13,16 +13,16 @@
 # Added to every bound that is computed from another clock.
 CLOCK_MARGIN_SECONDS = 0.1
 # Longest wait of a lease renewal for an end.
-HOLD_WAIT_SECONDS = 1.0
+RENEWAL_WAIT_SECONDS = 1.0
 # Time beyond the wait after which a renewal counts as lost.
-HOLD_ANSWER_SECONDS = 0.6
+RENEWAL_ANSWER_SECONDS = 0.6
 # A start or a stop without an answer is sent again after this time.
 ORDER_ANSWER_SECONDS = 0.3
-# The leader renews its beat this often.
-BEAT_SECONDS = 0.3
-# A beat that is unchanged for this long lets another instance take over.
-BEAT_SILENCE_SECONDS = 1.0
-# A leader that can confirm its office neither at the store nor with its peers for
+# The leader renews its heartbeat this often.
+HEARTBEAT_SECONDS = 0.3
+# A heartbeat that is unchanged for this long lets another instance take over.
+HEARTBEAT_TIMEOUT_SECONDS = 1.0
+# A leader that can confirm its leadership neither at the store nor with its peers for
 # this long gives no more orders and renews no leases.
 CONFIRMATION_SECONDS = 1.0
 # A gap between two ticks that shows that the process was suspended.
@@ -36,7 +36,7 @@
 FEED_ANSWER_SECONDS = 0.7
 # Each check-in of a target is a change, so the leader takes them in groups.
 TARGET_FEED_PAUSE_SECONDS = 0.15
-# Instances that follow each beat, so as to take over at once. The others look less
+# Instances that follow each heartbeat, so as to take over at once. The others look less
 # often, which saves most of a large deployment's calls.
 CLOSE_CANDIDATES = 4
 DISTANT_FEED_PAUSE_SECONDS = 0.8
@@ -53,7 +53,7 @@
 # All rows share one partition, so that each write can depend on the leader's row.
 PARTITION = "egretloft"
 KEY_LEADER = "leader"
-KEY_BEAT = "beat"
+KEY_HEARTBEAT = "heartbeat"
 INSTANCE_PREFIX = "instance/"
 CANCEL_SUFFIX = ".c"
 PROGRESS_SUFFIX = ".p"
--- a/src/egretloft/_internal/fleet/election.py
+++ b/src/egretloft/_internal/fleet/election.py
@@ -1,4 +1,4 @@
-"""Who leads: one row in the store, a beat beside it, and takeover after silence.
+"""Who leads: one row in the store, a heartbeat beside it, and takeover after silence.
 
 A takeover needs no agreement with the former leader: its epoch fences every order and
 every write of an older one.
@@ -15,9 +15,9 @@
 
 from egretloft._internal import codec
 from egretloft._internal.fleet.constants import (
-    BEAT_SECONDS,
-    BEAT_SILENCE_SECONDS,
-    KEY_BEAT,
+    HEARTBEAT_SECONDS,
+    HEARTBEAT_TIMEOUT_SECONDS,
+    KEY_HEARTBEAT,
     KEY_LEADER,
     PARTITION,
     STORE_CALL_SECONDS,
@@ -32,12 +32,12 @@
     StoredRow,
     StoreFailureKind,
 )
-from egretloft._internal.fleet.records import BeatRecord, LeaderRecord
+from egretloft._internal.fleet.records import HeartbeatRecord, LeaderRecord
 
 log = structlog.get_logger(__name__)
 
 LEADER_KEY = RowKey(TABLE_CONTROL, PARTITION, KEY_LEADER)
-BEAT_KEY = RowKey(TABLE_CONTROL, PARTITION, KEY_BEAT)
+HEARTBEAT_KEY = RowKey(TABLE_CONTROL, PARTITION, KEY_HEARTBEAT)
 # Spread of the candidates after a silence, so that mostly one of them asks.
 CANDIDATE_SPREAD_SECONDS = 0.15
 # A silence must outlast this many round trips to a slow store.
@@ -46,14 +46,14 @@
 
 @dataclass(slots=True, frozen=True)
 class Term:
-    """Office of this instance; ``leader_version`` is a condition of its writes."""
+    """TermOwner of this instance; ``leader_version`` is a condition of its writes."""
 
     epoch: int
     leader_version: int
 
 
 class Election:
-    """Follows the leader's rows, takes over after silence and keeps the beat."""
+    """Follows the leader's rows, takes over after silence and sends the heartbeat."""
 
     def __init__(
         self,
@@ -72,16 +72,16 @@
         self.waiting_counts = waiting_counts
         self.leader: LeaderRecord | None = None
         self.leader_version = 0
-        self.beat: BeatRecord | None = None
-        self.beat_version = 0
-        self.beat_changed_at = clock.steady()
+        self.heartbeat: HeartbeatRecord | None = None
+        self.heartbeat_version = 0
+        self.heartbeat_changed_at = clock.steady()
         self.control_known = False
         self.term: Term | None = None
         self.confirmed_at = 0.0
         self.round_trip = 0.0
-        self.may_stand = True
+        self.may_campaign = True
         self.spread = generator.uniform(0, CANDIDATE_SPREAD_SECONDS)
-        self.last_beat_at = 0.0
+        self.last_heartbeat_at = 0.0
 
     def on_rows(self, rows: tuple[StoredRow, ...]) -> None:
         """Take over what the store says of the leader."""
@@ -89,8 +89,8 @@
         for row in rows:
             if row.key == LEADER_KEY:
                 self.on_leader_row(row)
-            elif row.key == BEAT_KEY:
-                self.on_beat_row(row)
+            elif row.key == HEARTBEAT_KEY:
+                self.on_heartbeat_row(row)
 
     def on_leader_row(self, row: StoredRow) -> None:
         """Learn of the leader; a newer epoch than ours ends our term."""
@@ -103,65 +103,67 @@
         self.leader = record.unwrap()
         self.leader_version = row.version
         if self.term is not None and self.leader.epoch > self.term.epoch:
-            self.resign(f"epoch {self.leader.epoch} is in office")
+            self.step_down(f"epoch {self.leader.epoch} leads")
 
-    def on_beat_row(self, row: StoredRow) -> None:
+    def on_heartbeat_row(self, row: StoredRow) -> None:
         """Note that the leader lives."""
-        if row.version <= self.beat_version or row.value is None:
+        if row.version <= self.heartbeat_version or row.value is None:
             return
-        record = codec.decode(row.value, BeatRecord)
+        record = codec.decode(row.value, HeartbeatRecord)
         if isinstance(record, Failure):
-            log.error("beat row unreadable", version=row.version)
+            log.error("heartbeat row unreadable", version=row.version)
             return
-        self.beat = record.unwrap()
-        self.beat_version = row.version
-        self.beat_changed_at = self.clock.steady()
+        self.heartbeat = record.unwrap()
+        self.heartbeat_version = row.version
+        self.heartbeat_changed_at = self.clock.steady()
 
-    def resign(self, why: str) -> None:
+    def step_down(self, why: str) -> None:
         """End the own term without telling anybody."""
         if self.term is not None:
             log.warning("leadership lost", epoch=self.term.epoch, why=why)
             self.term = None
 
     async def tick(self) -> None:
-        """Keep the beat, or take over if the office is vacant."""
+        """Send the heartbeat, or take over if there is no leader."""
         if self.term is not None:
-            if self.clock.steady() - self.last_beat_at >= BEAT_SECONDS:
-                await self.send_beat(released=False)
+            if self.clock.steady() - self.last_heartbeat_at >= HEARTBEAT_SECONDS:
+                await self.send_heartbeat(released=False)
         elif self.is_vacant():
-            await self.stand()
+            await self.campaign()
 
     def is_vacant(self) -> bool:
         """Return whether this instance should try to take over now."""
-        if not self.control_known or not self.may_stand:
+        if not self.control_known or not self.may_campaign:
             return False
-        if self.leader is None or self.beat is None:
+        if self.leader is None or self.heartbeat is None:
             return True
         own = self.leader.instance_id == self.instance_id
         if own and self.leader.incarnation != self.incarnation:
             # This machine led before the process started again.
             return True
-        silent_for = self.clock.steady() - self.beat_changed_at
-        if self.beat.released:
+        silent_for = self.clock.steady() - self.heartbeat_changed_at
+        if self.heartbeat.released:
             return silent_for >= self.spread / 5
-        patience = BEAT_SILENCE_SECONDS + SILENCE_ROUND_TRIPS * self.round_trip
+        patience = HEARTBEAT_TIMEOUT_SECONDS + SILENCE_ROUND_TRIPS * self.round_trip
         return silent_for >= patience + self.spread
 
-    async def stand(self) -> None:
-        """Try to take the office; fails if the leader has beaten meanwhile."""
+    async def campaign(self) -> None:
+        """Try to become the leader; fails if the leader sent a heartbeat meanwhile."""
         epoch = (self.leader.epoch if self.leader else 0) + 1
         record = LeaderRecord(self.instance_id, self.incarnation, epoch)
-        beat = BeatRecord(epoch, 0, waiting=self.beat.waiting if self.beat else {})
+        heartbeat = HeartbeatRecord(
+            epoch, 0, waiting=self.heartbeat.waiting if self.heartbeat else {}
+        )
         started = self.clock.steady()
         result = await self.store.commit(
             RowTransaction(
                 (
                     Expectation(LEADER_KEY, self.leader_version),
-                    Expectation(BEAT_KEY, self.beat_version),
+                    Expectation(HEARTBEAT_KEY, self.heartbeat_version),
                 ),
                 (
                     (LEADER_KEY, codec.encode(record)),
-                    (BEAT_KEY, codec.encode(beat)),
+                    (HEARTBEAT_KEY, codec.encode(heartbeat)),
                 ),
             ),
             STORE_CALL_SECONDS,
@@ -174,29 +176,27 @@
             return
         version = result.unwrap()
         self.round_trip = self.clock.steady() - started
-        silent_for = started - self.beat_changed_at
+        silent_for = started - self.heartbeat_changed_at
         self.leader, self.leader_version = record, version
-        self.beat, self.beat_version = beat, version
-        self.beat_changed_at = self.clock.steady()
-        self.enter_office(epoch, version, silent_for, started)
+        self.heartbeat, self.heartbeat_version = heartbeat, version
+        self.heartbeat_changed_at = self.clock.steady()
+        self.begin_term(epoch, version, silent_for, started)
 
     def adopt_own_takeover(self, rows: tuple[StoredRow, ...]) -> None:
-        """Enter the office if an earlier attempt took effect without an answer."""
+        """Begin the term if an earlier attempt took effect without an answer."""
         leader = self.leader
         if not rows or leader is None or leader.incarnation != self.incarnation:
             return
         if self.term is None and leader.instance_id == self.instance_id:
-            self.enter_office(
-                leader.epoch, self.leader_version, 0.0, self.clock.steady()
-            )
+            self.begin_term(leader.epoch, self.leader_version, 0.0, self.clock.steady())
 
-    def enter_office(
+    def begin_term(
         self, epoch: int, version: int, silent_for: float, asked_at: float
     ) -> None:
         """Begin a term."""
         self.term = Term(epoch, version)
         self.confirmed_at = asked_at
-        self.last_beat_at = asked_at
+        self.last_heartbeat_at = asked_at
         log.info(
             "leadership taken",
             epoch=epoch,
@@ -204,44 +204,44 @@
             silent_for=round(silent_for, 3),
         )
 
-    async def send_beat(self, released: bool) -> bool:
-        """Write the beat; return whether the store took it."""
+    async def send_heartbeat(self, released: bool) -> bool:
+        """Write the heartbeat; return whether the store took it."""
         term = self.term
         if term is None:
             return False
-        number = (self.beat.number if self.beat else 0) + 1
-        beat = BeatRecord(term.epoch, number, released, self.waiting_counts())
+        number = (self.heartbeat.number if self.heartbeat else 0) + 1
+        heartbeat = HeartbeatRecord(term.epoch, number, released, self.waiting_counts())
         asked_at = self.clock.steady()
-        self.last_beat_at = asked_at
+        self.last_heartbeat_at = asked_at
         result = await self.store.commit(
             RowTransaction(
                 (
                     Expectation(LEADER_KEY, term.leader_version),
-                    Expectation(BEAT_KEY, self.beat_version),
+                    Expectation(HEARTBEAT_KEY, self.heartbeat_version),
                 ),
-                ((BEAT_KEY, codec.encode(beat)),),
+                ((HEARTBEAT_KEY, codec.encode(heartbeat)),),
             ),
             STORE_CALL_SECONDS,
         )
         if isinstance(result, Success):
-            self.beat, self.beat_version = beat, result.unwrap()
-            self.beat_changed_at = self.clock.steady()
-            self.round_trip = self.beat_changed_at - asked_at
+            self.heartbeat, self.heartbeat_version = heartbeat, result.unwrap()
+            self.heartbeat_changed_at = self.clock.steady()
+            self.round_trip = self.heartbeat_changed_at - asked_at
             self.confirmed_at = asked_at
             return True
         failure = result.failure()
         if failure.kind is StoreFailureKind.CONFLICT:
             self.on_rows(failure.rows)
             if self.term is not None and self.leader_version == term.leader_version:
-                # A beat without an answer took effect; the office is still ours.
+                # A heartbeat without an answer took effect; the term goes on.
                 self.confirmed_at = asked_at
         return False
 
     async def release(self) -> None:
-        """Give up the office in a planned stop, so that another takes it at once."""
-        self.may_stand = False
+        """End the term in a planned stop; another instance takes over at once."""
+        self.may_campaign = False
         for _ in range(3):
-            if self.term is None or await self.send_beat(released=True):
+            if self.term is None or await self.send_heartbeat(released=True):
                 break
         self.term = None
 
--- a/src/egretloft/_internal/fleet/instance.py
+++ b/src/egretloft/_internal/fleet/instance.py
@@ -1,4 +1,4 @@
-"""One instance: views, peers, election, intake, and the leader while in office."""
+"""One instance: views, peers, election, intake, and the leader during its term."""
 
 from __future__ import annotations
 
@@ -26,7 +26,7 @@
 from egretloft._internal.fleet.interfaces import (
     Expectation,
     FleetClock,
-    PlatformWords,
+    RowDecoder,
     RowKey,
     RowStore,
     RowTransaction,
@@ -69,7 +69,7 @@
         identity: Identity,
         direct_store: RowStore,
         targets: Targets,
-        words: PlatformWords,
+        decoder: RowDecoder,
         peers: Peers,
         clock: FleetClock,
         metrics: Metrics,
@@ -77,7 +77,7 @@
     ) -> None:
         self.identity = identity
         self.targets = targets
-        self.words = words
+        self.decoder = decoder
         self.peers = peers
         self.clock = clock
         self.metrics = metrics
@@ -85,7 +85,7 @@
         self.store: StoreAccess = create_store_access(
             direct_store, peers, self.peer_ids, clock, metrics
         )
-        self.operators: OperatorView = create_operator_view(words, metrics)
+        self.operators: OperatorView = create_operator_view(decoder, metrics)
         self.intake: Intake = create_intake(self.store, clock, metrics)
         self.election: Election = create_election(
             self.store,
@@ -107,7 +107,7 @@
         self.operator_watcher: TableWatcher = create_table_watcher(
             self.store,
             clock,
-            words.operator_table(),
+            decoder.operator_table(),
             "",
             self.operators.on_snapshot,
             self.operators.on_rows,
@@ -137,7 +137,7 @@
         self.tasks.append(task)
 
     async def hand_over(self) -> None:
-        """Give up the office, if held, so that another instance takes it at once."""
+        """End the own term, if any, so that another instance takes over at once."""
         self.stopping = True
         leader = self.leader
         if leader is not None:
@@ -230,7 +230,7 @@
         self.members[instance_id] = record.unwrap()
 
     def control_pause_seconds(self) -> float:
-        """Return the pause between looks at the leader's beat.
+        """Return the pause between looks at the leader's heartbeat.
 
         Candidates are the first instances by name that are alive; without any of them
         the others still take over, only later.
@@ -241,20 +241,20 @@
             return 0.0
         return DISTANT_FEED_PAUSE_SECONDS
 
-    # Office.
+    # TermOwner.
 
     def waiting_counts(self) -> dict[str, int]:
-        """Return the counts for the beat: the former ones until all jobs are read."""
+        """Return the counts for the heartbeat; the former ones until jobs are read."""
         if self.leader is not None and self.leader.recovered:
             return self.leader.waiting_counts()
-        return self.election.beat.waiting if self.election.beat else {}
+        return self.election.heartbeat.waiting if self.election.heartbeat else {}
 
     def waiting_in(self, queue: str) -> int:
-        """Return how many jobs of a queue wait, by the newest beat."""
+        """Return how many jobs of a queue wait, by the newest heartbeat."""
         return self.waiting_counts().get(queue, 0)
 
     async def run_election(self) -> None:
-        """Keep the beat or stand for the office, and run the leader's term."""
+        """Send the heartbeat or campaign, and run the leader's term."""
         while True:
             await self.election.tick()
             term = self.election.term
@@ -265,7 +265,7 @@
                     self.election,
                     self.store,
                     self.targets,
-                    self.words,
+                    self.decoder,
                     self.operators.current,
                     self.clock,
                     self.metrics,
@@ -278,10 +278,10 @@
         try:
             await leader.run()
         except Exception:
-            # A defect must not leave an office in which nothing is decided.
+            # A defect must not leave a leader that decides nothing.
             self.metrics.count("term_errors")
             log.exception("term failed", epoch=leader.epoch)
-            self.election.resign("the term failed")
+            self.election.step_down("the term failed")
         finally:
             self.leader = None
 
@@ -308,7 +308,7 @@
     identity: Identity,
     direct_store: RowStore,
     targets: Targets,
-    words: PlatformWords,
+    decoder: RowDecoder,
     peers: Peers,
     clock: FleetClock,
     metrics: Metrics,
@@ -316,5 +316,5 @@
 ) -> Instance:
     """Return an instance that has not started."""
     return Instance(
-        identity, direct_store, targets, words, peers, clock, metrics, generator
+        identity, direct_store, targets, decoder, peers, clock, metrics, generator
     )
--- a/src/egretloft/_internal/fleet/intake.py
+++ b/src/egretloft/_internal/fleet/intake.py
@@ -261,7 +261,7 @@
     async def cancel(
         self, job_id: str, deadline: float
     ) -> Result[JobState, IntakeRefusal]:
-        """Store the wish to cancel; the leader stops what runs."""
+        """Store the cancel request; the leader stops what runs."""
         found = await self.find(job_id)
         if isinstance(found, Failure):
             return Failure(unavailable(found.failure().message))
--- a/src/egretloft/_internal/fleet/interfaces.py
+++ b/src/egretloft/_internal/fleet/interfaces.py
@@ -10,7 +10,7 @@
 
 from egretloft._internal.fleet.models import (
     Configuration,
-    HoldAnswer,
+    RenewalAnswer,
     RunKey,
     StartOrder,
     TargetFailure,
@@ -123,7 +123,7 @@
     ) -> Result[int, TargetFailure]:
         """Stop a run and return the target's clock."""
 
-    async def hold(
+    async def renew(
         self,
         target: TargetReport,
         epoch: int,
@@ -131,14 +131,14 @@
         expires_at_ms: int | None,
         wait_seconds: float,
         timeout_seconds: float,
-    ) -> Result[HoldAnswer, TargetFailure]:
+    ) -> Result[RenewalAnswer, TargetFailure]:
         """Renew the lease of all runs on the target and return its lists.
 
         Ends up to ``noted`` are forgotten by the target.
         """
 
 
-class PlatformWords(Protocol):
+class RowDecoder(Protocol):
     """Decoding of rows that the operators and the targets write."""
 
     def operator_table(self) -> str:
--- a/src/egretloft/_internal/fleet/leader.py
+++ b/src/egretloft/_internal/fleet/leader.py
@@ -31,7 +31,7 @@
 from egretloft._internal.fleet.election import Election, Term
 from egretloft._internal.fleet.interfaces import (
     FleetClock,
-    PlatformWords,
+    RowDecoder,
     Targets,
 )
 from egretloft._internal.fleet.lifecycle import (
@@ -49,7 +49,6 @@
 from egretloft._internal.fleet.sessions import TargetSession, create_target_session
 from egretloft._internal.fleet.state_reader import create_state_reader
 from egretloft._internal.fleet.store_access import StoreAccess
-from egretloft._internal.fleet.suspicion import set_aside, stalled_runs
 from egretloft._internal.fleet.tables import (
     FleetTables,
     JobRow,
@@ -57,6 +56,7 @@
     RunRow,
     TargetRow,
 )
+from egretloft._internal.fleet.target_health import quarantine, stalled_runs
 from egretloft._internal.fleet.watching import create_table_watcher, read_table
 from egretloft._internal.metrics import Metrics
 
@@ -69,7 +69,7 @@
 
 
 class Leader:
-    """Schedules all jobs while its epoch is in office."""
+    """Schedules all jobs while its epoch is current."""
 
     def __init__(
         self,
@@ -77,7 +77,7 @@
         election: Election,
         store: StoreAccess,
         targets: Targets,
-        words: PlatformWords,
+        decoder: RowDecoder,
         operators: Callable[[], OperatorState],
         clock: FleetClock,
         metrics: Metrics,
@@ -87,7 +87,7 @@
         self.election = election
         self.store = store
         self.targets = targets
-        self.words = words
+        self.decoder = decoder
         self.operators = operators
         self.clock = clock
         self.metrics = metrics
@@ -96,7 +96,7 @@
         self.recorder = create_recorder(store, election, self.tables, metrics)
         self.orders = create_orders(self, self.tables, targets, clock, metrics)
         self.reader = create_state_reader(
-            self, self.tables, self.recorder, words, metrics
+            self, self.tables, self.recorder, decoder, metrics
         )
         self.sessions: dict[str, TargetSession] = {}
         self.session_tasks: dict[str, asyncio.Task[Any]] = {}
@@ -150,7 +150,7 @@
     def on_fenced(self) -> None:
         """End the term: a target has seen a newer epoch."""
         if self.election.term is self.term:
-            self.election.resign("a target has seen a newer epoch")
+            self.election.step_down("a target has seen a newer epoch")
 
     # The term.
 
@@ -165,7 +165,7 @@
             await asyncio.gather(*self.tasks, return_exceptions=True)
             log.info("term ended", epoch=self.epoch)
 
-    def in_office(self) -> bool:
+    def is_current(self) -> bool:
         """Return whether the term goes on."""
         return self.election.term is self.term
 
@@ -185,7 +185,7 @@
 
     async def recover(self) -> bool:
         """Read the used targets; return whether the term still goes on."""
-        while self.in_office():
+        while self.is_current():
             used = await read_table(self.store, TABLE_TARGETS, PARTITION)
             if not isinstance(used, Failure):
                 break
@@ -205,13 +205,13 @@
         self.targets_watcher = create_table_watcher(
             self.store,
             self.clock,
-            self.words.target_table(),
+            self.decoder.target_table(),
             "",
             self.reader.on_target_snapshot,
             self.reader.on_target_rows,
             lambda: TARGET_FEED_PAUSE_SECONDS,
         )
-        while self.in_office():
+        while self.is_current():
             known = await asyncio.gather(
                 self.jobs_watcher.step(), self.targets_watcher.step()
             )
@@ -231,7 +231,7 @@
             open_jobs=len(self.tables.open_jobs),
             targets=len(self.tables.targets),
         )
-        return self.in_office()
+        return self.is_current()
 
     async def serve(self) -> None:
         """Tick until the term ends."""
@@ -239,7 +239,7 @@
         self.spawn(self.targets_watcher.run())
         self.spawn(self.recorder.run())
         self.last_tick = self.clock.steady()
-        while self.in_office():
+        while self.is_current():
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(self.wake.wait(), TICK_SECONDS)
             await asyncio.sleep(max(TICK_DELAY_SECONDS, self.tick_pause))
@@ -293,22 +293,22 @@
             self.start_all(placement)
 
     def update_doubt(self, now: float) -> None:
-        """End the doubt about older runs once all targets are touched or lapsed."""
+        """End the doubt about older runs once all targets are fenced or lapsed."""
         if not self.in_doubt:
             return
-        untouched = [t for t in self.tables.targets.values() if not t.touched]
-        if not untouched or now >= self.in_doubt_until:
+        unfenced = [t for t in self.tables.targets.values() if not t.fenced]
+        if not unfenced or now >= self.in_doubt_until:
             self.in_doubt = False
-            log.info("recovered", epoch=self.epoch, untouched=len(untouched))
+            log.info("recovered", epoch=self.epoch, unfenced=len(unfenced))
 
     def remove_gone_targets(self) -> None:
         """Drop targets that are off the list and certainly run nothing."""
         for target_id, target in list(self.tables.targets.items()):
             if target.listed or target.runs:
                 continue
-            if not target.touched and self.in_doubt:
+            if not target.fenced and self.in_doubt:
                 continue
-            if target.seen > target.acknowledged and not target.silent_holds:
+            if target.seen > target.acknowledged and not target.silent_renewals:
                 continue
             log.info("target removed", target=target_id)
             del self.tables.targets[target_id]
@@ -326,10 +326,10 @@
                 self.recorder.forget_job(job_id, job.cancelled)
 
     def stop_stalled(self, now: float) -> None:
-        """Stop runs without progress, and set their targets aside."""
+        """Stop runs without progress, and quarantine their targets."""
         for run in stalled_runs(self.tables, now):
             target = self.tables.targets[run.target_id]
-            set_aside(target, now)
+            quarantine(target, now)
             task = self.tables.task(run.key.task)
             if task is not None:
                 task.failed_on.add(run.target_id)
--- a/src/egretloft/_internal/fleet/models.py
+++ b/src/egretloft/_internal/fleet/models.py
@@ -218,7 +218,7 @@
 
 
 @dataclass(slots=True, frozen=True)
-class HoldAnswer:
+class RenewalAnswer:
     """Answer to a lease renewal: the target's clock and both lists of runs."""
 
     target_time_ms: int
@@ -271,7 +271,7 @@
 
 @dataclass(slots=True, frozen=True)
 class OperatorState:
-    """The operators' wishes as last read from the store."""
+    """What the operators asked for as last read from the store."""
 
     configuration: Configuration | None = None
     evacuated_zones: frozenset[str] = field(default_factory=frozenset)
--- a/src/egretloft/_internal/fleet/operators.py
+++ b/src/egretloft/_internal/fleet/operators.py
@@ -1,4 +1,4 @@
-"""The operators' wishes, followed by every instance."""
+"""What the operators asked for, followed by every instance."""
 
 from __future__ import annotations
 
@@ -7,7 +7,7 @@
 import structlog
 from returns.result import Failure
 
-from egretloft._internal.fleet.interfaces import PlatformWords, StoredRow
+from egretloft._internal.fleet.interfaces import RowDecoder, StoredRow
 from egretloft._internal.fleet.models import Configuration, OperatorState
 from egretloft._internal.metrics import Metrics
 
@@ -20,8 +20,8 @@
     A configuration never gives way to an older one.
     """
 
-    def __init__(self, words: PlatformWords, metrics: Metrics) -> None:
-        self.words = words
+    def __init__(self, decoder: RowDecoder, metrics: Metrics) -> None:
+        self.decoder = decoder
         self.metrics = metrics
         self.state = OperatorState()
 
@@ -31,7 +31,7 @@
 
     def on_snapshot(self, rows: tuple[StoredRow, ...]) -> None:
         """Take all rows as they are now."""
-        zones = {self.words.evacuated_zone(row) for row in rows if row.value}
+        zones = {self.decoder.evacuated_zone(row) for row in rows if row.value}
         self.set_zones(frozenset(zone for zone in zones if zone is not None))
         for row in rows:
             self.take_configuration(row)
@@ -39,7 +39,7 @@
     def on_rows(self, rows: tuple[StoredRow, ...]) -> None:
         """Take changed rows."""
         for row in rows:
-            zone = self.words.evacuated_zone(row)
+            zone = self.decoder.evacuated_zone(row)
             if zone is not None and row.value is None:
                 self.set_zones(self.state.evacuated_zones - {zone})
             elif zone is not None:
@@ -57,7 +57,7 @@
         """Put a newer configuration in force."""
         if row.value is None:
             return
-        result = self.words.configuration(row)
+        result = self.decoder.configuration(row)
         if result is None:
             return
         if isinstance(result, Failure):
@@ -80,6 +80,6 @@
         )
 
 
-def create_operator_view(words: PlatformWords, metrics: Metrics) -> OperatorView:
+def create_operator_view(decoder: RowDecoder, metrics: Metrics) -> OperatorView:
     """Return a view without a configuration."""
-    return OperatorView(words, metrics)
+    return OperatorView(decoder, metrics)
--- a/src/egretloft/_internal/fleet/orders.py
+++ b/src/egretloft/_internal/fleet/orders.py
@@ -24,7 +24,7 @@
     TargetFailure,
     TargetFailureKind,
 )
-from egretloft._internal.fleet.sessions import Office
+from egretloft._internal.fleet.sessions import TermOwner
 from egretloft._internal.fleet.tables import FleetTables, RunPhase, RunRow, TargetRow
 from egretloft._internal.metrics import Metrics
 
@@ -42,13 +42,13 @@
 
     def __init__(
         self,
-        office: Office,
+        owner: TermOwner,
         tables: FleetTables,
         targets: Targets,
         clock: FleetClock,
         metrics: Metrics,
     ) -> None:
-        self.office = office
+        self.owner = owner
         self.tables = tables
         self.targets = targets
         self.clock = clock
@@ -58,7 +58,7 @@
         """Order a start until it is confirmed or certainly had no effect."""
         doubtful = False
         for _ in range(START_TRIES):
-            if run.phase is not RunPhase.STARTING or not self.office.may_order():
+            if run.phase is not RunPhase.STARTING or not self.owner.may_order():
                 return
             order = self.start_order(target, run)
             if order is None:
@@ -98,7 +98,7 @@
             run=run.key,
             payload=job.accepted.spec.payload,
             expires_at_ms=int(run.order_expires_ms),
-            epoch=self.office.epoch,
+            epoch=self.owner.epoch,
             checkpoint=run.checkpoint,
         )
 
@@ -134,42 +134,44 @@
             task=run.key.task.index,
             attempt=run.key.attempt,
             target=run.target_id,
-            epoch=self.office.epoch,
+            epoch=self.owner.epoch,
             reason=refusal.value if refusal else failure.message,
         )
         if refusal is StartRefusal.FENCED:
-            self.office.on_fenced()
+            self.owner.on_fenced()
             return
         if doubtful:
             return
         remove_run(target, run, self.tables.task(run.key.task))
         now = self.clock.steady()
-        target.avoided_until = max(target.avoided_until, now + UNHEALTHY_SECONDS)
-        self.office.on_room_changed()
+        target.quarantined_until = max(
+            target.quarantined_until, now + UNHEALTHY_SECONDS
+        )
+        self.owner.on_room_changed()
 
     async def stop(self, target: TargetRow, run: RunRow) -> None:
         """Order a stop until it is answered or the run has ended."""
-        while run.key in target.runs and self.office.may_order():
+        while run.key in target.runs and self.owner.may_order():
             result = await self.targets.stop(
-                target.report, run.key, self.office.epoch, ORDER_ANSWER_SECONDS
+                target.report, run.key, self.owner.epoch, ORDER_ANSWER_SECONDS
             )
             if not isinstance(result, Failure):
                 run.stop_confirmed_at = self.clock.steady()
                 return
             failure = result.failure()
             if failure.refusal is StartRefusal.FENCED:
-                self.office.on_fenced()
+                self.owner.on_fenced()
                 return
             self.metrics.count("stop_failures")
             await asyncio.sleep(STOP_RETRY_SECONDS)
 
 
 def create_orders(
-    office: Office,
+    owner: TermOwner,
     tables: FleetTables,
     targets: Targets,
     clock: FleetClock,
     metrics: Metrics,
 ) -> Orders:
     """Return the orders of one leader."""
-    return Orders(office, tables, targets, clock, metrics)
+    return Orders(owner, tables, targets, clock, metrics)
--- a/src/egretloft/_internal/fleet/placing.py
+++ b/src/egretloft/_internal/fleet/placing.py
@@ -27,7 +27,7 @@
     """Room of a target that a plan may still take.
 
     ``reclaim_cost`` is the work in core-seconds that is lost if all of this room is
-    to be free; 0 where it is free now. A target that is set aside is ``doubtful``.
+    to be free; 0 where it is free now. A target in quarantine is marked as such.
     """
 
     target: TargetRow
@@ -35,7 +35,7 @@
     memory_mb: int
     gpus: int
     reclaim_cost: float = 0.0
-    doubtful: bool = False
+    quarantined: bool = False
 
     def holds(self, room: Room) -> bool:
         """Return whether ``room`` fits."""
@@ -109,7 +109,7 @@
     """Return the order of targets for a task: data first, then the tightest fit."""
     away = int(bool(spec.data_rack) and free.target.report.rack != spec.data_rack)
     return (
-        free.doubtful,
+        free.quarantined,
         away,
         free.reclaim_cost,
         free.gpus - room.gpus,
--- a/src/egretloft/_internal/fleet/reclaiming.py
+++ b/src/egretloft/_internal/fleet/reclaiming.py
@@ -76,7 +76,7 @@
 
 
 def plan_reservation(
-    lesser: LesserRuns,
+    lower_priority: LowerPriorityRooms,
     step: StepRow,
     targets: list[TargetRow],
     reserved: dict[str, Room],
@@ -87,13 +87,13 @@
 
     Nothing is stopped: the room is only kept from less urgent steps.
     """
-    now = lesser.now
+    now = lower_priority.now
     chosen = [t for t in targets if t.report.target_id in step.reclaim_targets]
     keeps = bool(chosen) and now < step.reclaim_until
     rooms = []
     for target in chosen if keeps else targets:
-        free = lesser.room(target, priority)
-        free.reclaim_cost = lesser.rest_seconds(target, priority)
+        free = lower_priority.room(target, priority)
+        free.reclaim_cost = lower_priority.rest_seconds(target, priority)
         free.take(reserved.get(target.report.target_id, Room()))
         rooms.append(free)
     plan = place_gang(step, rooms, spread)
@@ -134,7 +134,7 @@
     return total
 
 
-class LesserRuns:
+class LowerPriorityRooms:
     """Rooms that come free when all less urgent runs end, computed once a tick."""
 
     def __init__(self, tables: FleetTables, now: float) -> None:
@@ -186,7 +186,7 @@
 
 
 def plan_reclaim(
-    lesser: LesserRuns,
+    lower_priority: LowerPriorityRooms,
     step: StepRow,
     targets: list[TargetRow],
     reserved: dict[str, Room],
@@ -199,12 +199,12 @@
     ``reserved`` is room by target that is promised to steps further ahead. Without
     ``entitled``, more work must be gained than is lost.
     """
-    tables, now = lesser.tables, lesser.now
+    tables, now = lower_priority.tables, lower_priority.now
     chosen = [t for t in targets if t.report.target_id in step.reclaim_targets]
     waits_for_stops = bool(chosen) and now < step.reclaim_until
     rooms = []
     for target in chosen if waits_for_stops else targets:
-        free = lesser.room(target, priority)
+        free = lower_priority.room(target, priority)
         free.take(reserved.get(target.report.target_id, Room()))
         rooms.append(free)
     if step.spec.gang:
--- a/src/egretloft/_internal/fleet/recorder.py
+++ b/src/egretloft/_internal/fleet/recorder.py
@@ -210,7 +210,7 @@
             if row.key == LEADER_KEY:
                 self.election.on_rows((row,))
                 if row.version != leader_version:
-                    self.election.resign("the leader's row changed")
+                    self.election.step_down("the leader's row changed")
                 continue
             if row.key.table == TABLE_TARGETS:
                 self.target_versions[row.key.key] = row.version
--- a/src/egretloft/_internal/fleet/records.py
+++ b/src/egretloft/_internal/fleet/records.py
@@ -57,14 +57,14 @@
 
 @dataclass(slots=True, frozen=True)
 class CancelRequest:
-    """A caller's wish to end a job."""
+    """A caller's request to cancel a job."""
 
     at_ms: int
 
 
 @dataclass(slots=True, frozen=True)
 class LeaderRecord:
-    """The leader in office. ``epoch`` is the fence of all its orders and writes."""
+    """The current leader. ``epoch`` is the fence of all its orders and writes."""
 
     instance_id: str
     incarnation: str
@@ -72,7 +72,7 @@
 
 
 @dataclass(slots=True, frozen=True)
-class BeatRecord:
+class HeartbeatRecord:
     """Sign of life of the leader, with the counts of waiting jobs per queue."""
 
     epoch: int
@@ -108,7 +108,7 @@
 
 
 def cancel_key(job_id: str) -> RowKey:
-    """Return the key of the wish to cancel."""
+    """Return the key of the cancel request."""
     return RowKey(TABLE_JOBS, PARTITION, job_id + CANCEL_SUFFIX)
 
 
--- a/src/egretloft/_internal/fleet/scheduler.py
+++ b/src/egretloft/_internal/fleet/scheduler.py
@@ -20,7 +20,7 @@
 )
 from egretloft._internal.fleet.queueing import WaitingStep, ordered
 from egretloft._internal.fleet.reclaiming import (
-    LesserRuns,
+    LowerPriorityRooms,
     note_reclaimed,
     plan_reclaim,
     plan_reservation,
@@ -34,7 +34,7 @@
     TaskRow,
 )
 
-# A step that has waited for this long may use targets that are set aside.
+# A step that has waited for this long may use targets in quarantine.
 LAST_RESORT_SECONDS = 2.5
 # Only the most urgent queues may take room from others.
 RECLAIMING_PRIORITY = 0
@@ -77,7 +77,7 @@
 ) -> list[TargetRow]:
     """Return the targets of a service that may get new work.
 
-    Those that are set aside are among them, as the last resort of a step that has
+    Those in quarantine are among them, as the last resort of a step that has
     waited for long.
     """
     return [
@@ -86,7 +86,7 @@
         if target.report.service == service
         and target.listed
         and target.recorded
-        and target.touched
+        and target.fenced
         and target.reachable
         and not target.report.draining
         and target.report.zone not in operators.evacuated_zones
@@ -159,13 +159,13 @@
     ) -> None:
         self.tables = tables
         self.guarantees = guarantees
-        self.lesser = LesserRuns(tables, moment.now)
+        self.lower_priority = LowerPriorityRooms(tables, moment.now)
         self.targets = targets
         self.moment = moment
         self.rooms: list[FreeRoom] = [free_room(target) for target in targets]
         for free in self.rooms:
-            free.doubtful = free.target.avoided_until > moment.now
-        self.sound_rooms = [free for free in self.rooms if not free.doubtful]
+            free.quarantined = free.target.quarantined_until > moment.now
+        self.sound_rooms = [free for free in self.rooms if not free.quarantined]
         self.sound_targets = [free.target for free in self.sound_rooms]
         self.reserved: dict[str, Room] = {}
         self.blocked: list[tuple[int, int, int]] = []
@@ -232,7 +232,7 @@
     ) -> bool:
         """Stop less urgent runs for a step; return whether it will fit then."""
         reclaim = plan_reclaim(
-            self.lesser,
+            self.lower_priority,
             step,
             self.sound_targets,
             self.reserved,
@@ -261,7 +261,7 @@
     def reserve_for_gang(self, step: StepRow, priority: int, spread: bool) -> None:
         """Keep less urgent steps from the room that a waiting gang will get."""
         plan = plan_reservation(
-            self.lesser,
+            self.lower_priority,
             step,
             self.sound_targets,
             self.reserved,
--- a/src/egretloft/_internal/fleet/sessions.py
+++ b/src/egretloft/_internal/fleet/sessions.py
@@ -14,19 +14,18 @@
 
 from egretloft._internal.fleet.clocks import MILLISECONDS, TargetClock
 from egretloft._internal.fleet.constants import (
-    HOLD_ANSWER_SECONDS,
-    HOLD_WAIT_SECONDS,
     LEASE_SECONDS,
+    RENEWAL_ANSWER_SECONDS,
+    RENEWAL_WAIT_SECONDS,
 )
 from egretloft._internal.fleet.interfaces import FleetClock, Targets
 from egretloft._internal.fleet.lifecycle import adopt_run, apply_end, remove_run
 from egretloft._internal.fleet.models import (
-    HoldAnswer,
     JobState,
+    RenewalAnswer,
     StartRefusal,
     TargetFailure,
 )
-from egretloft._internal.fleet.suspicion import judge_end
 from egretloft._internal.fleet.tables import (
     FleetTables,
     JobRow,
@@ -34,12 +33,13 @@
     RunRow,
     TargetRow,
 )
+from egretloft._internal.fleet.target_health import judge_end
 from egretloft._internal.metrics import Metrics
 
 log = structlog.get_logger(__name__)
 
 # Silent renewals after which a target gets no new work.
-SILENT_HOLDS = 2
+SILENT_RENEWALS = 2
 RETRY_SECONDS = 0.15
 # Renewals go on at this pace while ends wait for the store.
 UNRECORDED_PAUSE_SECONDS = 0.25
@@ -49,7 +49,7 @@
 IDLE_WAIT_SECONDS = 5.0
 
 
-class Office(Protocol):
+class TermOwner(Protocol):
     """What a session asks of the leader."""
 
     epoch: int
@@ -72,14 +72,14 @@
 
     def __init__(
         self,
-        office: Office,
+        owner: TermOwner,
         tables: FleetTables,
         target: TargetRow,
         targets: Targets,
         clock: FleetClock,
         metrics: Metrics,
     ) -> None:
-        self.office = office
+        self.owner = owner
         self.tables = tables
         self.target = target
         self.targets = targets
@@ -90,23 +90,23 @@
     async def run(self) -> None:
         """Renew until cancelled."""
         while True:
-            if not self.needs_hold():
+            if not self.needs_renewal():
                 await self.idle()
                 continue
-            if not self.office.may_order():
+            if not self.owner.may_order():
                 await asyncio.sleep(RETRY_SECONDS)
                 continue
-            await self.hold_once()
+            await self.renew_once()
 
-    def needs_hold(self) -> bool:
+    def needs_renewal(self) -> bool:
         """Return whether there is a run to keep or an end to acknowledge."""
         target = self.target
-        if not target.touched or target.runs:
+        if not target.fenced or target.runs:
             return True
         return target.seen > target.acknowledged
 
     async def idle(self) -> None:
-        """Wait until there is something to hold."""
+        """Wait until there is a lease to renew."""
         self.wake.clear()
         try:
             await asyncio.wait_for(self.wake.wait(), IDLE_WAIT_SECONDS)
@@ -119,31 +119,31 @@
         A target that did not answer is only looked at, so that its lease can run out.
         """
         target = self.target
-        if target.clock is None or target.silent_holds or not target.runs:
+        if target.clock is None or target.silent_renewals or not target.runs:
             return None
         now_ms = target.clock.earliest_ms(self.clock.steady())
         return int(now_ms + LEASE_SECONDS * MILLISECONDS)
 
-    async def hold_once(self) -> None:
+    async def renew_once(self) -> None:
         """Renew once and apply the answer."""
         target = self.target
         expires = self.lease()
         unrecorded = target.seen > target.noted
         if unrecorded:
             await self.pause_for_record()
-        settled = target.touched and expires is not None
-        wait = HOLD_WAIT_SECONDS if settled and target.seen <= target.noted else 0.0
+        settled = target.fenced and expires is not None
+        wait = RENEWAL_WAIT_SECONDS if settled and target.seen <= target.noted else 0.0
         if expires is not None:
             target.lease_ends_ms = max(target.lease_ends_ms, expires)
         sent = self.clock.steady()
         noted = target.noted
-        result = await self.targets.hold(
+        result = await self.targets.renew(
             target.report,
-            self.office.epoch,
+            self.owner.epoch,
             noted,
             expires,
             wait,
-            wait + HOLD_ANSWER_SECONDS,
+            wait + RENEWAL_ANSWER_SECONDS,
         )
         if isinstance(result, Failure):
             await self.on_failure(result.failure())
@@ -166,7 +166,7 @@
         """Note a renewal without success."""
         target = self.target
         if failure.refusal is StartRefusal.FENCED:
-            self.office.on_fenced()
+            self.owner.on_fenced()
             return
         if failure.refusal is StartRefusal.OTHER_LIFE:
             log.info("target replaced", target=target.report.target_id)
@@ -174,16 +174,16 @@
             target.listed = False
             await asyncio.sleep(RETRY_SECONDS)
             return
-        target.silent_holds += 1
-        self.metrics.count("hold_failures")
-        if target.silent_holds == SILENT_HOLDS:
+        target.silent_renewals += 1
+        self.metrics.count("renewal_failures")
+        if target.silent_renewals == SILENT_RENEWALS:
             target.reachable = False
             log.warning(
                 "target lost", target=target.report.target_id, error=failure.message
             )
         await asyncio.sleep(RETRY_SECONDS)
 
-    def on_answer(self, answer: HoldAnswer, sent: float, noted: int) -> None:
+    def on_answer(self, answer: RenewalAnswer, sent: float, noted: int) -> None:
         """Apply a target's lists."""
         target = self.target
         now = self.clock.steady()
@@ -196,18 +196,18 @@
         if not target.reachable:
             log.info("target regained", target=target.report.target_id)
         target.reachable = True
-        target.silent_holds = 0
+        target.silent_renewals = 0
         target.last_answer = now
         target.acknowledged = max(target.acknowledged, noted)
-        was_touched = target.touched
-        target.touched = True
+        was_touched = target.fenced
+        target.fenced = True
         self.apply_ends(answer)
         self.apply_active(answer, now)
         self.apply_absences(answer, sent, now)
         if not was_touched:
-            self.office.on_room_changed()
+            self.owner.on_room_changed()
 
-    def on_new_life(self, answer: HoldAnswer) -> None:
+    def on_new_life(self, answer: RenewalAnswer) -> None:
         """Forget the target's former life; its clock and numbers start anew."""
         target = self.target
         if target.born_ms:
@@ -243,9 +243,9 @@
         )
         self.metrics.count("runs_lost")
         remove_run(self.target, run, self.tables.task(run.key.task))
-        self.office.on_room_changed()
+        self.owner.on_room_changed()
 
-    def apply_ends(self, answer: HoldAnswer) -> None:
+    def apply_ends(self, answer: RenewalAnswer) -> None:
         """Apply the ends that are new."""
         for end in answer.ends:
             if end.number <= self.target.seen:
@@ -256,9 +256,9 @@
             lasting = run is not None and run.lasting
             if not lasting and judge_end(self.target, end, self.clock.steady()):
                 log.warning(
-                    "target set aside",
+                    "target quarantined",
                     target=self.target.report.target_id,
-                    times=self.target.avoided_times,
+                    times=self.target.quarantines,
                 )
             self.metrics.count("run_ends", kind=end.kind.value)
             log.info(
@@ -272,10 +272,10 @@
                 outcome=end.kind.value,
             )
             if job is not None:
-                self.office.on_job_changed(job)
-            self.office.on_room_changed()
+                self.owner.on_job_changed(job)
+            self.owner.on_room_changed()
 
-    def apply_active(self, answer: HoldAnswer, now: float) -> None:
+    def apply_active(self, answer: RenewalAnswer, now: float) -> None:
         """Confirm runs, adopt unknown ones and note their progress."""
         for active in answer.active:
             run = self.target.runs.get(active.run)
@@ -292,8 +292,8 @@
                 )
                 job = self.tables.jobs.get(active.run.task.step.job_id)
                 if job is not None and job.state is JobState.ACTIVE:
-                    self.office.on_job_changed(job)
-                self.office.on_room_changed()
+                    self.owner.on_job_changed(job)
+                self.owner.on_room_changed()
             if run.phase is RunPhase.STARTING:
                 run.phase = RunPhase.ACTIVE
             run.confirmed = True
@@ -309,7 +309,7 @@
         if checkpoint and task is not None and task.run is run:
             task.checkpoint = checkpoint
 
-    def apply_absences(self, answer: HoldAnswer, sent: float, now: float) -> None:
+    def apply_absences(self, answer: RenewalAnswer, sent: float, now: float) -> None:
         """Remove runs that the target certainly does not have."""
         target = self.target
         present = {active.run for active in answer.active}
@@ -335,7 +335,7 @@
     def check_lease(self) -> None:
         """Remove the runs of a silent target once its lease has certainly ended."""
         target = self.target
-        if target.silent_holds < SILENT_HOLDS or not target.runs:
+        if target.silent_renewals < SILENT_RENEWALS or not target.runs:
             return
         if target.clock is None:
             return
@@ -347,12 +347,12 @@
 
 
 def create_target_session(
-    office: Office,
+    owner: TermOwner,
     tables: FleetTables,
     target: TargetRow,
     targets: Targets,
     clock: FleetClock,
     metrics: Metrics,
 ) -> TargetSession:
-    """Return a session that has not touched its target."""
-    return TargetSession(office, tables, target, targets, clock, metrics)
+    """Return a session that has not fenced its target."""
+    return TargetSession(owner, tables, target, targets, clock, metrics)
--- a/src/egretloft/_internal/fleet/state_reader.py
+++ b/src/egretloft/_internal/fleet/state_reader.py
@@ -9,7 +9,7 @@
 
 from egretloft._internal import codec
 from egretloft._internal.fleet.constants import CANCEL_SUFFIX, PROGRESS_SUFFIX
-from egretloft._internal.fleet.interfaces import PlatformWords, StoredRow
+from egretloft._internal.fleet.interfaces import RowDecoder, StoredRow
 from egretloft._internal.fleet.lifecycle import update_state
 from egretloft._internal.fleet.models import Room, TargetReport
 from egretloft._internal.fleet.recorder import Recorder
@@ -20,7 +20,7 @@
 log = structlog.get_logger(__name__)
 
 
-class StateOffice(Protocol):
+class StateOwner(Protocol):
     """What the rows' reader asks of the leader."""
 
     def add_target(self, target: TargetRow) -> None:
@@ -41,16 +41,16 @@
 
     def __init__(
         self,
-        office: StateOffice,
+        owner: StateOwner,
         tables: FleetTables,
         recorder: Recorder,
-        words: PlatformWords,
+        decoder: RowDecoder,
         metrics: Metrics,
     ) -> None:
-        self.office = office
+        self.owner = owner
         self.tables = tables
         self.recorder = recorder
-        self.words = words
+        self.decoder = decoder
         self.metrics = metrics
 
     def add_used_target(self, row: StoredRow) -> None:
@@ -73,7 +73,7 @@
             draining=True,
             born_ms=0,
         )
-        self.office.add_target(TargetRow(report, listed=False, recorded=True))
+        self.owner.add_target(TargetRow(report, listed=False, recorded=True))
 
     def on_target_snapshot(self, rows: tuple[StoredRow, ...]) -> None:
         """Take the list of targets as it is now."""
@@ -89,14 +89,14 @@
             if row.value is None:
                 self.on_target_removed(row.key.key)
                 continue
-            report = self.words.target(row)
+            report = self.decoder.target(row)
             if isinstance(report, Failure):
                 self.metrics.count("target_rows_refused")
                 log.info("target row refused", target=row.key.key, why=report.failure())
                 self.on_target_removed(row.key.key)
                 continue
             self.on_target_report(report.unwrap())
-        self.office.on_room_changed()
+        self.owner.on_room_changed()
 
     def on_target_removed(self, target_id: str) -> None:
         """Give no more work to a target that is off the list."""
@@ -110,7 +110,7 @@
         target = self.tables.targets.get(report.target_id)
         if target is None:
             log.info("target listed", target=report.target_id, zone=report.zone)
-            self.office.add_target(TargetRow(report))
+            self.owner.add_target(TargetRow(report))
             return
         if report.draining and not target.report.draining:
             log.info("target draining", target=report.target_id, runs=len(target.runs))
@@ -118,11 +118,11 @@
         target.report = report
         target.listed = True
         if moved or (target.born_ms and report.born_ms > target.born_ms):
-            target.touched = False
-            self.office.on_target_changed(target)
+            target.fenced = False
+            self.owner.on_target_changed(target)
 
     def on_job_rows(self, rows: tuple[StoredRow, ...]) -> None:
-        """Take accepted jobs and wishes to cancel; progress only from before."""
+        """Take accepted jobs and cancel requests; progress only from before."""
         for row in rows:
             key = row.key.key
             if row.value is None or key.endswith((CANCEL_SUFFIX, PROGRESS_SUFFIX)):
@@ -137,7 +137,7 @@
             key = row.key.key
             if row.value is not None and key.endswith(CANCEL_SUFFIX):
                 self.cancel_job(key.removesuffix(CANCEL_SUFFIX), row)
-        self.office.on_room_changed()
+        self.owner.on_room_changed()
 
     def add_job(self, row: StoredRow) -> None:
         """Enter an accepted job."""
@@ -172,7 +172,7 @@
             self.tables.open_jobs.pop(job_id, None)
 
     def cancel_job(self, job_id: str, row: StoredRow) -> None:
-        """Take a wish to cancel."""
+        """Take a cancel request."""
         job = self.tables.jobs.get(job_id)
         if job is None or job.cancelled:
             return
@@ -186,15 +186,15 @@
             version=row.version,
             state=job.state.value,
         )
-        self.office.on_job_changed(job)
+        self.owner.on_job_changed(job)
 
 
 def create_state_reader(
-    office: StateOffice,
+    owner: StateOwner,
     tables: FleetTables,
     recorder: Recorder,
-    words: PlatformWords,
+    decoder: RowDecoder,
     metrics: Metrics,
 ) -> StateReader:
     """Return a reader for the tables of one term."""
-    return StateReader(office, tables, recorder, words, metrics)
+    return StateReader(owner, tables, recorder, decoder, metrics)
--- a/src/egretloft/_internal/fleet/tables.py
+++ b/src/egretloft/_internal/fleet/tables.py
@@ -196,7 +196,7 @@
 class TargetRow:
     """A target and the runs that take its room.
 
-    ``listed`` tells whether the platform's list has it. ``touched`` tells whether it
+    ``listed`` tells whether the platform's list has it. ``fenced`` tells whether it
     has seen this leader's epoch. ``lease_ends_ms`` is the latest lease that was
     granted, on its clock. ``noted`` and ``seen`` are numbers of its ends: recorded in
     the store, and taken into the tables.
@@ -205,9 +205,9 @@
     report: TargetReport
     listed: bool = True
     recorded: bool = False
-    touched: bool = False
+    fenced: bool = False
     reachable: bool = True
-    silent_holds: int = 0
+    silent_renewals: int = 0
     acknowledged: int = 0
     clock: TargetClock | None = None
     born_ms: int = 0
@@ -217,8 +217,8 @@
     runs: dict[RunKey, RunRow] = field(default_factory=dict)
     last_answer: float = 0.0
     failed_jobs: list[tuple[float, str]] = field(default_factory=list)
-    avoided_until: float = 0.0
-    avoided_times: int = 0
+    quarantined_until: float = 0.0
+    quarantines: int = 0
 
     def used(self) -> Room:
         """Return the room that runs take, those being stopped included."""
--- a/src/egretloft/_internal/fleet/suspicion.py
+++ b/src/egretloft/_internal/fleet/target_health.py
@@ -1,7 +1,7 @@
 """Judgement of targets by the runs that they carry.
 
 Answers targets that fail or stall what they start while they report themselves sound:
-failures of different jobs, or runs that make no progress, set a target aside for a
+failures of different jobs, or runs that make no progress, quarantine a target for a
 while that doubles with each repetition. One done run clears it.
 """
 
@@ -15,11 +15,11 @@
     TargetRow,
 )
 
-# Failures of this many different jobs within the window set a target aside.
+# Failures of this many different jobs within the window quarantine a target.
 FAILED_JOBS = 2
 WINDOW_SECONDS = 15.0
-FIRST_ASIDE_SECONDS = 4.0
-LONGEST_ASIDE_SECONDS = 30.0
+FIRST_QUARANTINE_SECONDS = 4.0
+LONGEST_QUARANTINE_SECONDS = 30.0
 # A run whose progress stands still for this long, and for this many times the time
 # that a hundredth of it takes by its estimate, is stalled.
 STALL_SECONDS = 3.0
@@ -29,10 +29,10 @@
 
 
 def judge_end(target: TargetRow, end: RunEnd, now: float) -> bool:
-    """Take an end as evidence; return whether the target is set aside now."""
+    """Take an end as evidence; return whether the target is quarantined now."""
     if end.kind is EndKind.DONE:
         target.failed_jobs.clear()
-        target.avoided_times = 0
+        target.quarantines = 0
         return False
     if end.kind is not EndKind.FAILED:
         return False
@@ -43,19 +43,19 @@
         if now - at <= WINDOW_SECONDS and job != job_id
     ]
     target.failed_jobs.append((now, job_id))
-    # A target that was set aside before is tried with one job only.
-    limit = 1 if target.avoided_times else FAILED_JOBS
+    # A target that was quarantined before is tried with one job only.
+    limit = 1 if target.quarantines else FAILED_JOBS
     if len(target.failed_jobs) < limit:
         return False
-    set_aside(target, now)
+    quarantine(target, now)
     return True
 
 
-def set_aside(target: TargetRow, now: float) -> None:
+def quarantine(target: TargetRow, now: float) -> None:
     """Keep new work from the target for a while."""
-    pause = FIRST_ASIDE_SECONDS * 2**target.avoided_times
-    target.avoided_until = now + min(LONGEST_ASIDE_SECONDS, pause)
-    target.avoided_times += 1
+    pause = FIRST_QUARANTINE_SECONDS * 2**target.quarantines
+    target.quarantined_until = now + min(LONGEST_QUARANTINE_SECONDS, pause)
+    target.quarantines += 1
     target.failed_jobs.clear()
 
 
@@ -63,7 +63,7 @@
     """Return active runs without progress for too long."""
     found: list[RunRow] = []
     for target in tables.targets.values():
-        if not target.reachable or target.silent_holds:
+        if not target.reachable or target.silent_renewals:
             continue
         for run in target.runs.values():
             if (
--- a/src/egretloft/platform/words.py
+++ b/src/egretloft/platform/decoding.py
@@ -37,7 +37,7 @@
 job_decoder = msgspec.json.Decoder(WireJob)
 
 
-class PlatformRowWords:
+class PlatformRowDecoder:
     """Decoder of the platform's rows."""
 
     def operator_table(self) -> str:
@@ -172,6 +172,6 @@
     )
 
 
-def create_platform_row_words() -> PlatformRowWords:
+def create_platform_row_decoder() -> PlatformRowDecoder:
     """Return the decoder."""
-    return PlatformRowWords()
+    return PlatformRowDecoder()
--- a/src/egretloft/platform/ingress.py
+++ b/src/egretloft/platform/ingress.py
@@ -18,7 +18,7 @@
     admit,
 )
 from egretloft._internal.fleet.models import JobState
-from egretloft.platform.words import job_of
+from egretloft.platform.decoding import job_of
 
 log = structlog.get_logger(__name__)
 
--- a/src/egretloft/platform/program.py
+++ b/src/egretloft/platform/program.py
@@ -19,11 +19,11 @@
 from egretloft._internal.peers.network import PeerNetwork, create_peer_network
 from egretloft._internal.peers.protocols import Peers
 from egretloft._internal.platform.system_clock import create_system_clock
+from egretloft.platform.decoding import create_platform_row_decoder
 from egretloft.platform.ingress import create_ingress, create_readiness_handler
 from egretloft.platform.rows import create_platform_row_store
 from egretloft.platform.settings import PlatformSettings, read_settings
 from egretloft.platform.targets import create_platform_targets
-from egretloft.platform.words import create_platform_row_words
 
 log = structlog.get_logger(__name__)
 
@@ -69,7 +69,7 @@
         identity,
         create_platform_row_store(settings.store_address),
         create_platform_targets(),
-        create_platform_row_words(),
+        create_platform_row_decoder(),
         peers,
         create_system_clock(),
         metrics,
--- a/src/egretloft/platform/targets.py
+++ b/src/egretloft/platform/targets.py
@@ -10,7 +10,7 @@
 from egretloft._internal.fleet.models import (
     ActiveRun,
     EndKind,
-    HoldAnswer,
+    RenewalAnswer,
     RunEnd,
     RunKey,
     StartOrder,
@@ -131,7 +131,7 @@
         result = await self.call(target, "/run-stop", body, timeout_seconds)
         return result.bind(target_time)
 
-    async def hold(
+    async def renew(
         self,
         target: TargetReport,
         epoch: int,
@@ -139,7 +139,7 @@
         expires_at_ms: int | None,
         wait_seconds: float,
         timeout_seconds: float,
-    ) -> Result[HoldAnswer, TargetFailure]:
+    ) -> Result[RenewalAnswer, TargetFailure]:
         """Renew the lease of all runs on the target and return its lists."""
         body = WireHold(
             fencing_token=epoch,
@@ -148,7 +148,7 @@
             wait_ms=int(wait_seconds * 1000),
         )
         result = await self.call(target, "/hold", body, timeout_seconds)
-        return result.bind(hold_answer)
+        return result.bind(renewal_answer)
 
 
 def unreadable(error: Exception) -> Failure[TargetFailure]:
@@ -165,7 +165,7 @@
         return unreadable(error)
 
 
-def hold_answer(body: bytes) -> Result[HoldAnswer, TargetFailure]:
+def renewal_answer(body: bytes) -> Result[RenewalAnswer, TargetFailure]:
     """Return both lists of a runner."""
     try:
         wire = hold_decoder.decode(body)
@@ -185,7 +185,9 @@
         )
     except (msgspec.MsgspecError, ValueError, IndexError) as error:
         return unreadable(error)
-    return Success(HoldAnswer(math.floor(wire.server_time_ms), wire.born, active, ends))
+    return Success(
+        RenewalAnswer(math.floor(wire.server_time_ms), wire.born, active, ends)
+    )
 
 
 def failure_of(status: int, body: bytes) -> TargetFailure:
--- a/tests/lib/fleet_builders.py
+++ b/tests/lib/fleet_builders.py
@@ -90,7 +90,7 @@
         False,
         1,
     )
-    return TargetRow(report, recorded=True, touched=True)
+    return TargetRow(report, recorded=True, fenced=True)
 
 
 def build_tables(*targets: TargetRow) -> FleetTables:
--- a/tests/unit/adapter/test_calls.py
+++ b/tests/unit/adapter/test_calls.py
@@ -28,11 +28,11 @@
     TargetReport,
     TaskKey,
 )
+from egretloft.platform.decoding import create_platform_row_decoder
 from egretloft.platform.rows import PlatformRowStore, create_platform_row_store
 from egretloft.platform.targets import create_platform_targets
-from egretloft.platform.words import create_platform_row_words
+from standins.fleet.checker import Checker, JobTruth
 from standins.fleet.http import HttpPlatform
-from standins.fleet.judge import JobTruth, Judge
 from standins.fleet.store import EmulatedStore, StoreMode
 from standins.fleet.targets import EmulatedTarget
 
@@ -42,10 +42,10 @@
 
 @pytest.fixture
 async def platform() -> AsyncIterator[HttpPlatform]:
-    judge = Judge()
-    judge.jobs[JOB] = JobTruth(JobSpec("text", (StepSpec(1, Room(1, 1, 1)),)), 0.1)
+    checker = Checker()
+    checker.jobs[JOB] = JobTruth(JobSpec("text", (StepSpec(1, Room(1, 1, 1)),)), 0.1)
     target = EmulatedTarget(
-        "i-1", "desk", "zone", "r-1", Room(1000, 1000, 8), judge, {}, {}, 5e6
+        "i-1", "desk", "zone", "r-1", Room(1000, 1000, 8), checker, {}, {}, 5e6
     )
     target.all_targets[target.target_id] = target
     generator = random.Random(1)
@@ -120,12 +120,12 @@
 
 
 async def listed(platform: HttpPlatform) -> TargetReport:
-    words = create_platform_row_words()
+    decoder = create_platform_row_decoder()
     row = None
     while row is None:
         await asyncio.sleep(0.01)
         row = platform.store.rows.get(RowKey("servers", "", "i-1"))
-    return words.target(row).unwrap()
+    return decoder.target(row).unwrap()
 
 
 def order(attempt: int, epoch: int, expires_at_ms: int) -> StartOrder:
@@ -136,22 +136,22 @@
 async def test_run_starts_once_and_its_end_is_listed(platform: HttpPlatform) -> None:
     report = await listed(platform)
     targets = create_platform_targets()
-    first = (await targets.hold(report, 1, 0, None, 0.0, 1.0)).unwrap()
+    first = (await targets.renew(report, 1, 0, None, 0.0, 1.0)).unwrap()
     expires = first.target_time_ms + 2000
     for _ in range(2):
         started = await targets.start(report, order(5, 1, expires), 1.0)
         assert isinstance(started, Success)
-    lists = (await targets.hold(report, 1, 0, expires, 1.0, 2.0)).unwrap()
+    lists = (await targets.renew(report, 1, 0, expires, 1.0, 2.0)).unwrap()
     assert [(e.number, e.run.attempt, e.kind) for e in lists.ends] == [
         (1, 5, EndKind.DONE)
     ]
-    assert (await targets.hold(report, 1, 1, None, 0.0, 1.0)).unwrap().ends == ()
+    assert (await targets.renew(report, 1, 1, None, 0.0, 1.0)).unwrap().ends == ()
 
 
 async def test_refusals_of_a_target_are_told_apart(platform: HttpPlatform) -> None:
     report = await listed(platform)
     targets = create_platform_targets()
-    now = (await targets.hold(report, 3, 0, None, 0.0, 1.0)).unwrap().target_time_ms
+    now = (await targets.renew(report, 3, 0, None, 0.0, 1.0)).unwrap().target_time_ms
     late = (await targets.start(report, order(5, 3, now - 1), 1.0)).failure()
     assert late.refusal is StartRefusal.LATE
     fenced = (await targets.start(report, order(5, 2, now + 900), 1.0)).failure()
@@ -165,6 +165,6 @@
 async def test_order_without_an_answer_is_unknown(platform: HttpPlatform) -> None:
     report = await listed(platform)
     platform.targets["i-1"].silent = True
-    result = await create_platform_targets().hold(report, 1, 0, None, 0.0, 0.2)
+    result = await create_platform_targets().renew(report, 1, 0, None, 0.0, 0.2)
     assert isinstance(result, Failure)
     assert result.failure().kind is TargetFailureKind.UNKNOWN
--- a/tests/unit/adapter/test_words.py
+++ b/tests/unit/adapter/test_decoding.py
@@ -9,9 +9,9 @@
 
 from egretloft._internal.fleet.interfaces import RowKey, StoredRow
 from egretloft._internal.fleet.models import Room
-from egretloft.platform.words import create_platform_row_words, job_of
+from egretloft.platform.decoding import create_platform_row_decoder, job_of
 
-WORDS = create_platform_row_words()
+DECODER = create_platform_row_decoder()
 
 SERVER = {
     "backend": "desk",
@@ -58,7 +58,7 @@
 
 
 def test_entry_of_a_target_is_read_whole() -> None:
-    report = WORDS.target(row("servers", "i-1", SERVER)).unwrap()
+    report = DECODER.target(row("servers", "i-1", SERVER)).unwrap()
     assert report.target_id == "i-1"
     assert report.rack == "r1-3"
     assert report.room == Room(16000, 32768, 2)
@@ -79,17 +79,17 @@
 )
 def test_entry_of_another_writer_is_refused(change: dict[str, object]) -> None:
     """Guards against work for a target that nobody can identify."""
-    result = WORDS.target(row("servers", "i-1", {**SERVER, **change}))
+    result = DECODER.target(row("servers", "i-1", {**SERVER, **change}))
     assert isinstance(result, Failure)
 
 
 @pytest.mark.parametrize("data", [b"", b"\xff\xfe", b"[]", b'{"backend":"desk"}'])
 def test_unreadable_entry_is_refused(data: bytes) -> None:
-    assert isinstance(WORDS.target(row("servers", "i-1", data)), Failure)
+    assert isinstance(DECODER.target(row("servers", "i-1", data)), Failure)
 
 
 def test_configuration_finds_queue_and_organisation() -> None:
-    result = WORDS.configuration(row("op", "config", CONFIG))
+    result = DECODER.configuration(row("op", "config", CONFIG))
     assert result is not None
     configuration = result.unwrap()
     assert configuration.version == 7
@@ -103,9 +103,9 @@
 
 
 def test_other_rows_of_the_operators_are_no_configuration() -> None:
-    assert WORDS.configuration(row("op", "evacuate/kurume", {})) is None
-    assert WORDS.evacuated_zone(row("op", "evacuate/kurume", {})) == "kurume"
-    assert WORDS.evacuated_zone(row("op", "config", CONFIG)) is None
+    assert DECODER.configuration(row("op", "evacuate/kurume", {})) is None
+    assert DECODER.evacuated_zone(row("op", "evacuate/kurume", {})) == "kurume"
+    assert DECODER.evacuated_zone(row("op", "config", CONFIG)) is None
 
 
 def test_job_is_read_with_all_that_is_left_out() -> None:
--- a/tests/unit/fleet/test_placing.py
+++ b/tests/unit/fleet/test_placing.py
@@ -243,7 +243,7 @@
 def test_target_set_aside_is_the_last_resort_of_a_step_that_waited() -> None:
     """Guards against a job that waits for ever for the only target it may use."""
     target = build_target(0)
-    target.avoided_until = NOW + 30.0
+    target.quarantined_until = NOW + 30.0
     tables = build_tables(target)
     job = add_job(tables, 1, single_step(1))
     assert started(decide(tables)) == []
--- a/tests/unit/fleet/test_recovery.py
+++ b/tests/unit/fleet/test_recovery.py
@@ -45,7 +45,7 @@
         for number in (1, 2, 3):
             assert await world.wait_for_state(job_id(number), JobState.COMPLETE, 6.0)
         await world.stop()
-        assert world.judge.violations == []
+        assert world.checker.violations == []
 
     run_virtual(main())
 
@@ -68,8 +68,8 @@
         assert waited < TAKEOVER_SECONDS + 0.5
         assert await world.wait_for_state(job_id(1), JobState.COMPLETE, 6.0)
         await world.stop()
-        assert world.judge.violations == []
-        assert world.judge.starts == 8
+        assert world.checker.violations == []
+        assert world.checker.starts == 8
 
     run_virtual(main())
 
@@ -106,8 +106,8 @@
             await world.start_instance(name)
         assert await world.wait_for_state(job_id(1), JobState.COMPLETE, 8.0)
         await world.stop()
-        assert world.judge.violations == []
-        assert world.judge.starts == 4
+        assert world.checker.violations == []
+        assert world.checker.starts == 4
 
     run_virtual(main())
 
@@ -132,7 +132,7 @@
         assert done is not None
         assert done < TAKEOVER_SECONDS + 1.0
         await world.stop()
-        assert world.judge.violations == []
+        assert world.checker.violations == []
 
     run_virtual(main())
 
@@ -152,7 +152,7 @@
         for number in (1, 2):
             assert await world.wait_for_state(job_id(number), JobState.COMPLETE, 12.0)
         await world.stop()
-        assert world.judge.violations == []
+        assert world.checker.violations == []
 
     run_virtual(main())
 
@@ -181,8 +181,8 @@
         assert await world.wait_for_state(job_id(1), JobState.COMPLETE, 3.0)
         assert await world.wait_for_state(job_id(2), JobState.COMPLETE, 8.0)
         await world.stop()
-        assert world.judge.violations == []
-        assert world.judge.starts == 8
+        assert world.checker.violations == []
+        assert world.checker.starts == 8
 
     run_virtual(main())
 
@@ -201,7 +201,7 @@
         assert done < 1.0
         assert world.leader_name() == leading
         await world.stop()
-        assert world.judge.violations == []
+        assert world.checker.violations == []
 
     run_virtual(main())
 
@@ -218,7 +218,7 @@
         busy.cut = True
         assert await world.wait_for_state(job_id(1), JobState.COMPLETE, 20.0)
         await world.stop()
-        assert world.judge.violations == []
+        assert world.checker.violations == []
 
     run_virtual(main())
 
@@ -234,7 +234,7 @@
         assert done is not None
         assert done < LEASE_SECONDS
         await world.stop()
-        assert world.judge.violations == []
+        assert world.checker.violations == []
 
     run_virtual(main())
 
@@ -254,7 +254,7 @@
         for number in (*range(1, 9), *range(101, 109)):
             assert await world.wait_for_state(job_id(number), JobState.COMPLETE, 30.0)
         await world.stop()
-        assert [v for v in world.judge.violations if "GANG" not in v] == []
+        assert [v for v in world.checker.violations if "GANG" not in v] == []
 
     run_virtual(main())
 
@@ -281,9 +281,9 @@
         result = await world.submit(job_id(1), single_step(1), 0.3, failing_attempts=99)
         assert isinstance(result, Success)
         assert await world.wait_for_state(job_id(1), JobState.FAILED, 20.0)
-        assert world.judge.starts == 4
+        assert world.checker.starts == 4
         await world.stop()
-        assert world.judge.violations == []
+        assert world.checker.violations == []
 
     run_virtual(main())
 
@@ -301,7 +301,7 @@
         for number in range(1, 7):
             assert await world.wait_for_state(job_id(number), JobState.COMPLETE, 20.0)
         await world.stop()
-        assert world.judge.violations == []
+        assert world.checker.violations == []
 
     run_virtual(main())
 
@@ -321,7 +321,7 @@
             zones = process.instance.operators.current().evacuated_zones
             assert zones == frozenset({"zone-b"})
         await world.stop()
-        assert world.judge.violations == []
+        assert world.checker.violations == []
 
     run_virtual(main())
 
@@ -367,8 +367,8 @@
         slowest.silent = False
         assert await world.wait_for_state(job_id(1), JobState.COMPLETE, 8.0)
         await world.stop()
-        assert world.judge.violations == []
-        assert world.judge.starts == 3
+        assert world.checker.violations == []
+        assert world.checker.starts == 3
 
     run_virtual(main())
 
@@ -433,7 +433,7 @@
         world.targets["target-2"].cut = False
         assert await world.wait_for_state(job_id(1), JobState.COMPLETE, 10.0)
         await world.stop()
-        assert world.judge.violations == []
+        assert world.checker.violations == []
 
     run_virtual(main())
 
@@ -445,7 +445,7 @@
         await submitted(world, 1, single_step(2, lasting=True), 0.5)
         await asyncio.sleep(6.0)
         assert await world.state(job_id(1)) is JobState.ACTIVE
-        assert world.judge.starts > 10
+        assert world.checker.starts > 10
         assert sum(len(target.runs) for target in world.targets.values()) == 2
         await world.cancel(job_id(1))
         await asyncio.sleep(1.0)
--- a/tests/unit/fleet/test_suspicion.py
+++ b/tests/unit/fleet/test_target_health.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 from egretloft._internal.fleet.models import EndKind, RunEnd, RunKey
-from egretloft._internal.fleet.suspicion import (
-    FIRST_ASIDE_SECONDS,
+from egretloft._internal.fleet.target_health import (
+    FIRST_QUARANTINE_SECONDS,
     judge_end,
     stalled_runs,
 )
@@ -28,7 +28,7 @@
     target = build_target(1)
     assert not judge_end(target, end(1, 1, EndKind.FAILED), 10.0)
     assert judge_end(target, end(2, 2, EndKind.FAILED), 11.0)
-    assert target.avoided_until == 11.0 + FIRST_ASIDE_SECONDS
+    assert target.quarantined_until == 11.0 + FIRST_QUARANTINE_SECONDS
 
 
 def test_one_job_that_fails_again_and_again_is_no_evidence() -> None:
@@ -50,7 +50,7 @@
     judge_end(target, end(1, 1, EndKind.FAILED), 10.0)
     judge_end(target, end(2, 2, EndKind.FAILED), 11.0)
     assert judge_end(target, end(3, 3, EndKind.FAILED), 20.0)
-    assert target.avoided_until == 20.0 + 2 * FIRST_ASIDE_SECONDS
+    assert target.quarantined_until == 20.0 + 2 * FIRST_QUARANTINE_SECONDS
 
 
 def test_run_without_progress_is_stalled_only_while_its_target_answers() -> None:
--- /dev/null
+++ b/tools/bench/fleet_tick.py
@@ -0,0 +1,61 @@
+"""Time of one scheduling tick over full targets, in real time."""
+
+from __future__ import annotations
+
+import time
+
+import click
+
+from egretloft._internal.fleet.models import OperatorState
+from egretloft._internal.fleet.scheduler import Moment, Scheduler
+from egretloft._internal.fleet.tables import FleetTables
+from lib.fleet_builders import (
+    SMALL,
+    WHOLE,
+    add_job,
+    build_tables,
+    build_target,
+    first_task,
+    run_task,
+    single_step,
+)
+
+TARGETS_PER_RACK = 12
+TASKS_PER_TARGET = 8
+SIZES = ((24, 20), (176, 60), (1500, 100))
+NOW = 100.0
+WALL = 1_000.0
+FIRST_FILLER = 1_000_000
+
+
+def build_full_fleet(target_count: int, waiting: int) -> FleetTables:
+    """Return full targets, and waiting steps of which half are gangs."""
+    targets = [
+        build_target(number, f"r-{number // TARGETS_PER_RACK}")
+        for number in range(target_count)
+    ]
+    tables = build_tables(*targets)
+    for number, target in enumerate(targets):
+        filler = single_step(TASKS_PER_TARGET)
+        job = add_job(tables, FIRST_FILLER + number, filler, priority=2)
+        for index in range(TASKS_PER_TARGET):
+            run_task(target, first_task(job, index=index), SMALL, 2)
+    for number in range(waiting):
+        gang = single_step(5, WHOLE, gang=True, same_rack=True)
+        add_job(tables, number, gang if number % 2 else single_step(40), number % 3)
+    return tables
+
+
+@click.command()
+def main() -> None:
+    """Print the time of a tick for each size."""
+    for target_count, waiting in SIZES:
+        scheduler = Scheduler(build_full_fleet(target_count, waiting))
+        started = time.perf_counter()
+        scheduler.decide(OperatorState(), Moment(NOW, WALL))
+        milliseconds = (time.perf_counter() - started) * 1000
+        click.echo(f"{target_count} targets, {waiting} waiting: {milliseconds:.1f} ms")
+
+
+if __name__ == "__main__":
+    main()
--- a/tools/soak/run.py
+++ b/tools/soak/run.py
@@ -14,6 +14,7 @@
 import msgspec
 
 from egretloft._internal.fleet.models import Room
+from egretloft.platform.decoding import job_of
 from egretloft.platform.wire import (
     WireConfig,
     WireGuarantee,
@@ -22,11 +23,10 @@
     WireStep,
     WireTenant,
 )
-from egretloft.platform.words import job_of
 from soak.programs import Program
 from soak.proxy import LinkMode, Proxy
+from standins.fleet.checker import Checker, JobTruth
 from standins.fleet.http import HttpPlatform
-from standins.fleet.judge import JobTruth, Judge
 from standins.fleet.store import EmulatedStore, StoreMode
 from standins.fleet.targets import EmulatedTarget
 
@@ -73,7 +73,7 @@
         self.seconds = seconds
         self.directory = directory
         self.report = SoakReport(seed)
-        self.judge = Judge()
+        self.checker = Checker()
         self.store = EmulatedStore(self.generator)
         self.targets: dict[str, EmulatedTarget] = {}
         for number in range(targets):
@@ -84,7 +84,7 @@
                 ZONES[number % 2],
                 f"r-{number // 4}",
                 Room(64_000, 262_144, 8),
-                self.judge,
+                self.checker,
                 {},
                 self.targets,
                 self.generator.uniform(0, 1e6),
@@ -125,7 +125,7 @@
             for proxy in self.proxies:
                 await proxy.stop()
             await self.platform.stop()
-        self.report.violations.extend(self.judge.violations)
+        self.report.violations.extend(self.checker.violations)
         return self.report
 
     def violate(self, what: str) -> None:
@@ -176,7 +176,7 @@
         queue = self.generator.randrange(3)
         body = self.random_job()
         truth = JobTruth(job_of(body).unwrap(), self.generator.uniform(0.2, 2.0))
-        self.judge.jobs[job_id] = truth
+        self.checker.jobs[job_id] = truth
         path = f"/queue-{queue}/{job_id}"
         doubtful = False
         for _ in range(6):
--- a/tools/standins/fleet/judge.py
+++ b/tools/standins/fleet/checker.py
@@ -46,7 +46,7 @@
     handles: list[object] = field(default_factory=list)
 
 
-class Judge:
+class Checker:
     """Collects broken promises."""
 
     def __init__(self) -> None:
--- a/tools/standins/fleet/http.py
+++ b/tools/standins/fleet/http.py
@@ -21,7 +21,7 @@
     StoreFailureKind,
 )
 from egretloft._internal.fleet.models import (
-    HoldAnswer,
+    RenewalAnswer,
     StartOrder,
     TargetFailure,
     TargetReport,
@@ -158,7 +158,7 @@
                 request,
                 await self.client.stop(report, key, stop.fencing_token, CALL_SECONDS),
             )
-        return await self.hold(request, report)
+        return await self.renew(request, report)
 
     async def start(
         self, request: web.BaseRequest, report: TargetReport
@@ -175,12 +175,12 @@
         result = await self.client.start(report, order, CALL_SECONDS)
         return order_answer(request, result)
 
-    async def hold(
+    async def renew(
         self, request: web.BaseRequest, report: TargetReport
     ) -> web.StreamResponse:
         """Serve a lease renewal."""
         body = msgspec.json.decode(await request.read(), type=WireHold)
-        result = await self.client.hold(
+        result = await self.client.renew(
             report,
             body.fencing_token,
             body.last_seen,
@@ -190,10 +190,10 @@
         )
         if isinstance(result, Failure):
             return order_failure(request, result.failure())
-        return json_answer(200, wire_hold_answer(result.unwrap()))
+        return json_answer(200, wire_renewal_answer(result.unwrap()))
 
 
-def wire_hold_answer(answer: HoldAnswer) -> WireHoldAnswer:
+def wire_renewal_answer(answer: RenewalAnswer) -> WireHoldAnswer:
     """Return both lists as the platform spells them."""
     return WireHoldAnswer(
         server_time_ms=answer.target_time_ms,
--- a/tools/standins/fleet/targets.py
+++ b/tools/standins/fleet/targets.py
@@ -13,7 +13,7 @@
 from egretloft._internal.fleet.models import (
     ActiveRun,
     EndKind,
-    HoldAnswer,
+    RenewalAnswer,
     Room,
     RunEnd,
     RunKey,
@@ -25,7 +25,7 @@
     TargetReport,
     TaskKey,
 )
-from standins.fleet.judge import Judge, RunTruth
+from standins.fleet.checker import Checker, RunTruth
 
 WAY_SECONDS = 0.004
 STOP_SECONDS = 0.3
@@ -52,7 +52,7 @@
         zone: str,
         rack: str,
         room: Room,
-        judge: Judge,
+        checker: Checker,
         gangs: dict[tuple[StepKey, int], list[RunTruth]],
         all_targets: dict[str, EmulatedTarget],
         clock_offset_ms: float,
@@ -62,7 +62,7 @@
         self.zone = zone
         self.rack = rack
         self.room = room
-        self.judge = judge
+        self.checker = checker
         self.gangs = gangs
         self.all_targets = all_targets
         self.clock_offset_ms = clock_offset_ms
@@ -112,7 +112,7 @@
     def crash(self) -> None:
         """End all runs without a trace."""
         for run in list(self.runs.values()):
-            self.judge.on_end(run, EndKind.STOPPED)
+            self.checker.on_end(run, EndKind.STOPPED)
             self.break_gang(run)
         self.born_ms += 1000
         self.begin_life()
@@ -159,14 +159,14 @@
             return Success(self.time_ms())
         if order.run.attempt <= self.ended_attempts.get(order.run.task, 0):
             return self.refuse(StartRefusal.SUPERSEDED)
-        truth = self.judge.jobs.get(order.run.task.step.job_id)
+        truth = self.checker.jobs.get(order.run.task.step.job_id)
         spec = truth.spec.steps[order.run.task.step.step] if truth else None
         room = spec.room if spec else Room()
         run = RunTruth(order.run, self.target_id, room, order.checkpoint, self.now())
-        self.judge.on_start(run, order.payload, self.now())
+        self.checker.on_start(run, order.payload, self.now())
         self.runs[order.run] = run
         if not self.room.holds(self.used()):
-            self.judge.report("LIMIT", self.target_id, self.now())
+            self.checker.report("LIMIT", self.target_id, self.now())
         if truth is not None and spec is not None:
             run.work_left = truth.work_seconds
             if spec.gang:
@@ -198,7 +198,7 @@
     def alone(self, run: RunTruth) -> None:
         """End a member whose gang did not come together."""
         if run.key in self.runs and run.working_since is None:
-            self.judge.report("GANG", f"{run.key} ended alone", self.now())
+            self.checker.report("GANG", f"{run.key} ended alone", self.now())
             self.end(run, EndKind.ALONE)
 
     def work(self, run: RunTruth) -> None:
@@ -206,8 +206,8 @@
         run.working_since = self.now()
         if self.stalls_all:
             return
-        truth = self.judge.jobs[run.key.task.step.job_id]
-        failed = self.judge.noted_failures.get(run.key.task, 0)
+        truth = self.checker.jobs[run.key.task.step.job_id]
+        failed = self.checker.noted_failures.get(run.key.task, 0)
         fails = self.fails_all or failed < truth.failing_attempts
         kind = EndKind.FAILED if fails else EndKind.DONE
         seconds = 0.2 if self.fails_all else run.work_left
@@ -222,7 +222,7 @@
         self.ended_attempts[task] = max(
             run.key.attempt, self.ended_attempts.get(task, 0)
         )
-        self.judge.on_end(run, kind)
+        self.checker.on_end(run, kind)
         self.ends.append(
             Listed(RunEnd(self.next_number, run.key, kind, run.checkpoint))
         )
@@ -253,7 +253,7 @@
             loop.call_later(STOP_SECONDS, self.end, run, EndKind.STOPPED)
         return Success(self.time_ms())
 
-    def hold(
+    def renew(
         self, epoch: int, noted: int, expires_ms: int | None
     ) -> Failure[TargetFailure] | None:
         """Extend the lease and forget noted ends; return a refusal or ``None``."""
@@ -265,11 +265,11 @@
         for listed in self.ends:
             if listed.end.number <= noted:
                 task = listed.end.run.task
-                self.judge.on_noted(task, listed.end.kind, listed.lapsed)
+                self.checker.on_noted(task, listed.end.kind, listed.lapsed)
         self.ends = [listed for listed in self.ends if listed.end.number > noted]
         return None
 
-    def lists(self) -> HoldAnswer:
+    def lists(self) -> RenewalAnswer:
         """Return both lists."""
         now = self.now()
         active = tuple(
@@ -277,7 +277,7 @@
             for run in self.runs.values()
         )
         ends = tuple(listed.end for listed in self.ends)
-        return HoldAnswer(self.time_ms(), self.born_ms, active, ends)
+        return RenewalAnswer(self.time_ms(), self.born_ms, active, ends)
 
 
 def percent_of(run: RunTruth, now: float, stalled: bool) -> int:
@@ -362,7 +362,7 @@
         await self.gate()
         return result
 
-    async def hold(
+    async def renew(
         self,
         target: TargetReport,
         epoch: int,
@@ -370,12 +370,12 @@
         expires_at_ms: int | None,
         wait_seconds: float,
         timeout_seconds: float,
-    ) -> Result[HoldAnswer, TargetFailure]:
+    ) -> Result[RenewalAnswer, TargetFailure]:
         """Renew the lease and look."""
         reached = await self.reach(target, timeout_seconds)
         if reached is None:
             return no_answer()
-        refusal = reached.hold(epoch, noted, expires_at_ms)
+        refusal = reached.renew(epoch, noted, expires_at_ms)
         if refusal is not None:
             return refusal
         if wait_seconds and not reached.ends:
--- a/tools/standins/fleet/world.py
+++ b/tools/standins/fleet/world.py
@@ -25,7 +25,7 @@
 )
 from egretloft._internal.metrics import create_metrics
 from egretloft._internal.peers.protocols import Peers
-from standins.fleet.judge import JobTruth, Judge, RunTruth
+from standins.fleet.checker import Checker, JobTruth, RunTruth
 from standins.fleet.store import EmulatedStore, StoreClient
 from standins.fleet.targets import EmulatedTarget, TargetsClient
 
@@ -45,7 +45,7 @@
 PeersFactory = Callable[[str, Callable[[], Awaitable[None]]], Peers]
 
 
-class EmulatedWords:
+class EmulatedDecoder:
     """Rows of operators and targets in the product's own encoding."""
 
     def operator_table(self) -> str:
@@ -121,7 +121,7 @@
         self.peers_of = peers_of
         self.clock = LoopFleetClock()
         self.store = EmulatedStore(self.generator)
-        self.judge = Judge()
+        self.checker = Checker()
         self.gangs: dict[tuple[StepKey, int], list[RunTruth]] = {}
         self.targets: dict[str, EmulatedTarget] = {}
         self.processes: dict[str, Process] = {}
@@ -141,7 +141,7 @@
             self.zones[number % len(self.zones)],
             f"r-{number // TARGETS_PER_RACK}",
             WHOLE_TARGET,
-            self.judge,
+            self.checker,
             self.gangs,
             self.targets,
             self.generator.uniform(0, 1e6),
@@ -201,7 +201,7 @@
             Identity(name, f"life-{self.incarnations}", name, self.zones[0], "region"),
             store,
             targets,
-            EmulatedWords(),
+            EmulatedDecoder(),
             self.peers_of(name, gate.wait),
             self.clock,
             create_metrics(),
@@ -269,7 +269,7 @@
         failing_attempts: int = 0,
     ) -> Result[bool, IntakeRefusal]:
         """Submit a job at an instance, by default the first that runs."""
-        self.judge.jobs.setdefault(
+        self.checker.jobs.setdefault(
             job_id,
             JobTruth(spec, work_seconds, failing_attempts=failing_attempts),
         )
@@ -284,7 +284,7 @@
         deadline = self.clock.steady() + 3.0
         result = await process.instance.intake.cancel(job_id, deadline)
         if isinstance(result, Success):
-            self.judge.jobs[job_id].cancelled_at = self.clock.steady()
+            self.checker.jobs[job_id].cancelled_at = self.clock.steady()
         return result
 
     async def state(self, job_id: str) -> JobState | None:
