--- a/Makefile
+++ b/Makefile
@@ -27,6 +27,7 @@
 
 demo: $(STAMP)
 	PYTHONPATH=src:tools:tests $(PYTHON) -m demo
+	PYTHONPATH=src:tools $(PYTHON) -m demo.platform
 
 soak: $(STAMP)
 	PYTHONPATH=src:tools $(PYTHON) -m soak --seeds 5
--- /dev/null
+++ b/tools/demo/platform.py
@@ -0,0 +1,54 @@
+"""Demonstration of the program on the users' platform, through kills and stops."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import sys
+import tempfile
+from pathlib import Path
+
+import click
+
+from soak.run import Soak
+
+SEED = 7
+SECONDS = 8.0
+INSTANCES = 3
+TARGETS = 8
+
+
+class Demonstration(Soak):
+    """A soak whose only faults are a kill and a planned stop, one after the other."""
+
+    def plan(self) -> None:
+        """Choose the faults in order."""
+        self.order = itertools.cycle((self.kill, self.terminate))
+
+    async def inject(self) -> None:
+        """Inject the next fault."""
+        self.report.faults.append(await next(self.order)())
+
+
+async def demonstrate() -> bool:
+    """Run the demonstration; return whether all promises held."""
+    with tempfile.TemporaryDirectory(prefix="egretloft-demo-") as directory:
+        demonstration = Demonstration(
+            SEED, SECONDS, Path(directory), INSTANCES, TARGETS
+        )
+        demonstration.plan()
+        report = await demonstration.run()
+    click.echo("users' platform: " + report.line())
+    click.echo("faults: " + ", ".join(report.faults))
+    for violation in report.violations:
+        click.echo(f"broken: {violation}")
+    return not report.violations and report.accepted > 0
+
+
+def main() -> None:
+    """Run the demonstration."""
+    sys.exit(0 if asyncio.run(demonstrate()) else 1)
+
+
+if __name__ == "__main__":
+    main()
