Give the kept choice of targets and the start of a plan one place each

Cause: read-through of the whole change: reserving and reclaiming each chose and kept a step's targets by the same lines, a plan became a placement in two places, and some state was read by nobody (whether a relay works, the count of waiting steps, when a clock's question was sent, all runs, last starts). Ruled out: a change of behaviour; the conditions are the same. Change: kept_targets, keep_targets, unreserved and start are shared; the unread state is gone.

--- a/src/egretloft/_internal/fleet/clocks.py
+++ b/src/egretloft/_internal/fleet/clocks.py
@@ -16,12 +16,11 @@
 class TargetClock:
     """What is known of a target's clock from its answers.
 
-    The clock showed ``target_ms`` at some moment between ``sent`` and ``received``
-    (our steady clock, seconds).
+    The clock showed ``target_ms`` at some moment before ``received`` (our steady
+    clock, seconds).
     """
 
     target_ms: float
-    sent: float
     received: float
 
     def earliest_ms(self, now: float) -> float:
@@ -29,11 +28,10 @@
         passed = max(0.0, now - self.received)
         return self.target_ms + passed * MILLISECONDS * (1 - CLOCK_RATE_ERROR)
 
-    def observe(self, target_ms: float, sent: float, received: float) -> None:
+    def observe(self, target_ms: float, received: float) -> None:
         """Take the newest observation."""
         if received >= self.received:
             self.target_ms = target_ms
-            self.sent = sent
             self.received = received
 
     def has_passed(self, target_ms: float, now: float) -> bool:
--- a/src/egretloft/_internal/fleet/orders.py
+++ b/src/egretloft/_internal/fleet/orders.py
@@ -108,7 +108,7 @@
         """Note a confirmed start."""
         now = self.clock.steady()
         if target.clock is not None:
-            target.clock.observe(target_ms, sent, now)
+            target.clock.observe(target_ms, now)
         target.lease_ends_ms = max(target.lease_ends_ms, run.order_expires_ms)
         run.confirmed = True
         run.moved_at = now
--- a/src/egretloft/_internal/fleet/reclaiming.py
+++ b/src/egretloft/_internal/fleet/reclaiming.py
@@ -88,22 +88,32 @@
     Nothing is stopped: the room is only kept from less urgent steps.
     """
     now = lower_priority.now
-    chosen = [t for t in targets if t.report.target_id in step.reclaim_targets]
-    keeps = bool(chosen) and now < step.reclaim_until
-    rooms = []
-    for target in chosen if keeps else targets:
-        free = lower_priority.room(target, priority)
-        free.reclaim_cost = lower_priority.rest_seconds(target, priority)
-        free.take(reserved.get(target.report.target_id, Room()))
-        rooms.append(free)
+    kept = kept_targets(step, targets, now)
+    rooms = lower_priority.unreserved(kept or targets, priority, reserved)
+    for free in rooms:
+        free.reclaim_cost = lower_priority.rest_seconds(free.target, priority)
     plan = place_gang(step, rooms, spread)
-    if plan is not None and not keeps:
-        used = {free.target.report.target_id for _, free in plan.entries}
-        step.reclaim_targets = frozenset(used)
-        step.reclaim_until = now + RESERVATION_SECONDS
+    if plan is not None and not kept:
+        keep_targets(step, plan, now + RESERVATION_SECONDS)
     return plan
 
 
+def kept_targets(
+    step: StepRow, targets: list[TargetRow], now: float
+) -> list[TargetRow]:
+    """Return the targets chosen for the step before, while that choice is kept."""
+    if now >= step.reclaim_until:
+        return []
+    return [t for t in targets if t.report.target_id in step.reclaim_targets]
+
+
+def keep_targets(step: StepRow, plan: Plan, until: float) -> None:
+    """Keep a plan's choice of targets for a while."""
+    used = {free.target.report.target_id for _, free in plan.entries}
+    step.reclaim_targets = frozenset(used)
+    step.reclaim_until = until
+
+
 def longest_rest_seconds(
     tables: FleetTables, target: TargetRow, priority: int, now: float
 ) -> float:
@@ -152,6 +162,17 @@
             self.rooms[key] = known
         return replace(known)
 
+    def unreserved(
+        self, targets: list[TargetRow], priority: int, reserved: dict[str, Room]
+    ) -> list[FreeRoom]:
+        """Return the rooms less what is promised to steps further ahead."""
+        rooms = []
+        for target in targets:
+            free = self.room(target, priority)
+            free.take(reserved.get(target.report.target_id, Room()))
+            rooms.append(free)
+        return rooms
+
     def rest_seconds(self, target: TargetRow, priority: int) -> float:
         """Return when the less urgent runs of a target will have ended."""
         key = (target.report.target_id, priority)
@@ -200,13 +221,8 @@
     ``entitled``, more work must be gained than is lost.
     """
     tables, now = lower_priority.tables, lower_priority.now
-    chosen = [t for t in targets if t.report.target_id in step.reclaim_targets]
-    waits_for_stops = bool(chosen) and now < step.reclaim_until
-    rooms = []
-    for target in chosen if waits_for_stops else targets:
-        free = lower_priority.room(target, priority)
-        free.take(reserved.get(target.report.target_id, Room()))
-        rooms.append(free)
+    kept = kept_targets(step, targets, now)
+    rooms = lower_priority.unreserved(kept or targets, priority, reserved)
     if step.spec.gang:
         plan = place_gang(step, rooms, spread)
     else:
@@ -220,10 +236,8 @@
     lost = total_lost_work(tables, list(victims.values()), now)
     if not entitled and lost > step_work(step) * WORTHWHILE_LOSS:
         return None
-    if not waits_for_stops:
-        used = {free.target.report.target_id for _, free in plan.entries}
-        step.reclaim_targets = frozenset(used)
-        step.reclaim_until = now + STOP_PATIENCE_SECONDS
+    if not kept:
+        keep_targets(step, plan, now + STOP_PATIENCE_SECONDS)
     return Reclaim(tuple(victims.values()), plan)
 
 
--- a/src/egretloft/_internal/fleet/scheduler.py
+++ b/src/egretloft/_internal/fleet/scheduler.py
@@ -56,7 +56,6 @@
 
     placements: list[Placement] = field(default_factory=list)
     stops: list[RunRow] = field(default_factory=list)
-    waiting: int = 0
 
 
 @dataclass(slots=True, frozen=True)
@@ -112,6 +111,17 @@
     return any(task.run is None and not task.done for task in step.tasks)
 
 
+def start(
+    step: StepRow, priority: int, plan: Plan | None, decisions: Decisions
+) -> bool:
+    """Have the tasks of a plan started; return whether there are any."""
+    if plan is None or not plan.entries:
+        return False
+    starts = tuple((task, free.target) for task, free in plan.entries)
+    decisions.placements.append(Placement(step, priority, starts))
+    return True
+
+
 def is_at_least(size: tuple[int, int, int], other: tuple[int, int, int]) -> bool:
     """Return whether ``size`` needs no less of anything than ``other``."""
     return all(mine >= theirs for mine, theirs in zip(size, other, strict=True))
@@ -142,7 +152,6 @@
                 services[service] = ServiceRound(
                     self.tables, targets, guarantees, moment
                 )
-            decisions.waiting += 1
             services[service].consider(waiting, decisions)
         return decisions
 
@@ -179,9 +188,7 @@
             return
         spread = may_spread(step, self.sound_targets, self.moment.now)
         plan = self.place(step, spread)
-        if plan is not None and plan.entries:
-            starts = tuple((task, free.target) for task, free in plan.entries)
-            decisions.placements.append(Placement(step, priority, starts))
+        start(step, priority, plan, decisions)
         if plan is None or len(plan.entries) < len(step.waiting()):
             self.make_room(waiting, priority, spread, plan, decisions)
 
@@ -214,7 +221,7 @@
                 return
             # No rack can be freed for a step whose room is guaranteed: it runs on
             # several racks rather than wait.
-            if covered and not self.start_spread(step, priority, decisions):
+            if covered and not start(step, priority, self.place(step, True), decisions):
                 self.reclaim(step, priority, True, covered, decisions)
             return
         if step.spec.gang:
@@ -249,15 +256,6 @@
         self.reserve(reclaim.plan)
         return True
 
-    def start_spread(self, step: StepRow, priority: int, decisions: Decisions) -> bool:
-        """Start a gang on several racks if it fits now; return whether it did."""
-        plan = self.place(step, True)
-        if plan is None or not plan.entries:
-            return False
-        starts = tuple((task, free.target) for task, free in plan.entries)
-        decisions.placements.append(Placement(step, priority, starts))
-        return True
-
     def reserve_for_gang(self, step: StepRow, priority: int, spread: bool) -> None:
         """Keep less urgent steps from the room that a waiting gang will get."""
         plan = plan_reservation(
--- a/src/egretloft/_internal/fleet/sessions.py
+++ b/src/egretloft/_internal/fleet/sessions.py
@@ -191,8 +191,8 @@
             self.on_new_life(answer)
             noted = 0
         if target.clock is None:
-            target.clock = TargetClock(answer.target_time_ms, sent, now)
-        target.clock.observe(answer.target_time_ms, sent, now)
+            target.clock = TargetClock(answer.target_time_ms, now)
+        target.clock.observe(answer.target_time_ms, now)
         if not target.reachable:
             log.info("target regained", target=target.report.target_id)
         target.reachable = True
--- a/src/egretloft/_internal/fleet/store_access.py
+++ b/src/egretloft/_internal/fleet/store_access.py
@@ -88,7 +88,6 @@
         self.metrics = metrics
         self.direct_works = True
         self.reached_at: float | None = None
-        self.relay_works = True
         peers.register(CALL_COMMIT, self.serve_commit)
         peers.register(CALL_READ, self.serve_read)
         peers.register(CALL_FEED, self.serve_feed)
@@ -98,10 +97,6 @@
         """Tell the peers whether the own path works."""
         return {HEARTBEAT_STORE: self.direct_works and self.reached_at is not None}
 
-    def is_reached(self) -> bool:
-        """Return whether any path to the store worked last."""
-        return self.reached_at is not None and (self.direct_works or self.relay_works)
-
     def peers_lack_store(self) -> bool:
         """Return whether peers are alive and none of them reaches the store."""
         alive = [peer for peer in self.peer_ids() if self.peers.is_alive(peer)]
@@ -214,7 +209,6 @@
                     result.unwrap()["answer"], type=RelayAnswer
                 )
             if last.failure is None:
-                self.relay_works = True
                 self.reached_at = self.clock.steady()
                 return last
             kind = last.failure.kind
@@ -222,7 +216,6 @@
                 return last
             if is_write and kind is StoreFailureKind.UNKNOWN:
                 return last
-        self.relay_works = False
         return last
 
     async def serve_commit(self, peer: str, body: dict[str, Any]) -> dict[str, Any]:
--- a/src/egretloft/_internal/fleet/tables.py
+++ b/src/egretloft/_internal/fleet/tables.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
 from dataclasses import dataclass, field
 from enum import StrEnum
 
@@ -247,8 +246,3 @@
             return None
         step = job.step(key.step)
         return step.tasks[key.index] if key.index < len(step.tasks) else None
-
-    def runs(self) -> Iterator[RunRow]:
-        """Yield all runs."""
-        for target in self.targets.values():
-            yield from target.runs.values()
--- a/tools/standins/fleet/checker.py
+++ b/tools/standins/fleet/checker.py
@@ -58,7 +58,6 @@
         self.noted_failures: dict[TaskKey, int] = {}
         self.step_done: set[StepKey] = set()
         self.starts = 0
-        self.last_start_of: dict[TaskKey, float] = {}
 
     def report(self, rule: str, what: str, at: float) -> None:
         """Note a broken promise."""
@@ -87,7 +86,6 @@
             if not self.is_step_done(before, truth):
                 self.report("ORDER", f"{task}", at)
         others.append(run)
-        self.last_start_of[task] = at
 
     def is_step_done(self, step: StepKey, truth: JobTruth) -> bool:
         """Return whether all tasks of a step ended as done."""
