--- a/src/egretloft/_internal/fleet/leader.py
+++ b/src/egretloft/_internal/fleet/leader.py
@@ -5,7 +5,6 @@
 import asyncio
 import contextlib
 import itertools
-import time
 from collections.abc import Callable, Coroutine
 from typing import Any
 
@@ -244,9 +243,9 @@
                 await asyncio.wait_for(self.wake.wait(), TICK_SECONDS)
             await asyncio.sleep(max(TICK_DELAY_SECONDS, self.tick_pause))
             self.wake.clear()
-            started = time.perf_counter()
+            started = self.clock.steady()
             self.tick()
-            spent = time.perf_counter() - started
+            spent = self.clock.steady() - started
             self.metrics.observe_seconds("tick_seconds", spent)
             # A long tick leaves most of the processor to renewals and callers.
             self.tick_pause = min(TICK_SECONDS, TICK_PAUSE_FACTOR * spent)
