Refuse work that cannot restart where it leaves others without their guarantees

The check at submission looked at the profile's own guarantee alone and accepted it. Change: the check binds the job on empty workers beside the guarantees of all profiles of the region, and says so in its refusal. Conclusion: refused at submission, with a hint, instead of queued for ever.

--- a/src/egretloft/_internal/gangs/service.py
+++ b/src/egretloft/_internal/gangs/service.py
@@ -42,7 +42,9 @@
 # A row that changes under a cancellation is read and tried again this often.
 CONFLICT_TRIES = 5
 
-CheckJob = Callable[[JobSpec, Profile, Collection[Worker]], Refusal | None]
+CheckJob = Callable[
+    [JobSpec, Profile, Collection[Worker], Collection[Profile]], Refusal | None
+]
 QueuedJobs = Callable[[str], int]
 
 
@@ -203,7 +205,9 @@
                 f"{profile.limits.max_queued_jobs} jobs are queued",
                 "submit again when some have started",
             )
-        return self.check_job(spec, profile, self.topology.workers.values())
+        return self.check_job(
+            spec, profile, self.topology.workers.values(), self.view.profiles.values()
+        )
 
     async def _create(self, spec: JobSpec) -> Result[JobRecord, Refusal]:
         record = JobRecord(spec)
--- a/src/egretloft/_internal/scheduling/feasibility.py
+++ b/src/egretloft/_internal/scheduling/feasibility.py
@@ -20,9 +20,16 @@
 
 
 def check_job(
-    spec: JobSpec, profile: Profile, workers: Iterable[Worker]
+    spec: JobSpec,
+    profile: Profile,
+    workers: Iterable[Worker],
+    profiles: Iterable[Profile],
 ) -> Refusal | None:
-    """Return why the job could not run even on empty workers, ``None`` if it could."""
+    """Return why the job could not run even on empty workers, ``None`` if it could.
+
+    ``profiles`` are all profiles: work that cannot restart has to leave room for the
+    guarantees of the others.
+    """
     if profile.services and spec.service not in profile.services:
         return not_run(
             Reason.UNKNOWN_SERVICE,
@@ -38,6 +45,7 @@
             f"{profile.name!r} allows at most {limit}",
             "submit a smaller gang or raise limits.max_accelerators",
         )
+    workers = list(workers)
     usable = [
         worker
         for worker in workers
@@ -60,20 +68,59 @@
             f"{profile.name!r} holds at most {most}",
             "submit fewer tasks, smaller tasks or a wider adjacency",
         )
-    return None if spec.restartable else _check_guarantee(spec, profile, usable)
+    if spec.restartable:
+        return None
+    refusal = _check_guarantee(spec, profile, usable)
+    if refusal is not None:
+        return refusal
+    return _check_beside_others(spec, profile, workers, profiles)
 
 
-def _check_guarantee(
-    spec: JobSpec, profile: Profile, workers: list[Worker]
-) -> Refusal | None:
-    """Refuse work that cannot restart and that no guarantee could ever hold."""
+def _can_be_bound(
+    spec: JobSpec, profiles: Iterable[Profile], workers: Iterable[Worker]
+) -> bool:
+    """Return whether empty workers hold the job within its profile's guarantee."""
     state = State(SchedulerSettings())
     for worker in workers:
         state.cells.add_worker(worker)
-    state.profiles[profile.name] = profile
-    state.guarantees.set_profile(profile)
+    for profile in profiles:
+        state.profiles[profile.name] = profile
+        state.guarantees.set_profile(profile)
     state.guarantees.repack()
-    if Dispatcher(state).find_bound_free(JobRow(spec), False) is not None:
+    return Dispatcher(state).find_bound_free(JobRow(spec), False) is not None
+
+
+def _check_beside_others(
+    spec: JobSpec,
+    profile: Profile,
+    workers: Iterable[Worker],
+    profiles: Iterable[Profile],
+) -> Refusal | None:
+    """Refuse work that cannot restart and would always take others' guarantees."""
+    others = [
+        other
+        for other in profiles
+        if other.name != profile.name and other.region == profile.region
+    ]
+    region = [worker for worker in workers if worker.region == profile.region]
+    if _can_be_bound(spec, [profile, *others], region):
+        return None
+    return not_run(
+        Reason.IMPOSSIBLE,
+        "idempotent, checkpointable: both false; such work runs only within the "
+        f"guarantee, and {spec.tasks} tasks of {spec.accelerators_per_task} "
+        f"accelerators, {spec.cores} cores and {spec.memory_gb} GB with adjacency "
+        f"{spec.adjacency.value!r} leave no room for the guarantees of other profiles",
+        "make the job idempotent or checkpointable, submit a smaller gang, or use a "
+        "wider adjacency",
+    )
+
+
+def _check_guarantee(
+    spec: JobSpec, profile: Profile, workers: list[Worker]
+) -> Refusal | None:
+    """Refuse work that cannot restart and that no guarantee could ever hold."""
+    if _can_be_bound(spec, [profile], workers):
         return None
     shapes = ", ".join(
         f"{shape.count} x {shape.accelerators} ({shape.adjacency.value})"
--- a/tests/lib/gang_world.py
+++ b/tests/lib/gang_world.py
@@ -150,7 +150,7 @@
             topology=self,
             clock=world.time.clock,
             metrics=self.metrics,
-            check_job=lambda spec, profile, workers: None,
+            check_job=lambda *_: None,
         )
 
     def create_scheduler(self) -> FirstFitScheduler:
--- a/tests/unit/scheduling/test_feasibility.py
+++ b/tests/unit/scheduling/test_feasibility.py
@@ -34,7 +34,7 @@
     arguments, field, allowed
 ):
     # Guards against jobs that wait for ever, and against messages that do not help.
-    refusal = check_job(build_job(**arguments), build_profile(), WORKERS)
+    refusal = check_job(build_job(**arguments), build_profile(), WORKERS, ())
     assert refusal is not None
     assert refusal.reason is Reason.IMPOSSIBLE
     assert field in refusal.message
@@ -44,11 +44,11 @@
 def test_limit_and_service_of_the_profile_are_checked():
     # Guards against jobs that the profile could never admit.
     profile = build_profile(limits=Limits(max_accelerators=2))
-    refusal = check_job(build_job(tasks=3), profile, WORKERS)
+    refusal = check_job(build_job(tasks=3), profile, WORKERS, ())
     assert refusal is not None
     assert refusal.reason is Reason.LIMIT_EXCEEDED
     job = dataclasses.replace(build_job(), service="other")
-    refusal = check_job(job, build_profile(), WORKERS)
+    refusal = check_job(job, build_profile(), WORKERS, ())
     assert refusal is not None
     assert refusal.reason is Reason.UNKNOWN_SERVICE
 
@@ -58,10 +58,43 @@
     once = build_job(accelerators_per_task=8, idempotent=False, checkpointable=False)
     small = build_profile(guarantees=(GuaranteedShape(1, 4, Adjacency.WORKER),))
     large = build_profile(guarantees=(GuaranteedShape(1, 16, Adjacency.RACK),))
-    refusal = check_job(once, small, WORKERS)
+    refusal = check_job(once, small, WORKERS, ())
     assert refusal is not None
     assert "1 x 4 (worker)" in refusal.message
-    assert check_job(once, large, WORKERS) is None
+    assert check_job(once, large, WORKERS, ()) is None
+
+
+def test_work_that_cannot_restart_leaves_the_guarantees_of_others():
+    # Guards against work that waits for ever: two workers of one rack hold it, but then
+    # no rack is left for one of the other guarantees.
+    workers = build_workers(("zone-1", "zone-2"), racks_per_zone=2, workers_per_rack=3)
+    own = build_profile(
+        "org-a",
+        zones=("zone-1", "zone-2"),
+        guarantees=(GuaranteedShape(2, 8, Adjacency.RACK),),
+    )
+    others = [
+        build_profile(
+            name,
+            zones=("zone-1", "zone-2"),
+            guarantees=(GuaranteedShape(2, 16, Adjacency.RACK),),
+        )
+        for name in ("org-b", "org-c")
+    ]
+    once = build_job(
+        organisation="org-a",
+        tasks=4,
+        accelerators_per_task=0,
+        cores=20,
+        adjacency=Adjacency.RACK,
+        idempotent=False,
+        checkpointable=False,
+    )
+    assert check_job(once, own, workers, [own]) is None
+    assert check_job(once, own, workers, [own, others[0]]) is None
+    refusal = check_job(once, own, workers, [own, *others])
+    assert refusal is not None
+    assert "guarantees of other profiles" in refusal.message
 
 
 def test_guarantees_that_cannot_be_packed_together_are_refused():
--- a/tests/unit/scheduling/test_properties.py
+++ b/tests/unit/scheduling/test_properties.py
@@ -81,7 +81,9 @@
     for _ in range(generator.randint(0, 4)):
         job = random_job(generator, number)
         number += 1
-        if check_job(job, world.profiles[job.profile], world.workers.values()) is None:
+        profiles = world.profiles
+        workers = world.workers.values()
+        if check_job(job, profiles[job.profile], workers, profiles.values()) is None:
             world.submit(job)
     for job_id, gang in list(world.running.items()):
         worker_id = gang.placement[0].worker_id
--- a/tools/bench/simulation.py
+++ b/tools/bench/simulation.py
@@ -152,7 +152,7 @@
         spec = arrival.spec
         profile = self.profiles[spec.profile]
         # Every policy sees the same jobs: the ones that cannot run are refused.
-        if check_job(spec, profile, self.workers.values()) is not None:
+        if check_job(spec, profile, self.workers.values(), ()) is not None:
             self.measures.refused += 1
             return
         gang = Gang(arrival)
