Be ready only once the list of targets names one

Cause: readiness asked for the roster, the view and the time zone, but not for the list of targets, so that an instance took requests it could only refuse with 'not_run (no_target)'. Ruled out: a stale view (it is part of readiness). Change: Topology.has_targets, asked by Instance.is_ready. Before: the new test with an unreadable list gets 200. After: 503, then 200 once the list is back; the three tests of test_egretctl pass. Open: a list that names workers and not yet runners still lets the instance become ready, as it cannot know that more will come.

--- a/src/egretloft/_internal/daemon/instance.py
+++ b/src/egretloft/_internal/daemon/instance.py
@@ -98,6 +98,8 @@
         return (
             not self.draining
             and self.time_zone_confirmed
+            # Without a list that names targets every request would be refused.
+            and self.topology.has_targets()
             and self.coordination.view.is_fresh()
             and self.coordination.roster.is_full_member()
         )
--- a/src/egretloft/_internal/platform/topology.py
+++ b/src/egretloft/_internal/platform/topology.py
@@ -42,6 +42,10 @@
         record = self.records.get(instance_id)
         return record is not None and record.state is InstanceState.LEAVING
 
+    def has_targets(self) -> bool:
+        """Return whether the last list named a worker or a runner."""
+        return bool(self.workers or self.runners)
+
     async def refresh(self) -> None:
         """Read the list; the last one is kept when it cannot be read."""
         match await self.instance_list.list():
--- a/tests/functional/test_egretctl.py
+++ b/tests/functional/test_egretctl.py
@@ -21,6 +21,8 @@
 
 # Guarantees are packed again at most every 5 s.
 DEGRADED_TRIES = 15
+# An instance has joined the roster and read its view well before this time.
+LISTLESS_SECONDS = 4.0
 
 
 class Tool:
@@ -56,6 +58,25 @@
             platform.stop()
 
 
+async def test_instance_is_ready_only_with_a_list_of_targets(tmp_path: Path) -> None:
+    """Guards against callers who are sent to an instance that knows no target yet."""
+    async with aiohttp.ClientSession() as session:
+        platform = Platform(DEPLOYMENTS["software-house"], tmp_path, session)
+        try:
+            await platform.start(1, 1, 0.0)
+            await platform.control("instances", {"down": "refuse"})
+            await platform.start_entry("e1", "rvk-a")
+            entry = platform.entries["e1"]
+            url = f"http://{entry.address}/readyz"
+            await asyncio.sleep(LISTLESS_SECONDS)
+            async with session.get(url) as answer:
+                assert answer.status == 503
+            await platform.control("instances", {"down": "no"})
+            await platform.wait_until_ready(entry)
+        finally:
+            platform.stop()
+
+
 async def test_profile_job_zone_and_account(tool: Tool) -> None:
     """Guards against a command whose body or path the daemon does not accept."""
     code, _, error = await tool.run(
