Tell peers at a planned stop which of their calls had no effect

Cause: a stopping instance closed its streams while calls of peers that had not yet learnt of the handover were on their way. Ruled out: the drain itself (it ends with nothing in flight), ownership (released before), and the runners (no request ran twice). Change: frame 'goodbye' after the last answer; it lists the calls in progress. The stopping side handles no call after it, so the dialling side reports all others as not sent, which the delivery repeats elsewhere. A call counts as in progress until its answer is in the outgoing buffer. Before: test_calls_that_a_stopping_peer_never_handled_may_be_repeated fails; after: 18 tests of tests/unit/peers pass.

--- a/src/egretloft/_internal/peers/connection.py
+++ b/src/egretloft/_internal/peers/connection.py
@@ -47,7 +47,9 @@
         self.clock = clock
         self.metrics = metrics
         self.instance_id = ""  # known after the peer's hello
-        self.calls_in_progress = 0
+        self.calls_in_progress: set[int] = set()
+        # The peer has said that it handles no further call.
+        self.peer_stops = False
         self.opened_at = clock.monotonic()
         self.last_received = self.opened_at
         self.closed = False
--- a/src/egretloft/_internal/peers/frames.py
+++ b/src/egretloft/_internal/peers/frames.py
@@ -27,6 +27,9 @@
     REFUSED = "refused"
     # The handler raised, so the call may have had an effect.
     FAILED = "failed"
+    # The sender stops and handles no further call; ``in_progress`` in the body lists
+    # the ids of calls that reached a handler and are not answered.
+    GOODBYE = "goodbye"
 
 
 class Frame(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/src/egretloft/_internal/peers/network.py
+++ b/src/egretloft/_internal/peers/network.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import itertools
 import random
 from collections.abc import Collection
@@ -48,6 +49,9 @@
 CONNECT_SECONDS = 1.0
 FIRST_RECONNECT_SECONDS = 0.1
 LAST_RECONNECT_SECONDS = 2.0
+# A stop waits at most this long for the last frames to be written and read.
+FLUSH_SECONDS = 0.5
+FLUSH_POLL_SECONDS = 0.01
 # Calls that one peer may have in progress here; more are refused unsent.
 MAX_CALLS_IN_PROGRESS = 1_024
 
@@ -112,6 +116,7 @@
         self.accepted: set[Connection] = set()
         self.tasks: set[asyncio.Task[Any]] = set()
         self.server: asyncio.Server | None = None
+        self.stopping = False
         self.last_tick = clock.monotonic()
         self.ticks = 0
 
@@ -122,9 +127,14 @@
         self._spawn(self._beat())
 
     async def stop(self) -> None:
-        """Close all streams; calls in progress fail."""
+        """Close all streams; calls in progress fail.
+
+        Peers learn which of their calls reached no handler, so that they may repeat
+        them elsewhere.
+        """
         if self.server is not None:
             self.server.close()
+        await self._say_goodbye()
         self.set_members(())
         for connection in self.dialled | self.accepted:
             connection.close()
@@ -132,6 +142,18 @@
             task.cancel()
         await asyncio.gather(*self.tasks, return_exceptions=True)
 
+    async def _say_goodbye(self) -> None:
+        """Handle no further call, and wait until the peers have been told."""
+        self.stopping = True
+        for connection in self.accepted:
+            body = {"in_progress": sorted(connection.calls_in_progress)}
+            connection.offer(encode_frame(FrameType.GOODBYE, body=body).unwrap())
+        # A peer closes a stream after the goodbye; only then has it read all answers.
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(FLUSH_SECONDS):
+                while any(connection.instance_id for connection in self.accepted):
+                    await asyncio.sleep(FLUSH_POLL_SECONDS)
+
     def register(self, call_type: str, handler: Handler) -> None:
         """Let ``handler`` answer calls of ``call_type``."""
         self.handlers[call_type] = handler
@@ -200,7 +222,12 @@
         if instance_id == self.instance_id:
             return await self._call_local(call_type, body, timeout_seconds)
         peer = self.peers.get(instance_id)
-        if peer is None or peer.connection is None or peer.connection.closed:
+        if (
+            peer is None
+            or peer.connection is None
+            or peer.connection.closed
+            or peer.connection.peer_stops
+        ):
             return not_sent(
                 Reason.PEER_UNREACHABLE, f"no connection to instance {instance_id}"
             )
@@ -384,6 +411,8 @@
             peer.heartbeat = frame.body
         elif frame.t in {FrameType.ANSWER, FrameType.REFUSED, FrameType.FAILED}:
             self._on_answer(connection, frame)
+        elif frame.t is FrameType.GOODBYE:
+            self._on_goodbye(connection, frame)
         else:
             self._refuse_frame(connection, "unexpected_type")
 
@@ -409,6 +438,25 @@
                 )
             )
 
+    def _on_goodbye(self, connection: Connection, frame: Frame) -> None:
+        """Fail the calls that the stopping peer has not handled as not sent.
+
+        All answers came before the goodbye. Calls that the peer still handles stay
+        unknown; they end with the stream.
+        """
+        connection.peer_stops = True
+        in_progress = frame.body.get("in_progress")
+        handled = set(in_progress) if isinstance(in_progress, list) else None
+        for call_id, call in self.pending.items():
+            if call.connection is not connection or call.future.done():
+                continue
+            if handled is None or call_id in handled:
+                continue
+            call.future.set_result(
+                not_sent(Reason.PEER_UNREACHABLE, "the instance stops")
+            )
+        connection.close()
+
     # The accepting side
 
     async def _accept(
@@ -439,15 +487,18 @@
             self._refuse_frame(connection, "unexpected_type")
 
     def _on_call(self, connection: Connection, frame: Frame) -> None:
+        if self.stopping:
+            # The goodbye has told the peer that the call has no effect.
+            return
         handler = self.handlers.get(frame.name)
         if handler is None:
             self.metrics.count("peer_calls_refused", reason="unknown_call_type")
             refusal = Reason.MALFORMED, f"no handler for calls of type {frame.name}"
-        elif connection.calls_in_progress >= MAX_CALLS_IN_PROGRESS:
+        elif len(connection.calls_in_progress) >= MAX_CALLS_IN_PROGRESS:
             self.metrics.count("peer_calls_refused", reason="peer_overloaded")
             refusal = Reason.PEER_OVERLOADED, "too many calls in progress"
         else:
-            connection.calls_in_progress += 1
+            connection.calls_in_progress.add(frame.id)
             self._spawn(self._run_handler(connection, frame, handler))
             return
         body = {"reason": refusal[0].value, "message": refusal[1]}
@@ -458,23 +509,35 @@
         self, connection: Connection, frame: Frame, handler: Handler
     ) -> None:
         try:
-            answer = encode_frame(
-                FrameType.ANSWER,
-                frame.id,
-                body=await handler(connection.instance_id, frame.body),
-            )
-            failure = answer.failure() if isinstance(answer, Failure) else ""
+            answer = await self._handle(connection, frame, handler)
+            await connection.offer_when_room(answer)
+        finally:
+            # In progress until the answer is on its way: a goodbye before that must
+            # not let the caller repeat the call.
+            connection.calls_in_progress.discard(frame.id)
+
+    async def _handle(
+        self, connection: Connection, frame: Frame, handler: Handler
+    ) -> bytes:
+        """Return the encoded answer of the handler, or that it failed."""
+        try:
+            body = await handler(connection.instance_id, frame.body)
         except Exception as error:
             # Handlers return refusals as values, so an exception is a defect.
             self.metrics.count("peer_handler_errors", call=frame.name)
             log.exception("peer call handler failed", call=frame.name)
-            failure = f"the handler failed: {type(error).__name__}"
-        finally:
-            connection.calls_in_progress -= 1
-        if failure:
-            body = {"message": failure}
-            answer = encode_frame(FrameType.FAILED, frame.id, body=body)
-        await connection.offer_when_room(answer.unwrap())
+            return failed_frame(
+                frame.id, f"the handler failed: {type(error).__name__}"
+            )
+        answer = encode_frame(FrameType.ANSWER, frame.id, body=body)
+        if isinstance(answer, Failure):
+            return failed_frame(frame.id, answer.failure())
+        return answer.unwrap()
+
+
+def failed_frame(call_id: int, message: str) -> bytes:
+    """Return the answer to a call that may have had an effect."""
+    return encode_frame(FrameType.FAILED, call_id, body={"message": message}).unwrap()
 
 
 def create_peer_network(
--- a/tests/unit/peers/test_network.py
+++ b/tests/unit/peers/test_network.py
@@ -258,3 +258,45 @@
     await until(lambda: a.is_alive("b"))
     a.set_members([])
     assert not a.is_alive("b")
+
+
+async def test_calls_that_a_stopping_peer_never_handled_may_be_repeated(
+    start: Start,
+) -> None:
+    """Guards against a planned stop that leaves callers without an outcome."""
+    a, b = await start("a"), await start("b")
+    handled = []
+
+    async def slow(instance_id: str, body: dict[str, Any]) -> dict[str, Any]:
+        handled.append(body["n"])
+        await asyncio.sleep(10)
+        return body
+
+    b.register("slow", slow)
+    a.set_members([member(b)])
+    await until(lambda: a.is_alive("b"))
+    first = asyncio.create_task(a.call("b", "slow", {"n": 1}, 5))
+    await until(lambda: handled == [1])
+    # The stop overtakes a call that is still on its way.
+    stop = asyncio.create_task(b.stop())
+    await until(lambda: b.stopping)
+    second = asyncio.create_task(a.call("b", "slow", {"n": 2}, 5))
+    await stop
+    assert (await second).failure().kind is PeerFailureKind.NOT_SENT
+    assert (await first).failure().kind is PeerFailureKind.UNKNOWN
+    assert handled == [1]
+
+
+async def test_an_answer_that_waits_for_room_is_not_repeated(start: Start) -> None:
+    """Guards against a second run of a call that was handled but not yet answered."""
+    a, b = await start("a"), await start("b")
+    b.register("echo", echo)
+    a.set_members([member(b)])
+    await until(lambda: a.is_alive("b"))
+    (connection,) = b.accepted
+    connection.offer = lambda data: None  # type: ignore[method-assign]
+    call = asyncio.create_task(a.call("b", "echo", {"n": 1}, 0.3))
+    await until(lambda: len(connection.calls_in_progress) == 1)
+    await asyncio.sleep(0.05)
+    assert len(connection.calls_in_progress) == 1
+    assert (await call).failure().kind is PeerFailureKind.UNKNOWN
