Skip waiting steps whose demand has found no place in the tick

Profile: a copy of every room for each urgent step, lost work computed again for each candidate, racks packed anew for each gang that wants one, and a check of gangs that is quadratic in their size. Ruled out: the reading of the tables (under 5 ms at 176 targets). Change: demands.py compares what steps need; rooms only shrink within a tick, so a demand that asks for no less than one that failed is skipped, for placing, reclaiming and reserving apart. Lost work and empty racks are computed once a tick, rooms are copied only where a task fits, and a gang is checked once for all its runs.

--- a/src/egretloft/_internal/fleet/leader.py
+++ b/src/egretloft/_internal/fleet/leader.py
@@ -372,6 +372,7 @@
                 moved_at=now,
                 checkpoint=task.checkpoint if shared is None else shared,
                 lasting=step.spec.lasting,
+                gang=step.spec.gang,
             )
             target.runs[run.key] = run
             task.run = run
--- a/src/egretloft/_internal/fleet/lifecycle.py
+++ b/src/egretloft/_internal/fleet/lifecycle.py
@@ -140,33 +140,40 @@
     it has not reached yet, so the gang is left alone.
     """
     unwanted: list[RunRow] = []
+    broken: dict[tuple[StepKey, int], bool] = {}
     for target in tables.targets.values():
         for run in target.runs.values():
-            if run.phase is not RunPhase.STOPPING and is_unwanted(
-                tables, run, now, in_doubt
-            ):
+            if run.phase is RunPhase.STOPPING:
+                continue
+            if is_unwanted(tables, run):
                 unwanted.append(run)
+            elif run.gang and not in_doubt:
+                gang = (run.key.task.step, run.key.attempt)
+                if gang not in broken:
+                    broken[gang] = is_broken(tables, run, now)
+                if broken[gang]:
+                    unwanted.append(run)
     return unwanted
 
 
-def is_unwanted(tables: FleetTables, run: RunRow, now: float, in_doubt: bool) -> bool:
+def is_unwanted(tables: FleetTables, run: RunRow) -> bool:
     """Return whether nothing is gained by letting the run go on."""
-    key: RunKey = run.key
-    job = tables.jobs.get(key.task.step.job_id)
-    task = tables.task(key.task)
+    job = tables.jobs.get(run.key.task.step.job_id)
+    task = tables.task(run.key.task)
     if job is None or task is None or job.is_final() or job.cancelled:
         return True
-    if task.done or task.run is not run:
-        return True
-    step = job.step(key.task.step)
-    if not step.spec.gang or in_doubt:
-        return False
+    return task.done or task.run is not run
+
+
+def is_broken(tables: FleetTables, run: RunRow, now: float) -> bool:
+    """Return whether a member of the run's gang is missing, stopping or late."""
+    job = tables.jobs[run.key.task.step.job_id]
     return any(
         member.run is None
-        or member.run.key.attempt != key.attempt
+        or member.run.key.attempt != run.key.attempt
         or member.run.phase is RunPhase.STOPPING
         or starts_late(member.run, now)
-        for member in step.tasks
+        for member in job.step(run.key.task.step).tasks
     )
 
 
@@ -192,6 +199,7 @@
         percent=percent,
         moved_at=now,
         lasting=spec.lasting if spec else False,
+        gang=spec.gang if spec else False,
         confirmed=True,
     )
     target.runs[key] = run
--- a/src/egretloft/_internal/fleet/placing.py
+++ b/src/egretloft/_internal/fleet/placing.py
@@ -51,6 +51,17 @@
         self.memory_mb -= room.memory_mb
         self.gpus -= room.gpus
 
+    def copy(self) -> FreeRoom:
+        """Return a copy, of which a plan may take room."""
+        return FreeRoom(
+            self.target,
+            self.cpu,
+            self.memory_mb,
+            self.gpus,
+            self.reclaim_cost,
+            self.quarantined,
+        )
+
     def give(self, room: Room) -> None:
         """Return room that was taken."""
         self.cpu += room.cpu
@@ -261,23 +272,49 @@
     return racks
 
 
-def fits_one_empty_rack(step: StepRow, targets: Iterable[TargetRow]) -> bool:
-    """Return whether some rack could hold the whole gang if nothing ran there."""
-    empty = [
-        FreeRoom(t, t.report.room.cpu, t.report.room.memory_mb, t.report.room.gpus)
-        for t in targets
-    ]
-    return place_in_one_rack(step, empty) is not None
-
-
-def may_spread(step: StepRow, targets: list[TargetRow], now: float) -> bool:
-    """Return whether a gang that wants one rack should run on several now."""
-    if not step.spec.same_rack:
-        return True
-    patience = step.spec.estimate_ms / 1000.0 * SPREAD_AFTER_ESTIMATES
-    if is_mostly_idle(targets):
-        patience = min(patience, SPREAD_WHEN_IDLE_SECONDS)
-    return now - step.ready_at > patience or not fits_one_empty_rack(step, targets)
+class Spreading:
+    """Whether gangs that want one rack should run on several, at one moment."""
+
+    def __init__(self, targets: list[TargetRow], now: float) -> None:
+        self.targets = targets
+        self.now = now
+        self.mostly_idle: bool | None = None
+        self.empty_racks: dict[tuple[Room, int, str, int], bool] = {}
+
+    def may_spread(self, step: StepRow) -> bool:
+        """Return whether the gang should run on several racks now."""
+        if not step.spec.same_rack:
+            return True
+        patience = step.spec.estimate_ms / 1000.0 * SPREAD_AFTER_ESTIMATES
+        if self.is_mostly_idle():
+            patience = min(patience, SPREAD_WHEN_IDLE_SECONDS)
+        waited = self.now - step.ready_at
+        return waited > patience or not self.fits_one_empty_rack(step)
+
+    def is_mostly_idle(self) -> bool:
+        """Return whether less than half of the accelerators and cores are in use."""
+        if self.mostly_idle is None:
+            self.mostly_idle = is_mostly_idle(self.targets)
+        return self.mostly_idle
+
+    def fits_one_empty_rack(self, step: StepRow) -> bool:
+        """Return whether some rack could hold the whole gang if nothing ran there."""
+        spec = step.spec
+        key = (spec.room, spec.tasks, spec.label, spec.max_per_target)
+        known = self.empty_racks.get(key)
+        if known is None:
+            racks = racks_of(empty_room(target) for target in self.targets)
+            known = any(
+                fitting_tasks(step, rooms) >= spec.tasks for rooms in racks.values()
+            )
+            self.empty_racks[key] = known
+        return known
+
+
+def empty_room(target: TargetRow) -> FreeRoom:
+    """Return the room of a target on which nothing runs."""
+    room = target.report.room
+    return FreeRoom(target, room.cpu, room.memory_mb, room.gpus)
 
 
 def is_mostly_idle(targets: list[TargetRow]) -> bool:
@@ -290,3 +327,8 @@
         used_cpu += used.cpu
         used_gpus += used.gpus
     return used_gpus <= gpus * IDLE_SHARE and used_cpu <= cpu * IDLE_SHARE
+
+
+def create_spreading(targets: list[TargetRow], now: float) -> Spreading:
+    """Return the judgement over the targets that may get new work."""
+    return Spreading(targets, now)
--- a/src/egretloft/_internal/fleet/reclaiming.py
+++ b/src/egretloft/_internal/fleet/reclaiming.py
@@ -7,12 +7,16 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, replace
+from collections.abc import Iterable
+from dataclasses import dataclass
+from enum import StrEnum
 
 from egretloft._internal.fleet.models import Room, StepKey
 from egretloft._internal.fleet.placing import (
     FreeRoom,
     Plan,
+    accounted_room,
+    empty_room,
     free_room,
     place_gang,
     place_tasks,
@@ -49,6 +53,43 @@
     plan: Plan
 
 
+class NoReclaim(StrEnum):
+    """Why no runs are stopped for a step."""
+
+    NO_ROOM = "no_room"
+    TOO_COSTLY = "too_costly"
+
+
+class LostWork:
+    """Core-seconds that stops would throw away, at one moment."""
+
+    def __init__(self, tables: FleetTables, now: float) -> None:
+        self.tables = tables
+        self.now = now
+        self.known: dict[int, float] = {}
+
+    def of(self, run: RunRow) -> float:
+        """Return what stopping a run would lose; for a member that of its gang."""
+        lost = self.known.get(id(run))
+        if lost is None:
+            lost = lost_work(self.tables, run, self.now)
+            self.known[id(run)] = lost
+        return lost
+
+    def total(self, runs: Iterable[RunRow]) -> float:
+        """Return what stopping all of them would lose; a gang counts once."""
+        total = 0.0
+        gangs: set[tuple[StepKey, int]] = set()
+        for run in runs:
+            if run.gang:
+                key = (run.key.task.step, run.key.attempt)
+                if key in gangs:
+                    continue
+                gangs.add(key)
+            total += self.of(run)
+        return total
+
+
 def lost_work(tables: FleetTables, run: RunRow, now: float) -> float:
     """Return the core-seconds that a stop would throw away."""
     cores = run.room.cpu / MILLICORES + run.room.gpus * CORES_PER_GPU
@@ -65,14 +106,13 @@
     return cores * worked
 
 
-def note_reclaimed(tables: FleetTables, runs: list[RunRow], now: float) -> None:
+def note_reclaimed(work: LostWork, runs: Iterable[RunRow]) -> None:
     """Remember what the steps of stopped runs lost."""
     for run in runs:
-        job = tables.jobs.get(run.key.task.step.job_id)
+        job = work.tables.jobs.get(run.key.task.step.job_id)
         if job is not None:
-            lost = lost_work(tables, run, now)
             step = job.step(run.key.task.step)
-            step.reclaimed_work = max(step.reclaimed_work, lost)
+            step.reclaimed_work = max(step.reclaimed_work, work.of(run))
 
 
 def plan_reservation(
@@ -89,7 +129,9 @@
     """
     now = lower_priority.now
     kept = kept_targets(step, targets, now)
-    rooms = lower_priority.unreserved(kept or targets, priority, reserved)
+    rooms = lower_priority.unreserved(
+        kept or targets, priority, reserved, accounted_room(step.spec)
+    )
     for free in rooms:
         free.reclaim_cost = lower_priority.rest_seconds(free.target, priority)
     plan = place_gang(step, rooms, spread)
@@ -129,47 +171,47 @@
     return longest
 
 
-def total_lost_work(tables: FleetTables, runs: list[RunRow], now: float) -> float:
-    """Return the core-seconds that stops would throw away; a gang counts once."""
-    total = 0.0
-    gangs: set[tuple[StepKey, int]] = set()
-    for run in runs:
-        job = tables.jobs.get(run.key.task.step.job_id)
-        gang = job is not None and job.step(run.key.task.step).spec.gang
-        key = (run.key.task.step, run.key.attempt)
-        if gang and key in gangs:
-            continue
-        gangs.add(key)
-        total += lost_work(tables, run, now)
-    return total
-
-
 class LowerPriorityRooms:
     """Rooms that come free when all less urgent runs end, computed once a tick."""
 
     def __init__(self, tables: FleetTables, now: float) -> None:
         self.tables = tables
         self.now = now
+        self.work = LostWork(tables, now)
         self.rooms: dict[tuple[str, int], FreeRoom] = {}
         self.rests: dict[tuple[str, int], float] = {}
 
     def room(self, target: TargetRow, priority: int) -> FreeRoom:
-        """Return a copy of the room without runs below ``priority``, and its cost."""
+        """Return the room without runs below ``priority``, and its cost; shared."""
         key = (target.report.target_id, priority)
         known = self.rooms.get(key)
         if known is None:
-            known = room_without(self.tables, target, priority, self.now)
+            known = room_without(self.work, target, priority)
             self.rooms[key] = known
-        return replace(known)
+        return known
 
     def unreserved(
-        self, targets: list[TargetRow], priority: int, reserved: dict[str, Room]
+        self,
+        targets: list[TargetRow],
+        priority: int,
+        reserved: dict[str, Room],
+        needed: Room,
     ) -> list[FreeRoom]:
-        """Return the rooms less what is promised to steps further ahead."""
+        """Return copies of the rooms that hold ``needed``.
+
+        What is promised to steps further ahead is taken off.
+        """
         rooms = []
         for target in targets:
-            free = self.room(target, priority)
-            free.take(reserved.get(target.report.target_id, Room()))
+            shared = self.room(target, priority)
+            if not shared.holds(needed):
+                continue
+            free = shared.copy()
+            held = reserved.get(target.report.target_id)
+            if held is not None:
+                free.take(held)
+                if not free.holds(needed):
+                    continue
             rooms.append(free)
         return rooms
 
@@ -183,20 +225,17 @@
         return self.rests[key]
 
 
-def room_without(
-    tables: FleetTables, target: TargetRow, priority: int, now: float
-) -> FreeRoom:
+def room_without(work: LostWork, target: TargetRow, priority: int) -> FreeRoom:
     """Return the room if all runs below ``priority`` were gone, and its cost."""
-    room = target.report.room
-    cost = 0.0
+    free = empty_room(target)
     for run in target.runs.values():
         if run.phase is RunPhase.STOPPING:
             continue
         if run.priority <= priority or run.lasting:
-            room = room.minus(run.room)
+            free.take(run.room)
         else:
-            cost += lost_work(tables, run, now)
-    return FreeRoom(target, room.cpu, room.memory_mb, room.gpus, cost)
+            free.reclaim_cost += work.of(run)
+    return free
 
 
 def step_work(step: StepRow) -> float:
@@ -214,40 +253,42 @@
     priority: int,
     spread: bool,
     entitled: bool,
-) -> Reclaim | None:
+) -> Reclaim | NoReclaim:
     """Return which runs to stop so that the waiting tasks of ``step`` fit.
 
     ``reserved`` is room by target that is promised to steps further ahead. Without
     ``entitled``, more work must be gained than is lost.
     """
-    tables, now = lower_priority.tables, lower_priority.now
+    work, now = lower_priority.work, lower_priority.now
     kept = kept_targets(step, targets, now)
-    rooms = lower_priority.unreserved(kept or targets, priority, reserved)
+    rooms = lower_priority.unreserved(
+        kept or targets, priority, reserved, accounted_room(step.spec)
+    )
     if step.spec.gang:
         plan = place_gang(step, rooms, spread)
     else:
         plan = place_tasks(step, step.waiting(), rooms)
     if plan is None or not plan.entries:
-        return None
+        # Kept targets are only some, so their lack of room tells nothing of others.
+        return NoReclaim.TOO_COSTLY if kept else NoReclaim.NO_ROOM
     victims: dict[int, RunRow] = {}
     for free in {id(free): free for _, free in plan.entries}.values():
-        for run in victims_on(tables, free, plan, reserved, priority, now):
+        for run in victims_on(work, free, plan, reserved, priority):
             victims[id(run)] = run
-    lost = total_lost_work(tables, list(victims.values()), now)
+    lost = work.total(victims.values())
     if not entitled and lost > step_work(step) * WORTHWHILE_LOSS:
-        return None
+        return NoReclaim.TOO_COSTLY
     if not kept:
         keep_targets(step, plan, now + STOP_PATIENCE_SECONDS)
     return Reclaim(tuple(victims.values()), plan)
 
 
 def victims_on(
-    tables: FleetTables,
+    work: LostWork,
     free: FreeRoom,
     plan: Plan,
     reserved: dict[str, Room],
     priority: int,
-    now: float,
 ) -> list[RunRow]:
     """Return the cheapest runs whose end makes room for the plan on one target."""
     target = free.target
@@ -267,7 +308,7 @@
         and not run.lasting
         and run.phase is not RunPhase.STOPPING
     ]
-    candidates.sort(key=lambda run: lost_work(tables, run, now))
+    candidates.sort(key=work.of)
     chosen: list[RunRow] = []
     for run in candidates:
         if available.holds(needed):
--- a/src/egretloft/_internal/fleet/scheduler.py
+++ b/src/egretloft/_internal/fleet/scheduler.py
@@ -7,20 +7,23 @@
 
 from dataclasses import dataclass, field
 
+from egretloft._internal.fleet.demands import HopelessDemands, demand_of
 from egretloft._internal.fleet.guarantees import Guarantees, create_guarantees
 from egretloft._internal.fleet.lifecycle import open_steps
 from egretloft._internal.fleet.models import OperatorState, Room
 from egretloft._internal.fleet.placing import (
     FreeRoom,
     Plan,
+    create_spreading,
     free_room,
-    may_spread,
     place_gang,
     place_tasks,
 )
 from egretloft._internal.fleet.queueing import WaitingStep, ordered
 from egretloft._internal.fleet.reclaiming import (
     LowerPriorityRooms,
+    NoReclaim,
+    kept_targets,
     note_reclaimed,
     plan_reclaim,
     plan_reservation,
@@ -122,18 +125,6 @@
     return True
 
 
-def is_at_least(size: tuple[int, int, int], other: tuple[int, int, int]) -> bool:
-    """Return whether ``size`` needs no less of anything than ``other``."""
-    return all(mine >= theirs for mine, theirs in zip(size, other, strict=True))
-
-
-def is_plain(step: StepRow) -> bool:
-    """Return whether only the room decides where the step's tasks may run."""
-    spec = step.spec
-    restricted = spec.gang or spec.label or spec.max_per_target
-    return not restricted and not any(task.failed_on for task in step.tasks)
-
-
 class Scheduler:
     """Decides per service over the rooms of its targets."""
 
@@ -174,33 +165,40 @@
         self.rooms: list[FreeRoom] = [free_room(target) for target in targets]
         for free in self.rooms:
             free.quarantined = free.target.quarantined_until > moment.now
+        self.rooms_by_target = {
+            free.target.report.target_id: free for free in self.rooms
+        }
         self.sound_rooms = [free for free in self.rooms if not free.quarantined]
         self.sound_targets = [free.target for free in self.sound_rooms]
+        self.spreading = create_spreading(self.sound_targets, moment.now)
         self.reserved: dict[str, Room] = {}
-        self.blocked: list[tuple[int, int, int]] = []
+        self.unplaceable = HopelessDemands()
+        self.unreclaimable = HopelessDemands()
+        self.unreservable = HopelessDemands()
 
     def consider(self, waiting: WaitingStep, decisions: Decisions) -> None:
         """Place the step, reserve room for it, or let it wait."""
         step = waiting.step
         priority = waiting.job.accepted.priority
-        signature = self.signature(step)
-        if any(is_at_least(signature, blocked) for blocked in self.blocked):
-            return
-        spread = may_spread(step, self.sound_targets, self.moment.now)
-        plan = self.place(step, spread)
-        start(step, priority, plan, decisions)
-        if plan is None or len(plan.entries) < len(step.waiting()):
-            self.make_room(waiting, priority, spread, plan, decisions)
+        spread = self.spreading.may_spread(step)
+        demand = demand_of(step, spread, self.is_sound_only(step))
+        plan: Plan | None = None
+        if not self.unplaceable.include(demand):
+            plan = self.place(step, spread)
+            start(step, priority, plan, decisions)
+            if plan is not None and len(plan.entries) == len(step.waiting()):
+                return
+            self.unplaceable.add(step, demand)
+        if plan is None or not plan.entries:
+            self.make_room(waiting, priority, spread, decisions)
 
-    def signature(self, step: StepRow) -> tuple[int, int, int]:
-        """Return a size by which hopeless single tasks are skipped."""
-        room = step.spec.room
-        return (room.cpu, room.memory_mb, room.gpus)
+    def is_sound_only(self, step: StepRow) -> bool:
+        """Return whether the step keeps off targets in quarantine."""
+        return self.moment.now - step.ready_at <= LAST_RESORT_SECONDS
 
     def place(self, step: StepRow, spread: bool) -> Plan | None:
         """Place a gang whole, or as many single tasks as fit."""
-        waited = self.moment.now - step.ready_at
-        rooms = self.rooms if waited > LAST_RESORT_SECONDS else self.sound_rooms
+        rooms = self.sound_rooms if self.is_sound_only(step) else self.rooms
         if step.spec.gang:
             return place_gang(step, rooms, spread)
         return place_tasks(step, step.waiting(), rooms)
@@ -210,24 +208,21 @@
         waiting: WaitingStep,
         priority: int,
         spread: bool,
-        plan: Plan | None,
         decisions: Decisions,
     ) -> None:
-        """Reclaim room for an urgent step, or remember what does not fit."""
+        """Reclaim room for an urgent step, or keep some for a gang."""
         step = waiting.step
-        if priority <= RECLAIMING_PRIORITY and (plan is None or not plan.entries):
-            covered = self.guarantees.covers(waiting.job)
-            if self.reclaim(step, priority, spread, covered, decisions) or spread:
-                return
-            # No rack can be freed for a step whose room is guaranteed: it runs on
-            # several racks rather than wait.
-            if covered and not start(step, priority, self.place(step, True), decisions):
-                self.reclaim(step, priority, True, covered, decisions)
+        if priority > RECLAIMING_PRIORITY:
+            if step.spec.gang:
+                self.reserve_for_gang(step, priority, spread)
             return
-        if step.spec.gang:
-            self.reserve_for_gang(step, priority, spread)
-        elif is_plain(step):
-            self.blocked.append(self.signature(step))
+        covered = self.guarantees.covers(waiting.job)
+        if self.reclaim(step, priority, spread, covered, decisions) or spread:
+            return
+        # No rack can be freed for a step whose room is guaranteed: it runs on
+        # several racks rather than wait.
+        if covered and not start(step, priority, self.place(step, True), decisions):
+            self.reclaim(step, priority, True, covered, decisions)
 
     def reclaim(
         self,
@@ -238,7 +233,10 @@
         decisions: Decisions,
     ) -> bool:
         """Stop less urgent runs for a step; return whether it will fit then."""
-        reclaim = plan_reclaim(
+        demand = demand_of(step, spread, True)
+        if self.unreclaimable.include(demand, priority):
+            return False
+        outcome = plan_reclaim(
             self.lower_priority,
             step,
             self.sound_targets,
@@ -247,17 +245,22 @@
             spread,
             covered,
         )
-        if reclaim is None:
+        if outcome is NoReclaim.NO_ROOM:
+            self.unreclaimable.add(step, demand, priority)
+        if isinstance(outcome, NoReclaim):
             return False
-        note_reclaimed(self.tables, list(reclaim.victims), self.moment.now)
-        for run in reclaim.victims:
+        note_reclaimed(self.lower_priority.work, outcome.victims)
+        for run in outcome.victims:
             run.phase = RunPhase.STOPPING
-        decisions.stops.extend(reclaim.victims)
-        self.reserve(reclaim.plan)
+        decisions.stops.extend(outcome.victims)
+        self.reserve(outcome.plan)
         return True
 
     def reserve_for_gang(self, step: StepRow, priority: int, spread: bool) -> None:
         """Keep less urgent steps from the room that a waiting gang will get."""
+        demand = demand_of(step, spread, True)
+        if self.unreservable.include(demand, priority):
+            return
         plan = plan_reservation(
             self.lower_priority,
             step,
@@ -268,12 +271,13 @@
         )
         if plan is not None:
             self.reserve(plan)
+        elif not kept_targets(step, self.sound_targets, self.moment.now):
+            self.unreservable.add(step, demand, priority)
 
     def reserve(self, plan: Plan) -> None:
         """Keep the planned room from the steps that come later."""
-        by_target = {free.target.report.target_id: free for free in self.rooms}
         for _, planned in plan.entries:
             target_id = planned.target.report.target_id
-            by_target[target_id].take(plan.room)
+            self.rooms_by_target[target_id].take(plan.room)
             held = self.reserved.get(target_id, Room())
             self.reserved[target_id] = held.plus(plan.room)
--- a/src/egretloft/_internal/fleet/tables.py
+++ b/src/egretloft/_internal/fleet/tables.py
@@ -34,6 +34,7 @@
     ``started_at`` and ``moved_at`` are on our steady clock; the latter is when
     ``percent`` last changed. ``order_expires_ms`` is on the target's clock. A
     ``lasting`` run serves until its job is cancelled and never makes room for others.
+    A ``gang`` run works only together with the others of its step and attempt.
     """
 
     key: RunKey
@@ -44,6 +45,7 @@
     started_at: float
     checkpoint: str = ""
     lasting: bool = False
+    gang: bool = False
     percent: int = 0
     moved_at: float = 0.0
     order_expires_ms: float = 0.0
--- a/tests/lib/fleet_builders.py
+++ b/tests/lib/fleet_builders.py
@@ -139,6 +139,7 @@
     priority: int = 1,
     attempt: int = 1,
     started_at: float = 0.0,
+    gang: bool = False,
 ) -> RunRow:
     """Let a task run on a target."""
     run = RunRow(
@@ -149,6 +150,7 @@
         phase=RunPhase.ACTIVE,
         started_at=started_at,
         confirmed=True,
+        gang=gang,
     )
     target.runs[run.key] = run
     task.run = run
--- a/tests/unit/fleet/test_placing.py
+++ b/tests/unit/fleet/test_placing.py
@@ -11,7 +11,7 @@
     StepKey,
     StepSpec,
 )
-from egretloft._internal.fleet.placing import free_room, may_spread, place_gang
+from egretloft._internal.fleet.placing import create_spreading, free_room, place_gang
 from egretloft._internal.fleet.scheduler import Decisions, Moment, Scheduler
 from egretloft._internal.fleet.tables import (
     FleetTables,
@@ -89,8 +89,8 @@
     tables = build_tables(*targets)
     job = add_job(tables, 1, single_step(2, WHOLE, gang=True, same_rack=True))
     assert started(decide(tables)) == [(job_id(1), ["target-1", "target-2"])]
-    assert not may_spread(first_step(job), targets, NOW + 1.0)
-    assert may_spread(first_step(job), targets, NOW + 3.0)
+    assert not create_spreading(targets, NOW + 1.0).may_spread(first_step(job))
+    assert create_spreading(targets, NOW + 3.0).may_spread(first_step(job))
 
 
 def test_gang_that_fits_no_rack_is_spread_at_once() -> None:
