Let urgent gangs wait a moment for room, and done gangs end by themselves

Of the run-seconds that were lost, 2,037 of 556 patient runs and 902 of 291 gang members were stops that reclaimed room for urgent gangs, most of them at once; meanwhile 65 runs a second ended by themselves. 1,355 more stops went to members of gangs that were done already. Change: an urgent step first waits up to 1 s, or half of the time it has to spare, with its room kept from less urgent steps; only cheap runs are stopped meanwhile. Then the guarantee is enforced as before. Members of a done gang are stopped only after 1 s.

--- a/src/egretloft/_internal/fleet/lifecycle.py
+++ b/src/egretloft/_internal/fleet/lifecycle.py
@@ -24,6 +24,8 @@
 # A gang whose members have not all confirmed their start by then is stopped, before
 # the targets end those that wait as alone.
 GANG_START_SECONDS = 1.5
+# The members of a gang end together; the ends of all are listed within this time.
+FINISH_SECONDS = 1.0
 
 
 def remove_run(target: TargetRow, run: RunRow, task: TaskRow | None) -> None:
@@ -145,6 +147,8 @@
         for run in target.runs.values():
             if run.phase is RunPhase.STOPPING:
                 continue
+            if is_finishing(tables, run, now):
+                continue
             if is_unwanted(tables, run):
                 unwanted.append(run)
             elif run.gang and not in_doubt:
@@ -165,6 +169,16 @@
     return task.done or task.run is not run
 
 
+def is_finishing(tables: FleetTables, run: RunRow, now: float) -> bool:
+    """Return whether the run ends by itself, as another member of its gang is done."""
+    task = tables.task(run.key.task)
+    if not run.gang or task is None or not task.done or task.run is not run:
+        return False
+    if not run.finishing_since:
+        run.finishing_since = now
+    return now - run.finishing_since < FINISH_SECONDS
+
+
 def is_broken(tables: FleetTables, run: RunRow, now: float) -> bool:
     """Return whether a member of the run's gang is missing, stopping or late."""
     job = tables.jobs[run.key.task.step.job_id]
--- a/src/egretloft/_internal/fleet/reclaiming.py
+++ b/src/egretloft/_internal/fleet/reclaiming.py
@@ -2,7 +2,8 @@
 
 Answers borrowed accelerators that an urgent job needs back: runs of lower priority
 are stopped in the order of the least work lost, and only where the whole step then
-fits.
+fits. Where that loses much, the step first waits a moment for runs that end by
+themselves, as on a full fleet many do every second.
 """
 
 from __future__ import annotations
@@ -21,8 +22,10 @@
     place_gang,
     place_tasks,
 )
+from egretloft._internal.fleet.queueing import longest_chain_ms, objective_seconds
 from egretloft._internal.fleet.tables import (
     FleetTables,
+    JobRow,
     RunPhase,
     RunRow,
     StepRow,
@@ -35,6 +38,11 @@
 MILLISECONDS = 1000.0
 # Work that may be lost for each unit of urgent work beyond a guarantee.
 WORTHWHILE_LOSS = 0.3
+# Longest wait of an urgent step for runs that end by themselves. Stops and starts must
+# still fit into the bound that the operators set for a guarantee, about 3 s.
+RECLAIM_PATIENCE_SECONDS = 1.0
+# Share of the time that a job has to spare that it may wait for such ends.
+PATIENCE_SHARE = 0.5
 # Time in which the targets chosen for a step are not changed, as stops take a while.
 STOP_PATIENCE_SECONDS = 2.0
 # Time for which the targets reserved for a waiting gang are not changed.
@@ -140,6 +148,12 @@
     return plan
 
 
+def reclaim_patience_seconds(job: JobRow) -> float:
+    """Return how long an urgent step waits before costly runs are stopped for it."""
+    spare = objective_seconds(job) - longest_chain_ms(job) / MILLISECONDS
+    return min(RECLAIM_PATIENCE_SECONDS, max(0.0, spare) * PATIENCE_SHARE)
+
+
 def kept_targets(
     step: StepRow, targets: list[TargetRow], now: float
 ) -> list[TargetRow]:
--- a/src/egretloft/_internal/fleet/scheduler.py
+++ b/src/egretloft/_internal/fleet/scheduler.py
@@ -27,6 +27,7 @@
     note_reclaimed,
     plan_reclaim,
     plan_reservation,
+    reclaim_patience_seconds,
 )
 from egretloft._internal.fleet.tables import (
     FleetTables,
@@ -212,8 +213,12 @@
     ) -> None:
         """Reclaim room for an urgent step, or keep some for a gang."""
         step = waiting.step
+        waited = self.moment.now - step.ready_at
         if priority > RECLAIMING_PRIORITY:
-            if step.spec.gang:
+            self.reserve_for_gang(step, priority, spread)
+            return
+        if waited < reclaim_patience_seconds(waiting.job):
+            if not self.reclaim(step, priority, spread, False, decisions):
                 self.reserve_for_gang(step, priority, spread)
             return
         covered = self.guarantees.covers(waiting.job)
@@ -259,7 +264,7 @@
     def reserve_for_gang(self, step: StepRow, priority: int, spread: bool) -> None:
         """Keep less urgent steps from the room that a waiting gang will get."""
         demand = demand_of(step, spread, True)
-        if self.unreservable.include(demand, priority):
+        if not step.spec.gang or self.unreservable.include(demand, priority):
             return
         plan = plan_reservation(
             self.lower_priority,
--- a/src/egretloft/_internal/fleet/tables.py
+++ b/src/egretloft/_internal/fleet/tables.py
@@ -34,7 +34,8 @@
     ``started_at`` and ``moved_at`` are on our steady clock; the latter is when
     ``percent`` last changed. ``order_expires_ms`` is on the target's clock. A
     ``lasting`` run serves until its job is cancelled and never makes room for others.
-    A ``gang`` run works only together with the others of its step and attempt.
+    A ``gang`` run works only together with the others of its step and attempt; it is
+    ``finishing_since`` another of them was heard to be done.
     """
 
     key: RunKey
@@ -46,6 +47,7 @@
     checkpoint: str = ""
     lasting: bool = False
     gang: bool = False
+    finishing_since: float = 0.0
     percent: int = 0
     moved_at: float = 0.0
     order_expires_ms: float = 0.0
