--- a/src/egretloft/_internal/fleet/leader.py
+++ b/src/egretloft/_internal/fleet/leader.py
@@ -44,7 +44,12 @@
 from egretloft._internal.fleet.orders import create_orders
 from egretloft._internal.fleet.placing import accounted_room
 from egretloft._internal.fleet.recorder import create_recorder
-from egretloft._internal.fleet.scheduler import Moment, Placement, Scheduler
+from egretloft._internal.fleet.scheduler import (
+    Moment,
+    Placement,
+    RoomReclaimed,
+    Scheduler,
+)
 from egretloft._internal.fleet.sessions import TargetSession, create_target_session
 from egretloft._internal.fleet.state_reader import create_state_reader
 from egretloft._internal.fleet.store_access import StoreAccess
@@ -286,8 +291,8 @@
             return
         moment = Moment(now, self.clock.wall(), self.in_doubt)
         decisions = self.scheduler.decide(self.operators(), moment)
-        for run in decisions.stops:
-            self.stop_run(run, "room reclaimed")
+        for reclaim in decisions.reclaims:
+            self.stop_for(reclaim, now)
         for placement in decisions.placements:
             self.start_all(placement)
 
@@ -352,6 +357,22 @@
         self.sessions[run.target_id].wake.set()
         self.spawn(self.orders.stop(target, run))
 
+    def stop_for(self, reclaim: RoomReclaimed, now: float) -> None:
+        """Stop the runs that make room for a step."""
+        step = reclaim.step
+        log.info(
+            "room reclaimed",
+            request_id=step.key.job_id,
+            step=step.key.step,
+            tasks=len(step.tasks),
+            waited=round(now - step.ready_at, 3),
+            entitled=reclaim.entitled,
+            lost_work=round(reclaim.lost_work, 1),
+            stops=len(reclaim.victims),
+        )
+        for run in reclaim.victims:
+            self.stop_run(run, "room reclaimed")
+
     def start_all(self, placement: Placement) -> None:
         """Start the tasks of a step; a gang shares one attempt number."""
         now = self.clock.steady()
--- a/src/egretloft/_internal/fleet/reclaiming.py
+++ b/src/egretloft/_internal/fleet/reclaiming.py
@@ -55,9 +55,10 @@
 
 @dataclass(slots=True, frozen=True)
 class Reclaim:
-    """Runs to stop, and the plan for the step that needs their room."""
+    """Runs to stop, what that loses in core-seconds, and the plan for the step."""
 
     victims: tuple[RunRow, ...]
+    lost_work: float
     plan: Plan
 
 
@@ -294,7 +295,7 @@
         return NoReclaim.TOO_COSTLY
     if not kept:
         keep_targets(step, plan, now + STOP_PATIENCE_SECONDS)
-    return Reclaim(tuple(victims.values()), plan)
+    return Reclaim(tuple(victims.values()), lost, plan)
 
 
 def victims_on(
--- a/src/egretloft/_internal/fleet/scheduler.py
+++ b/src/egretloft/_internal/fleet/scheduler.py
@@ -54,12 +54,31 @@
     starts: tuple[tuple[TaskRow, TargetRow], ...]
 
 
+@dataclass(slots=True, frozen=True)
+class RoomReclaimed:
+    """Runs to stop for a waiting step, and what decided it.
+
+    ``lost_work`` is in core-seconds; ``entitled`` tells whether the organisation's
+    guarantee covers the step.
+    """
+
+    step: StepRow
+    victims: tuple[RunRow, ...]
+    lost_work: float
+    entitled: bool
+
+
 @dataclass(slots=True)
 class Decisions:
     """Outcome of one tick."""
 
     placements: list[Placement] = field(default_factory=list)
-    stops: list[RunRow] = field(default_factory=list)
+    reclaims: list[RoomReclaimed] = field(default_factory=list)
+
+    @property
+    def stops(self) -> list[RunRow]:
+        """The runs to stop."""
+        return [run for reclaim in self.reclaims for run in reclaim.victims]
 
 
 @dataclass(slots=True, frozen=True)
@@ -257,7 +276,10 @@
         note_reclaimed(self.lower_priority.work, outcome.victims)
         for run in outcome.victims:
             run.phase = RunPhase.STOPPING
-        decisions.stops.extend(outcome.victims)
+        if outcome.victims:
+            decisions.reclaims.append(
+                RoomReclaimed(step, outcome.victims, outcome.lost_work, covered)
+            )
         self.reserve(outcome.plan)
         return True
 
