--- a/src/egretloft/_internal/fleet/tables.py
+++ b/src/egretloft/_internal/fleet/tables.py
@@ -18,6 +18,9 @@
 )
 from egretloft._internal.fleet.records import AcceptedJob, JobProgress, StepProgress
 
+# A job that should end within less than this multiple of its work is tight.
+TIGHT_SLACK_FACTOR = 2.0
+
 
 class RunPhase(StrEnum):
     """Where a run is between its order and its end."""
@@ -35,7 +38,8 @@
     ``percent`` last changed. ``order_expires_ms`` is on the target's clock. A
     ``lasting`` run serves until its job is cancelled and never makes room for others.
     A ``gang`` run works only together with the others of its step and attempt; it is
-    ``finishing_since`` another of them was heard to be done.
+    ``finishing_since`` another of them was heard to be done. Its speed is measured
+    since a time and from a percentage, until it is ``rated``.
     """
 
     key: RunKey
@@ -48,6 +52,9 @@
     lasting: bool = False
     gang: bool = False
     finishing_since: float = 0.0
+    measured_since: float = 0.0
+    measured_from: int = 0
+    rated: bool = False
     percent: int = 0
     moved_at: float = 0.0
     order_expires_ms: float = 0.0
@@ -70,11 +77,17 @@
 
 @dataclass(slots=True, eq=False)
 class StepRow:
-    """A step of one occurrence, with its tasks."""
+    """A step of one occurrence, with its tasks.
+
+    A ``tight`` one has little more time than its work takes. ``rates`` are the percents
+    a second that its runs were seen to make, by target.
+    """
 
     key: StepKey
     spec: StepSpec
     tasks: list[TaskRow]
+    tight: bool = False
+    rates: dict[str, float] = field(default_factory=dict)
     ready_at: float = 0.0
     begun: bool = False
     reclaim_targets: frozenset[str] = frozenset()
@@ -148,7 +161,8 @@
         if row is None:
             spec = self.accepted.spec.steps[key.step]
             tasks = [TaskRow(TaskKey(key, index)) for index in range(spec.tasks)]
-            row = StepRow(key, spec, tasks)
+            tight = self.accepted.slack_factor < TIGHT_SLACK_FACTOR
+            row = StepRow(key, spec, tasks, tight)
             self.steps[key] = row
         return row
 
@@ -202,7 +216,7 @@
     ``listed`` tells whether the platform's list has it. ``fenced`` tells whether it
     has seen this leader's epoch. ``lease_ends_ms`` is the latest lease that was
     granted, on its clock. ``noted`` and ``seen`` are numbers of its ends: recorded in
-    the store, and taken into the tables.
+    the store, and taken into the tables. ``speed`` is its share of the usual speed.
     """
 
     report: TargetReport
@@ -222,6 +236,7 @@
     failed_jobs: list[tuple[float, str]] = field(default_factory=list)
     quarantined_until: float = 0.0
     quarantines: int = 0
+    speed: float = 1.0
 
     def used(self) -> Room:
         """Return the room that runs take, those being stopped included."""
