--- a/src/egretloft/_internal/peers/network.py
+++ b/src/egretloft/_internal/peers/network.py
@@ -9,35 +9,30 @@
 
 import asyncio
 import contextlib
-import itertools
 import random
 from collections.abc import Collection
 from dataclasses import dataclass, field
 from typing import Any
 
 import structlog
-from returns.result import Failure, Success
+from returns.result import Failure
 
 from egretloft._internal.metrics import Metrics
 from egretloft._internal.models.members import Member
 from egretloft._internal.models.outcomes import Reason
-from egretloft._internal.peers.connection import (
-    Connection,
-    Outgoing,
-    create_connection,
-)
+from egretloft._internal.peers.call_server import create_call_server
+from egretloft._internal.peers.connection import Connection, create_connection
 from egretloft._internal.peers.frames import (
     PROTOCOL_VERSION,
     Frame,
     FrameType,
     encode_frame,
 )
+from egretloft._internal.peers.pending_calls import create_pending_calls, not_sent
 from egretloft._internal.peers.protocols import (
     CallResult,
     Handler,
     HeartbeatSource,
-    PeerFailure,
-    PeerFailureKind,
 )
 from egretloft._internal.platform.protocols import Clock
 
@@ -52,21 +47,10 @@
 # A stop waits at most this long for the last frames to be written and read.
 FLUSH_SECONDS = 0.5
 FLUSH_POLL_SECONDS = 0.01
-# Calls that one peer may have in progress here; more are refused unsent.
-MAX_CALLS_IN_PROGRESS = 1_024
 
 log = structlog.get_logger(__name__)
 
 
-@dataclass(slots=True, eq=False)
-class PendingCall:
-    """A call that waits for its answer on one connection."""
-
-    connection: Connection
-    outgoing: Outgoing
-    future: asyncio.Future[CallResult]
-
-
 @dataclass(slots=True, eq=False)
 class Peer:
     """Another instance and the connection dialled to it."""
@@ -77,18 +61,6 @@
     task: asyncio.Task[None] | None = None
 
 
-def not_sent(reason: Reason, message: str) -> Failure[PeerFailure]:
-    """Return the failure of a call that had no effect."""
-    return Failure(PeerFailure(PeerFailureKind.NOT_SENT, reason, message))
-
-
-def unanswered(message: str) -> Failure[PeerFailure]:
-    """Return the failure of a call that may have had an effect."""
-    return Failure(
-        PeerFailure(PeerFailureKind.UNKNOWN, Reason.PEER_UNREACHABLE, message)
-    )
-
-
 class PeerNetwork:
     """Streams to and from the other instances."""
 
@@ -107,16 +79,14 @@
         self.clock = clock
         self.metrics = metrics
         self.generator = generator
-        self.handlers: dict[str, Handler] = {}
         self.heartbeat_sources: list[HeartbeatSource] = []
         self.peers: dict[str, Peer] = {}
-        self.pending: dict[int, PendingCall] = {}
-        self.call_ids = itertools.count(1)
+        self.calls = create_pending_calls(metrics)
+        self.call_server = create_call_server(metrics, self._spawn)
         self.dialled: set[Connection] = set()
         self.accepted: set[Connection] = set()
         self.tasks: set[asyncio.Task[Any]] = set()
         self.server: asyncio.Server | None = None
-        self.stopping = False
         self.last_tick = clock.monotonic()
         self.ticks = 0
 
@@ -144,10 +114,9 @@
 
     async def _say_goodbye(self) -> None:
         """Handle no further call, and wait until the peers have been told."""
-        self.stopping = True
+        self.call_server.stopping = True
         for connection in self.accepted:
-            body = {"in_progress": sorted(connection.calls_in_progress)}
-            connection.offer(encode_frame(FrameType.GOODBYE, body=body).unwrap())
+            connection.offer(self.call_server.goodbye(connection))
         # A peer closes a stream after the goodbye; only then has it read all answers.
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(FLUSH_SECONDS):
@@ -156,7 +125,7 @@
 
     def register(self, call_type: str, handler: Handler) -> None:
         """Let ``handler`` answer calls of ``call_type``."""
-        self.handlers[call_type] = handler
+        self.call_server.handlers[call_type] = handler
 
     def set_members(self, members: Collection[Member]) -> None:
         """Dial new members and drop the streams to those that are gone."""
@@ -220,7 +189,9 @@
         timeout_seconds: float,
     ) -> CallResult:
         if instance_id == self.instance_id:
-            return await self._call_local(call_type, body, timeout_seconds)
+            return await self.call_server.call_local(
+                instance_id, call_type, body, timeout_seconds
+            )
         peer = self.peers.get(instance_id)
         if (
             peer is None
@@ -231,42 +202,9 @@
             return not_sent(
                 Reason.PEER_UNREACHABLE, f"no connection to instance {instance_id}"
             )
-        connection = peer.connection
-        call_id = next(self.call_ids)
-        encoded = encode_frame(FrameType.CALL, call_id, call_type, body)
-        if isinstance(encoded, Failure):
-            return not_sent(Reason.TOO_LARGE, encoded.failure())
-        outgoing = connection.offer(encoded.unwrap())
-        if outgoing is None:
-            return not_sent(
-                Reason.PEER_OVERLOADED,
-                f"too many frames wait to be sent to instance {instance_id}",
-            )
-        future: asyncio.Future[CallResult] = asyncio.get_running_loop().create_future()
-        self.pending[call_id] = PendingCall(connection, outgoing, future)
-        try:
-            async with asyncio.timeout(timeout_seconds):
-                return await future
-        except TimeoutError:
-            message = f"instance {instance_id} did not answer in {timeout_seconds} s"
-            if connection.withdraw(outgoing):
-                return not_sent(Reason.PEER_OVERLOADED, message)
-            return unanswered(message)
-        finally:
-            connection.withdraw(outgoing)
-            del self.pending[call_id]
-
-    async def _call_local(
-        self, call_type: str, body: dict[str, Any], timeout_seconds: float
-    ) -> CallResult:
-        handler = self.handlers.get(call_type)
-        if handler is None:
-            return not_sent(Reason.MALFORMED, f"no handler for {call_type}")
-        try:
-            async with asyncio.timeout(timeout_seconds):
-                return Success(await handler(self.instance_id, body))
-        except TimeoutError:
-            return unanswered(f"no answer in {timeout_seconds} s")
+        return await self.calls.make(
+            instance_id, peer.connection, call_type, body, timeout_seconds
+        )
 
     def _spawn(self, work: Any) -> asyncio.Task[Any]:
         task = asyncio.create_task(work)
@@ -381,19 +319,9 @@
             if peer.connection is connection:
                 peer.connection = None
                 peer.heartbeat = {}
-            self._fail_pending(connection)
+            self.calls.fail(connection)
         return bool(connection.instance_id)
 
-    def _fail_pending(self, connection: Connection) -> None:
-        for call in self.pending.values():
-            if call.connection is connection and not call.future.done():
-                message = "the connection was lost"
-                call.future.set_result(
-                    unanswered(message)
-                    if call.outgoing.written
-                    else not_sent(Reason.PEER_UNREACHABLE, message)
-                )
-
     def _on_dialled_frame(
         self, peer: Peer, connection: Connection, frame: Frame
     ) -> None:
@@ -410,53 +338,12 @@
         elif frame.t is FrameType.HEARTBEAT:
             peer.heartbeat = frame.body
         elif frame.t in {FrameType.ANSWER, FrameType.REFUSED, FrameType.FAILED}:
-            self._on_answer(connection, frame)
+            self.calls.on_answer(connection, frame)
         elif frame.t is FrameType.GOODBYE:
-            self._on_goodbye(connection, frame)
+            self.calls.on_goodbye(connection, frame)
         else:
             self._refuse_frame(connection, "unexpected_type")
 
-    def _on_answer(self, connection: Connection, frame: Frame) -> None:
-        call = self.pending.get(frame.id)
-        if call is None or call.connection is not connection or call.future.done():
-            # Late (the caller gave up) or doubled.
-            self.metrics.count("peer_answers_dropped")
-            return
-        message = str(frame.body.get("message", ""))
-        if frame.t is FrameType.ANSWER:
-            call.future.set_result(Success(frame.body))
-        elif frame.t is FrameType.FAILED:
-            call.future.set_result(unanswered(message))
-        else:
-            reason = frame.body.get("reason")
-            call.future.set_result(
-                not_sent(
-                    Reason(reason)
-                    if reason in set(Reason)
-                    else Reason.PEER_UNREACHABLE,
-                    message,
-                )
-            )
-
-    def _on_goodbye(self, connection: Connection, frame: Frame) -> None:
-        """Fail the calls that the stopping peer has not handled as not sent.
-
-        All answers came before the goodbye. Calls that the peer still handles stay
-        unknown; they end with the stream.
-        """
-        connection.peer_stops = True
-        in_progress = frame.body.get("in_progress")
-        handled = set(in_progress) if isinstance(in_progress, list) else None
-        for call_id, call in self.pending.items():
-            if call.connection is not connection or call.future.done():
-                continue
-            if handled is None or call_id in handled:
-                continue
-            call.future.set_result(
-                not_sent(Reason.PEER_UNREACHABLE, "the instance stops")
-            )
-        connection.close()
-
     # The accepting side
 
     async def _accept(
@@ -482,61 +369,10 @@
             connection.instance_id = sender
             connection.offer(self._hello(expected=sender))
         elif frame.t is FrameType.CALL:
-            self._on_call(connection, frame)
+            self.call_server.on_call(connection, frame)
         elif frame.t is not FrameType.HEARTBEAT:
             self._refuse_frame(connection, "unexpected_type")
 
-    def _on_call(self, connection: Connection, frame: Frame) -> None:
-        if self.stopping:
-            # The goodbye has told the peer that the call has no effect.
-            return
-        handler = self.handlers.get(frame.name)
-        if handler is None:
-            self.metrics.count("peer_calls_refused", reason="unknown_call_type")
-            refusal = Reason.MALFORMED, f"no handler for calls of type {frame.name}"
-        elif len(connection.calls_in_progress) >= MAX_CALLS_IN_PROGRESS:
-            self.metrics.count("peer_calls_refused", reason="peer_overloaded")
-            refusal = Reason.PEER_OVERLOADED, "too many calls in progress"
-        else:
-            connection.calls_in_progress.add(frame.id)
-            self._spawn(self._run_handler(connection, frame, handler))
-            return
-        body = {"reason": refusal[0].value, "message": refusal[1]}
-        # Dropped when the buffer is full; the caller then sees a timeout.
-        connection.offer(encode_frame(FrameType.REFUSED, frame.id, body=body).unwrap())
-
-    async def _run_handler(
-        self, connection: Connection, frame: Frame, handler: Handler
-    ) -> None:
-        try:
-            answer = await self._handle(connection, frame, handler)
-            await connection.offer_when_room(answer)
-        finally:
-            # In progress until the answer is on its way: a goodbye before that must
-            # not let the caller repeat the call.
-            connection.calls_in_progress.discard(frame.id)
-
-    async def _handle(
-        self, connection: Connection, frame: Frame, handler: Handler
-    ) -> bytes:
-        """Return the encoded answer of the handler, or that it failed."""
-        try:
-            body = await handler(connection.instance_id, frame.body)
-        except Exception as error:
-            # Handlers return refusals as values, so an exception is a defect.
-            self.metrics.count("peer_handler_errors", call=frame.name)
-            log.exception("peer call handler failed", call=frame.name)
-            return failed_frame(frame.id, f"the handler failed: {type(error).__name__}")
-        answer = encode_frame(FrameType.ANSWER, frame.id, body=body)
-        if isinstance(answer, Failure):
-            return failed_frame(frame.id, answer.failure())
-        return answer.unwrap()
-
-
-def failed_frame(call_id: int, message: str) -> bytes:
-    """Return the answer to a call that may have had an effect."""
-    return encode_frame(FrameType.FAILED, call_id, body={"message": message}).unwrap()
-
 
 def create_peer_network(
     instance_id: str,
--- a/tests/unit/peers/test_network.py
+++ b/tests/unit/peers/test_network.py
@@ -107,7 +107,7 @@
     bodies = [{"n": n, "sleep": (20 - n) * 0.01} for n in range(20)]
     results = await asyncio.gather(*(a.call("b", "echo", body, 2) for body in bodies))
     assert [r.unwrap() for r in results] == [{"from": "a", **body} for body in bodies]
-    assert not a.pending
+    assert not a.calls.pending
 
 
 async def test_late_answer_is_dropped_and_counted(start: Start) -> None:
@@ -128,7 +128,7 @@
 
     async def twice(instance_id: str, body: dict[str, Any]) -> dict[str, Any]:
         (connection,) = b.accepted
-        call_id = max(a.pending)
+        call_id = max(a.calls.pending)
         connection.offer(encode_frame(FrameType.ANSWER, call_id, body=body).unwrap())
         return body
 
@@ -207,7 +207,7 @@
     overloaded = [f for f in failures if f.reason is Reason.PEER_OVERLOADED]
     assert len(overloaded) >= MAX_OUTGOING_FRAMES
     assert all(f.kind is PeerFailureKind.NOT_SENT for f in overloaded)
-    assert not a.pending
+    assert not a.calls.pending
     a.set_members([])
     server.close()
 
@@ -279,7 +279,7 @@
     await until(lambda: handled == [1])
     # The stop overtakes a call that is still on its way.
     stop = asyncio.create_task(b.stop())
-    await until(lambda: b.stopping)
+    await until(lambda: b.call_server.stopping)
     second = asyncio.create_task(a.call("b", "slow", {"n": 2}, 5))
     await stop
     assert (await second).failure().kind is PeerFailureKind.NOT_SENT
