--- a/tools/bench/takeover.py
+++ b/tools/bench/takeover.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 import statistics
 from collections.abc import Awaitable, Callable
 
 import click
+import structlog
 
 from lib.fleet_builders import build_world, job_id, single_step
 from lib.virtual_time import run_virtual
@@ -64,6 +66,8 @@
 @click.option("--seeds", default=SEEDS, help="Number of seeds a kind of loss.")
 def main(seeds: int) -> None:
     """Print p50, p99 and the longest time for each kind of loss."""
+    quiet = structlog.make_filtering_bound_logger(logging.CRITICAL)
+    structlog.configure(wrapper_class=quiet)
     for lose in (kill, stop, freeze):
         times = sorted(run_virtual(next_start(seed, lose)) for seed in range(seeds))
         p99 = times[min(len(times) - 1, int(0.99 * len(times)))]
