Revert learning the speed of targets

What the log shows: the percents a second of runs of one step differ by as much as the tasks' own work does (up to a third either way), so that one comparison says little of the target; and filling slow targets first breaks up the targets that gangs need. Ruled out: remote data (such runs are not measured). It would need some ten runs a target, more than a heavy minute brings, and a packing that keeps whole targets.

--- a/src/egretloft/_internal/fleet/placing.py
+++ b/src/egretloft/_internal/fleet/placing.py
@@ -12,7 +12,6 @@
 
 from egretloft._internal.fleet.models import Room, StepSpec
 from egretloft._internal.fleet.tables import StepRow, TargetRow, TaskRow
-from egretloft._internal.fleet.target_speed import is_slow
 
 # A gang that wants one rack is spread once it has waited this multiple of its
 # estimated time: from then on waiting costs more than the slower run.
@@ -28,8 +27,7 @@
     """Room of a target that a plan may still take.
 
     ``reclaim_cost`` is the work in core-seconds that is lost if all of this room is
-    to be free; 0 where it is free now. A target in quarantine, or one that works
-    slowly, is marked as such.
+    to be free; 0 where it is free now. A target in quarantine is marked as such.
     """
 
     target: TargetRow
@@ -38,7 +36,6 @@
     gpus: int
     reclaim_cost: float = 0.0
     quarantined: bool = False
-    slow: bool = False
 
     def holds(self, room: Room) -> bool:
         """Return whether ``room`` fits."""
@@ -63,7 +60,6 @@
             self.gpus,
             self.reclaim_cost,
             self.quarantined,
-            self.slow,
         )
 
     def give(self, room: Room) -> None:
@@ -90,12 +86,7 @@
 def free_room(target: TargetRow) -> FreeRoom:
     """Return what is free on a target now."""
     room = target.report.room.minus(target.used())
-    return room_of(target, room)
-
-
-def room_of(target: TargetRow, room: Room) -> FreeRoom:
-    """Return a room of a target."""
-    return FreeRoom(target, room.cpu, room.memory_mb, room.gpus, slow=is_slow(target))
+    return FreeRoom(target, room.cpu, room.memory_mb, room.gpus)
 
 
 def accounted_room(spec: StepSpec) -> Room:
@@ -122,21 +113,16 @@
     }
 
 
-Rank = tuple[bool, int, float, bool, int, int, int]
-
+Rank = tuple[bool, int, float, int, int, int]
 
-def rank(free: FreeRoom, step: StepRow, room: Room) -> Rank:
-    """Return the order of targets for a task: data first, then the tightest fit.
 
-    Tight steps go to fast targets, the others to slow ones as far as these have room.
-    """
-    data_rack = step.spec.data_rack
-    away = int(bool(data_rack) and free.target.report.rack != data_rack)
+def rank(free: FreeRoom, spec: StepSpec, room: Room) -> Rank:
+    """Return the order of targets for a task: data first, then the tightest fit."""
+    away = int(bool(spec.data_rack) and free.target.report.rack != spec.data_rack)
     return (
         free.quarantined,
         away,
         free.reclaim_cost,
-        free.slow == step.tight,
         free.gpus - room.gpus,
         free.cpu - room.cpu,
         free.memory_mb - room.memory_mb,
@@ -155,11 +141,11 @@
         free for free in rooms if free.holds(plan.room) and accepts(free.target, spec)
     ]
     if not spec.max_per_target and not any(task.failed_on for task in tasks):
-        fill_in_order(plan, tasks, candidates, step)
+        fill_in_order(plan, tasks, candidates, spec)
         return plan
     counts = counts_on_targets(step, candidates)
     for task in tasks:
-        best = choose(task, candidates, counts, step, plan.room)
+        best = choose(task, candidates, counts, spec, plan.room)
         if best is None and task.failed_on:
             continue
         if best is None:
@@ -172,10 +158,10 @@
 
 
 def fill_in_order(
-    plan: Plan, tasks: list[TaskRow], candidates: list[FreeRoom], step: StepRow
+    plan: Plan, tasks: list[TaskRow], candidates: list[FreeRoom], spec: StepSpec
 ) -> None:
     """Place tasks that may go anywhere: fill the best target, then the next one."""
-    order = iter(sorted(candidates, key=lambda free: rank(free, step, plan.room)))
+    order = iter(sorted(candidates, key=lambda free: rank(free, spec, plan.room)))
     free = next(order, None)
     for task in tasks:
         while free is not None and not free.holds(plan.room):
@@ -190,11 +176,10 @@
     task: TaskRow,
     candidates: list[FreeRoom],
     counts: dict[int, int],
-    step: StepRow,
+    spec: StepSpec,
     room: Room,
 ) -> FreeRoom | None:
     """Return the best target for one task, or ``None`` if none has room."""
-    spec = step.spec
     best: FreeRoom | None = None
     best_rank: Rank | None = None
     avoided = targets_to_avoid(task, candidates) if task.failed_on else NOTHING
@@ -203,7 +188,7 @@
             continue
         if spec.max_per_target and counts[id(free)] >= spec.max_per_target:
             continue
-        candidate_rank = rank(free, step, room)
+        candidate_rank = rank(free, spec, room)
         if best_rank is None or candidate_rank < best_rank:
             best, best_rank = free, candidate_rank
     return best
@@ -242,8 +227,7 @@
 def place_gang(step: StepRow, rooms: list[FreeRoom], may_spread: bool) -> Plan | None:
     """Place all members of a gang, or none.
 
-    With ``same_rack`` the rack that is left with the least free accelerators wins, for
-    a tight step among those with the fewest slow targets.
+    With ``same_rack`` the rack that is left with the least free accelerators wins.
     The gang is spread over racks only with ``may_spread``.
     """
     tasks = step.tasks
@@ -262,19 +246,17 @@
 
 def place_in_one_rack(step: StepRow, rooms: list[FreeRoom]) -> Plan | None:
     """Place a gang in the rack where the least room remains."""
-    best: tuple[tuple[int, float, int, int], list[FreeRoom]] | None = None
+    best: tuple[tuple[int, float, int], list[FreeRoom]] | None = None
     for rack, members in racks_of(rooms).items():
         if fitting_tasks(step, members) < len(step.tasks):
             continue
         plan = place_tasks(step, step.tasks, members)
         fits = len(plan.entries) == len(step.tasks)
         left = sum(free.gpus for free in members)
-        used = {id(free): free for _, free in plan.entries}
+        used = {id(free): free.reclaim_cost for _, free in plan.entries}
         plan.undo()
-        slow = sum(free.slow for free in used.values()) if step.tight else 0
-        cost = sum(free.reclaim_cost for free in used.values())
         away = int(bool(step.spec.data_rack) and rack != step.spec.data_rack)
-        order = (away, cost, slow, left)
+        order = (away, sum(used.values()), left)
         if fits and (best is None or order < best[0]):
             best = (order, members)
     if best is None:
@@ -331,7 +313,8 @@
 
 def empty_room(target: TargetRow) -> FreeRoom:
     """Return the room of a target on which nothing runs."""
-    return room_of(target, target.report.room)
+    room = target.report.room
+    return FreeRoom(target, room.cpu, room.memory_mb, room.gpus)
 
 
 def is_mostly_idle(targets: list[TargetRow]) -> bool:
--- a/src/egretloft/_internal/fleet/sessions.py
+++ b/src/egretloft/_internal/fleet/sessions.py
@@ -34,7 +34,6 @@
     TargetRow,
 )
 from egretloft._internal.fleet.target_health import judge_end
-from egretloft._internal.fleet.target_speed import is_slow, observe_progress
 from egretloft._internal.metrics import Metrics
 
 log = structlog.get_logger(__name__)
@@ -299,29 +298,11 @@
                 run.phase = RunPhase.ACTIVE
             run.confirmed = True
             run.absences = 0
-            self.measure(run, active.percent, now)
             if active.percent != run.percent:
                 run.percent = active.percent
                 run.moved_at = now
             self.save(run, active.checkpoint)
 
-    def measure(self, run: RunRow, percent: int, now: float) -> None:
-        """Learn the target's speed from the progress of a run."""
-        job = self.tables.jobs.get(run.key.task.step.job_id)
-        if job is None or run.lasting:
-            return
-        was_slow = is_slow(self.target)
-        step = job.step(run.key.task.step)
-        observe_progress(self.target, step, run, percent, now)
-        if is_slow(self.target) != was_slow:
-            log.info(
-                "target speed judged",
-                target=self.target.report.target_id,
-                slow=not was_slow,
-                speed=round(self.target.speed, 2),
-                request_id=run.key.task.step.job_id,
-            )
-
     def save(self, run: RunRow, checkpoint: str) -> None:
         """Keep the newest checkpoint of a running task."""
         task = self.tables.task(run.key.task)
--- a/src/egretloft/_internal/fleet/tables.py
+++ b/src/egretloft/_internal/fleet/tables.py
@@ -18,9 +18,6 @@
 )
 from egretloft._internal.fleet.records import AcceptedJob, JobProgress, StepProgress
 
-# A job that should end within less than this multiple of its work is tight.
-TIGHT_SLACK_FACTOR = 2.0
-
 
 class RunPhase(StrEnum):
     """Where a run is between its order and its end."""
@@ -38,8 +35,7 @@
     ``percent`` last changed. ``order_expires_ms`` is on the target's clock. A
     ``lasting`` run serves until its job is cancelled and never makes room for others.
     A ``gang`` run works only together with the others of its step and attempt; it is
-    ``finishing_since`` another of them was heard to be done. Its speed is measured
-    since a time and from a percentage, until it is ``rated``.
+    ``finishing_since`` another of them was heard to be done.
     """
 
     key: RunKey
@@ -52,9 +48,6 @@
     lasting: bool = False
     gang: bool = False
     finishing_since: float = 0.0
-    measured_since: float = 0.0
-    measured_from: int = 0
-    rated: bool = False
     percent: int = 0
     moved_at: float = 0.0
     order_expires_ms: float = 0.0
@@ -77,17 +70,11 @@
 
 @dataclass(slots=True, eq=False)
 class StepRow:
-    """A step of one occurrence, with its tasks.
-
-    A ``tight`` one has little more time than its work takes. ``rates`` are the percents
-    a second that its runs were seen to make, by target.
-    """
+    """A step of one occurrence, with its tasks."""
 
     key: StepKey
     spec: StepSpec
     tasks: list[TaskRow]
-    tight: bool = False
-    rates: dict[str, float] = field(default_factory=dict)
     ready_at: float = 0.0
     begun: bool = False
     reclaim_targets: frozenset[str] = frozenset()
@@ -161,8 +148,7 @@
         if row is None:
             spec = self.accepted.spec.steps[key.step]
             tasks = [TaskRow(TaskKey(key, index)) for index in range(spec.tasks)]
-            tight = self.accepted.slack_factor < TIGHT_SLACK_FACTOR
-            row = StepRow(key, spec, tasks, tight)
+            row = StepRow(key, spec, tasks)
             self.steps[key] = row
         return row
 
@@ -216,7 +202,7 @@
     ``listed`` tells whether the platform's list has it. ``fenced`` tells whether it
     has seen this leader's epoch. ``lease_ends_ms`` is the latest lease that was
     granted, on its clock. ``noted`` and ``seen`` are numbers of its ends: recorded in
-    the store, and taken into the tables. ``speed`` is its share of the usual speed.
+    the store, and taken into the tables.
     """
 
     report: TargetReport
@@ -236,7 +222,6 @@
     failed_jobs: list[tuple[float, str]] = field(default_factory=list)
     quarantined_until: float = 0.0
     quarantines: int = 0
-    speed: float = 1.0
 
     def used(self) -> Room:
         """Return the room that runs take, those being stopped included."""
--- a/tools/standins/fleet/targets.py
+++ b/tools/standins/fleet/targets.py
@@ -73,8 +73,6 @@
         self.silent = False
         self.fails_all = False
         self.stalls_all = False
-        # Work takes this many times as long as on a sound target.
-        self.slowness = 1.0
         self.draining = False
         self.removed = False
 
@@ -170,7 +168,7 @@
         if not self.room.holds(self.used()):
             self.checker.report("LIMIT", self.target_id, self.now())
         if truth is not None and spec is not None:
-            run.work_left = truth.work_seconds * self.slowness
+            run.work_left = truth.work_seconds
             if spec.gang:
                 self.join_gang(run, spec.tasks)
             else:
@@ -191,9 +189,7 @@
         members = self.gangs.setdefault(key, [])
         members.append(run)
         if len(members) == size:
-            slowest = max(member.work_left for member in members)
             for member in members:
-                member.work_left = slowest
                 self.all_targets[member.target_id].work(member)
             return
         loop = asyncio.get_running_loop()
--- a/tools/standins/fleet/world.py
+++ b/tools/standins/fleet/world.py
@@ -41,8 +41,6 @@
 KEY = "key-1"
 WHOLE_TARGET = Room(64_000, 262_144, 8)
 TARGETS_PER_RACK = 4
-# Urgent jobs have half of their work's time to spare.
-URGENT_SLACK_FACTOR = 1.5
 
 PeersFactory = Callable[[str, Callable[[], Awaitable[None]]], Peers]
 
@@ -316,7 +314,7 @@
         return None
 
 
-def queue(name: str, priority: int, slack_factor: float = 3.0) -> Queue:
+def queue(name: str, priority: int) -> Queue:
     """Return a queue of the emulated service."""
     return Queue(
         name=name,
@@ -325,7 +323,7 @@
         service=SERVICE,
         priority=priority,
         attempts=4,
-        slack_factor=slack_factor,
+        slack_factor=3.0,
         latency_target_ms=1000,
         public=False,
     )
@@ -335,11 +333,7 @@
     """Return a configuration with an urgent, a normal and a patient queue."""
     return Configuration(
         version=version,
-        queues=(
-            queue("urgent", 0, URGENT_SLACK_FACTOR),
-            queue("normal", 1),
-            queue("patient", 2),
-        ),
+        queues=(queue("urgent", 0), queue("normal", 1), queue("patient", 2)),
         organisations=(Organisation(ORGANISATION, frozenset({KEY}), 16),),
         max_body_bytes=262_144,
     )
