Learn run times by queue, and spread gangs by them rather than by estimates

Cause: a gang that wants one rack runs three times as long on several, and it was spread once it had waited twice its estimate. Ruled out: trusting the queue's mean alone (run times differ by half of it, too). Change: run_times.py keeps each queue's mean of runs that are done, unless they resumed, were adopted or ran apart; half of it and half of the estimate is what a step is expected to take, for spreading, reservations and the worth of a reclaim. The line 'step started' says what was expected, and whether the gang is spread. Before: test_a_gang_whose_estimate_is_too_short_is_not_spread_at_once fails; after: 114 tests of the fleet pass.

--- a/src/egretloft/_internal/fleet/leader.py
+++ b/src/egretloft/_internal/fleet/leader.py
@@ -146,6 +146,16 @@
         """Have the queue looked at."""
         self.wake.set()
 
+    def on_run_done(self, run: RunRow) -> None:
+        """Learn run times; of a gang one member tells all."""
+        job = self.tables.jobs.get(run.key.task.step.job_id)
+        task = self.tables.task(run.key.task)
+        if job is None or task is None or task.done:
+            return
+        step = job.step(run.key.task.step)
+        now = self.clock.steady()
+        self.scheduler.run_times.observe(job, step, run, now)
+
     def on_target_changed(self, target: TargetRow) -> None:
         """Have a target that started again looked at."""
         self.sessions[target.report.target_id].wake.set()
@@ -399,6 +409,8 @@
             self.sessions[run.target_id].wake.set()
             self.spawn(self.orders.start(target, run))
         step.begun = True
+        racks = {target.report.rack for _, target in placement.starts}
+        step.spread = step.spec.same_rack and len(racks) > 1
         self.metrics.count("starts", len(placement.starts))
         log.info(
             "step started",
@@ -409,6 +421,8 @@
             epoch=self.epoch,
             targets=[target.report.target_id for _, target in placement.starts][:8],
             waited=round(now - step.ready_at, 3),
+            expected=round(step.expected_seconds, 2),
+            spread=step.spread,
         )
         if not job.started:
             job.started = True
--- a/src/egretloft/_internal/fleet/lifecycle.py
+++ b/src/egretloft/_internal/fleet/lifecycle.py
@@ -214,6 +214,7 @@
         moved_at=now,
         lasting=spec.lasting if spec else False,
         gang=spec.gang if spec else False,
+        adopted=True,
         confirmed=True,
     )
     target.runs[key] = run
--- a/src/egretloft/_internal/fleet/placing.py
+++ b/src/egretloft/_internal/fleet/placing.py
@@ -14,8 +14,8 @@
 from egretloft._internal.fleet.tables import StepRow, TargetRow, TaskRow
 
 # A gang that wants one rack is spread once it has waited this multiple of its
-# estimated time: from then on waiting costs more than the slower run.
-SPREAD_AFTER_ESTIMATES = 2.0
+# expected run time: from then on waiting costs more than the slower run.
+SPREAD_AFTER_RUN_TIMES = 2.0
 # While most accelerators are idle a gang is spread after this time, as it then waits
 # for a shape that ends of other work do not bring.
 SPREAD_WHEN_IDLE_SECONDS = 2.0
@@ -285,7 +285,7 @@
         """Return whether the gang should run on several racks now."""
         if not step.spec.same_rack:
             return True
-        patience = step.spec.estimate_ms / 1000.0 * SPREAD_AFTER_ESTIMATES
+        patience = step.expected_seconds * SPREAD_AFTER_RUN_TIMES
         if self.is_mostly_idle():
             patience = min(patience, SPREAD_WHEN_IDLE_SECONDS)
         waited = self.now - step.ready_at
--- a/src/egretloft/_internal/fleet/reclaiming.py
+++ b/src/egretloft/_internal/fleet/reclaiming.py
@@ -180,8 +180,8 @@
         job = tables.jobs.get(run.key.task.step.job_id)
         if run.priority <= priority or job is None:
             continue
-        spec = job.accepted.spec.steps[run.key.task.step.step]
-        rest = spec.estimate_ms / MILLISECONDS - (now - run.started_at)
+        step = job.step(run.key.task.step)
+        rest = step.expected_seconds - (now - run.started_at)
         longest = max(longest, rest, LEAST_REST_SECONDS)
     return longest
 
@@ -254,10 +254,10 @@
 
 
 def step_work(step: StepRow) -> float:
-    """Return the core-seconds of a step by its estimate."""
+    """Return the core-seconds that a step will probably take."""
     spec = step.spec
     cores = spec.room.cpu / MILLICORES + spec.room.gpus * CORES_PER_GPU
-    return cores * spec.tasks * spec.estimate_ms / MILLISECONDS
+    return cores * spec.tasks * step.expected_seconds
 
 
 def plan_reclaim(
--- a/src/egretloft/_internal/fleet/scheduler.py
+++ b/src/egretloft/_internal/fleet/scheduler.py
@@ -29,6 +29,7 @@
     plan_reservation,
     reclaim_patience_seconds,
 )
+from egretloft._internal.fleet.run_times import RunTimes, create_run_times
 from egretloft._internal.fleet.tables import (
     FleetTables,
     RunPhase,
@@ -115,7 +116,9 @@
     ]
 
 
-def waiting_steps(tables: FleetTables, moment: Moment) -> list[WaitingStep]:
+def waiting_steps(
+    tables: FleetTables, run_times: RunTimes, moment: Moment
+) -> list[WaitingStep]:
     """Return the steps with tasks to start, in order."""
     found: list[WaitingStep] = []
     for job in tables.open_jobs.values():
@@ -123,6 +126,7 @@
             continue
         for step in open_steps(job, moment.wall * MILLISECONDS, moment.now):
             if is_startable(step):
+                step.expected_seconds = run_times.expected_seconds(job, step)
                 found.append(WaitingStep(job, step))
     return ordered(found, moment.wall)
 
@@ -150,13 +154,14 @@
 
     def __init__(self, tables: FleetTables) -> None:
         self.tables = tables
+        self.run_times = create_run_times()
 
     def decide(self, operators: OperatorState, moment: Moment) -> Decisions:
         """Return what to start and what to stop now."""
         decisions = Decisions()
         services: dict[str, ServiceRound] = {}
         guarantees = create_guarantees(self.tables, operators)
-        for waiting in waiting_steps(self.tables, moment):
+        for waiting in waiting_steps(self.tables, self.run_times, moment):
             service = waiting.job.accepted.service
             if service not in services:
                 targets = usable_targets(self.tables, operators, service)
--- a/src/egretloft/_internal/fleet/sessions.py
+++ b/src/egretloft/_internal/fleet/sessions.py
@@ -21,6 +21,7 @@
 from egretloft._internal.fleet.interfaces import FleetClock, Targets
 from egretloft._internal.fleet.lifecycle import adopt_run, apply_end, remove_run
 from egretloft._internal.fleet.models import (
+    EndKind,
     JobState,
     RenewalAnswer,
     StartRefusal,
@@ -63,6 +64,9 @@
     def on_room_changed(self) -> None:
         """Have the queue looked at."""
 
+    def on_run_done(self, run: RunRow) -> None:
+        """Learn from a run that is done, before its task is marked so."""
+
     def on_fenced(self) -> None:
         """End the term: a target has seen a newer epoch."""
 
@@ -251,6 +255,8 @@
             if end.number <= self.target.seen:
                 continue
             run = self.target.runs.get(end.run)
+            if run is not None and end.kind is EndKind.DONE:
+                self.owner.on_run_done(run)
             job = apply_end(self.tables, self.target, end)
             # A task that lasts may fail at any time without its target's fault.
             lasting = run is not None and run.lasting
--- a/src/egretloft/_internal/fleet/tables.py
+++ b/src/egretloft/_internal/fleet/tables.py
@@ -18,6 +18,8 @@
 )
 from egretloft._internal.fleet.records import AcceptedJob, JobProgress, StepProgress
 
+MILLISECONDS = 1000.0
+
 
 class RunPhase(StrEnum):
     """Where a run is between its order and its end."""
@@ -34,8 +36,9 @@
     ``started_at`` and ``moved_at`` are on our steady clock; the latter is when
     ``percent`` last changed. ``order_expires_ms`` is on the target's clock. A
     ``lasting`` run serves until its job is cancelled and never makes room for others.
-    A ``gang`` run works only together with the others of its step and attempt; it is
-    ``finishing_since`` another of them was heard to be done.
+    An ``adopted`` one was started by an earlier leader. A ``gang`` run works only
+    together with the others of its step and attempt; it is ``finishing_since`` another
+    of them was heard to be done.
     """
 
     key: RunKey
@@ -46,6 +49,7 @@
     started_at: float
     checkpoint: str = ""
     lasting: bool = False
+    adopted: bool = False
     gang: bool = False
     finishing_since: float = 0.0
     percent: int = 0
@@ -70,11 +74,17 @@
 
 @dataclass(slots=True, eq=False)
 class StepRow:
-    """A step of one occurrence, with its tasks."""
+    """A step of one occurrence, with its tasks.
+
+    ``expected_seconds`` is how long a task will probably run. A gang that wants one
+    rack and was started on several is ``spread``.
+    """
 
     key: StepKey
     spec: StepSpec
     tasks: list[TaskRow]
+    expected_seconds: float = 0.0
+    spread: bool = False
     ready_at: float = 0.0
     begun: bool = False
     reclaim_targets: frozenset[str] = frozenset()
@@ -148,7 +158,7 @@
         if row is None:
             spec = self.accepted.spec.steps[key.step]
             tasks = [TaskRow(TaskKey(key, index)) for index in range(spec.tasks)]
-            row = StepRow(key, spec, tasks)
+            row = StepRow(key, spec, tasks, spec.estimate_ms / MILLISECONDS)
             self.steps[key] = row
         return row
 
