End every term, though a cancel comes as a wait ends

Cause (soak, seed 311): asyncio.wait_for of Python 3.11 drops a cancel that comes in the moment in which the awaited task ends. Ruled out: the store and the links (all healed by then), and the signal (it was logged). Change: asyncio.timeout in place of asyncio.wait_for in all of src; a term cancels its tasks again until they have ended, counted and logged; a planned stop bounds the handover to 2.5 s. Seed 311 joins the soak's regression seeds.

--- a/src/egretloft/_internal/fleet/leader.py
+++ b/src/egretloft/_internal/fleet/leader.py
@@ -68,6 +68,8 @@
 
 # Ticks take at most a quarter of the processor.
 TICK_PAUSE_FACTOR = 3.0
+# A task that has not ended this long after its cancel is cancelled again.
+CANCEL_SECONDS = 0.2
 # Attempt numbers of a term start above those of all earlier terms.
 ATTEMPTS_PER_TERM_BITS = 20
 
@@ -173,11 +175,23 @@
             if await self.recover():
                 await self.serve()
         finally:
-            for task in list(self.tasks):
-                task.cancel()
-            await asyncio.gather(*self.tasks, return_exceptions=True)
+            await self.end_tasks()
             log.info("term ended", epoch=self.epoch)
 
+    async def end_tasks(self) -> None:
+        """Cancel all tasks until they have ended.
+
+        An instance leads again only after its former term has ended, so a task that
+        lost its cancel is cancelled once more.
+        """
+        while self.tasks:
+            for task in self.tasks:
+                task.cancel()
+            _, left = await asyncio.wait(self.tasks, timeout=CANCEL_SECONDS)
+            if left:
+                self.metrics.count("cancels_repeated", len(left))
+                log.warning("tasks go on", epoch=self.epoch, tasks=len(left))
+
     def is_current(self) -> bool:
         """Return whether the term goes on."""
         return self.election.term is self.term
@@ -254,7 +268,8 @@
         self.last_tick = self.clock.steady()
         while self.is_current():
             with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(self.wake.wait(), TICK_SECONDS)
+                async with asyncio.timeout(TICK_SECONDS):
+                    await self.wake.wait()
             await asyncio.sleep(max(TICK_DELAY_SECONDS, self.tick_pause))
             self.wake.clear()
             started = self.clock.steady()
--- a/src/egretloft/_internal/fleet/sessions.py
+++ b/src/egretloft/_internal/fleet/sessions.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from typing import Protocol
 
 import structlog
@@ -112,10 +113,10 @@
     async def idle(self) -> None:
         """Wait until there is a lease to renew."""
         self.wake.clear()
-        try:
-            await asyncio.wait_for(self.wake.wait(), IDLE_WAIT_SECONDS)
-        except TimeoutError:
-            return
+        # asyncio.wait_for loses a cancel that comes as the wait ends.
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(IDLE_WAIT_SECONDS):
+                await self.wake.wait()
 
     def lease(self) -> int | None:
         """Return the lease to ask for, on the target's clock, or ``None``.
@@ -156,10 +157,9 @@
 
     async def pause_for_record(self) -> None:
         """Give the recorder a moment, so that the next renewal acknowledges."""
-        try:
-            await asyncio.wait_for(self.recorded(), UNRECORDED_PAUSE_SECONDS)
-        except TimeoutError:
-            return
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(UNRECORDED_PAUSE_SECONDS):
+                await self.recorded()
 
     async def recorded(self) -> None:
         """Wait until the ends seen so far are recorded."""
--- a/src/egretloft/_internal/requests/delivery.py
+++ b/src/egretloft/_internal/requests/delivery.py
@@ -203,7 +203,8 @@
         timeout = remaining + REPLY_GRACE_SECONDS
         if route.owner_id == self.instance_id:
             try:
-                return await asyncio.wait_for(self.run_locally(forward), timeout)
+                async with asyncio.timeout(timeout):
+                    return await self.run_locally(forward)
             except TimeoutError:
                 return self._no_reply(forward, progress, "no outcome in time")
         self.router.count_sent(route)
--- a/src/egretloft/_internal/requests/dispatch.py
+++ b/src/egretloft/_internal/requests/dispatch.py
@@ -471,9 +471,8 @@
     async def _poll(self, runner: RunnerState) -> None:
         started = self.clock.monotonic()
         try:
-            result = await asyncio.wait_for(
-                self.client.status(runner.address), STATUS_TIMEOUT_SECONDS
-            )
+            async with asyncio.timeout(STATUS_TIMEOUT_SECONDS):
+                result = await self.client.status(runner.address)
         except TimeoutError:
             return
         finally:
--- a/src/egretloft/_internal/requests/records.py
+++ b/src/egretloft/_internal/requests/records.py
@@ -26,7 +26,6 @@
     Check,
     Clock,
     ObjectStore,
-    StoreFailure,
     StoreFailureKind,
     TableService,
     Write,
@@ -128,7 +127,8 @@
     async def read(self, key: str) -> Result[tuple[RequestRecord, int] | None, str]:
         """Return the record and its row version, ``None`` if the key is free."""
         try:
-            result = await asyncio.wait_for(self.table.read(key), READ_TIMEOUT_SECONDS)
+            async with asyncio.timeout(READ_TIMEOUT_SECONDS):
+                result = await self.table.read(key)
         except TimeoutError:
             return Failure("the table did not answer in time")
         if isinstance(result, Failure):
@@ -186,9 +186,8 @@
         payload: bytes | None = record.answer
         if record.answer_object:
             try:
-                result = await asyncio.wait_for(
-                    self.objects.get(record.answer_object), READ_TIMEOUT_SECONDS
-                )
+                async with asyncio.timeout(READ_TIMEOUT_SECONDS):
+                    result = await self.objects.get(record.answer_object)
             except TimeoutError:
                 return Failure(store_unavailable("the object store did not answer"))
             if isinstance(result, Failure):
@@ -220,9 +219,8 @@
         ends_at = self.clock.monotonic() + SETTLE_SECONDS
         while self.clock.monotonic() < ends_at:
             try:
-                result: Result[bool, StoreFailure] = await asyncio.wait_for(
-                    self.objects.put_if_absent(name, payload), WRITE_TIMEOUT_SECONDS
-                )
+                async with asyncio.timeout(WRITE_TIMEOUT_SECONDS):
+                    result = await self.objects.put_if_absent(name, payload)
             except TimeoutError:
                 continue
             # The name holds the request id, so an object that exists is this answer.
--- a/src/egretloft/platform/program.py
+++ b/src/egretloft/platform/program.py
@@ -31,6 +31,8 @@
 DRAIN_SECONDS = 2.6
 # Left of the platform's grace when the process ends at the latest.
 GRACE_RESERVE_SECONDS = 1.2
+# A handover takes a few store calls; the stop goes on without it after this time.
+HAND_OVER_SECONDS = 2.5
 KEEPALIVE_SECONDS = 15.0
 DRAIN_POLL_SECONDS = 0.05
 METRICS_PATH = "/metrics"
@@ -126,7 +128,12 @@
     await stop.wait()
     log.info("planned stop begins", in_flight=ingress.in_flight)
     started = loop.time()
-    await instance.hand_over()
+    try:
+        async with asyncio.timeout(HAND_OVER_SECONDS):
+            await instance.hand_over()
+    except TimeoutError:
+        # Another instance takes over after the silence, so the stop goes on.
+        log.error("handover not finished", seconds=HAND_OVER_SECONDS)
     latest = started + settings.grace_seconds - GRACE_RESERVE_SECONDS
     while loop.time() < latest:
         if loop.time() - started >= DRAIN_SECONDS and not ingress.in_flight:
--- a/tests/functional/test_soak.py
+++ b/tests/functional/test_soak.py
@@ -12,7 +12,8 @@
 # Each seed that ever failed stays here, with a line on its cause.
 # 201: a gang ended alone; one member's target was cut off just before its start.
 # 231: a process ended by SIGTERM itself; the signal came before it served anybody.
-SEEDS = (1, 2, 201, 231)
+# 311: a planned stop never ended; a cancel was lost that came as a wait ended.
+SEEDS = (1, 2, 201, 231, 311)
 
 
 @pytest.mark.parametrize("seed", SEEDS)
