Spread gangs after six run times, measured by a heavy minute on the emulator

Cause: a gang that is spread after waiting takes three run times more, so it is late in any case, and it holds three times the room meanwhile. Change: tools/bench/fleet_load.py plays three queues like those of the sheets and prints what callers get under several policies; the emulator slows gangs that are spread. SPREAD_AFTER_RUN_TIMES is 6 instead of 2.

--- a/src/egretloft/_internal/fleet/placing.py
+++ b/src/egretloft/_internal/fleet/placing.py
@@ -15,7 +15,7 @@
 
 # A gang that wants one rack is spread once it has waited this multiple of its
 # expected run time: from then on waiting costs more than the slower run.
-SPREAD_AFTER_RUN_TIMES = 2.0
+SPREAD_AFTER_RUN_TIMES = 6.0
 # While most accelerators are idle a gang is spread after this time, as it then waits
 # for a shape that ends of other work do not bring.
 SPREAD_WHEN_IDLE_SECONDS = 2.0
--- /dev/null
+++ b/tools/bench/fleet_load.py
@@ -0,0 +1,274 @@
+"""A heavy minute on the emulator: what callers get under several policies.
+
+Plays three queues like those of the users' sheets: urgent gangs with little time to
+spare, large normal gangs, and patient single tasks, with estimates that are far off.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import math
+import random
+import statistics
+from collections.abc import Iterator
+from concurrent.futures import ProcessPoolExecutor
+from dataclasses import dataclass, field
+from types import ModuleType
+
+import click
+import structlog
+
+from egretloft._internal.fleet import placing, reclaiming, run_times
+from egretloft._internal.fleet.models import EndKind, JobSpec, Room, StepSpec
+from egretloft._internal.fleet.reclaiming import CORES_PER_GPU, MILLICORES
+from lib.fleet_builders import fake_peers_factory, job_id
+from lib.peer_fakes import PeerHub
+from lib.virtual_time import run_virtual
+from standins.fleet.checker import Checker, RunTruth
+from standins.fleet.world import FleetWorld
+
+TARGETS = 48
+TARGETS_PER_RACK = 12
+SECONDS = 40.0
+# Jobs that came last have this long to end.
+FINISH_SECONDS = 25.0
+# An answer is late up to this multiple of its objective, and worth nothing after that.
+LATE_FACTOR = 3.0
+GPU_CHOICES = (1, 2, 4, 8, 8)
+
+
+@dataclass(slots=True, frozen=True)
+class Load:
+    """Jobs of one queue; ``per_second`` is for one target."""
+
+    queue: str
+    per_second: float
+    mean_tasks: float
+    cpu: int
+    memory_mb: int
+    gpu_choices: tuple[int, ...]
+    work_seconds: float
+    work_spread: float
+    estimate_error: float
+    gang: bool
+    same_rack_share: float
+    checkpoint_share: float
+    slack_factor: float
+    latency_seconds: float
+    worth: float
+    late_worth: float
+
+
+LOADS = (
+    Load(
+        *("urgent", 0.026, 5.0, 7_500, 31_000, GPU_CHOICES, 2.5, 0.5, 0.9),
+        *(True, 0.8, 0.0, 1.5, 0.25, 4.0, 0.8),
+    ),
+    Load(
+        *("normal", 0.006, 8.0, 26_000, 140_000, GPU_CHOICES, 11.0, 0.3, 0.9),
+        *(True, 0.6, 0.45, 3.0, 1.0, 3.0, 0.3),
+    ),
+    Load(
+        *("patient", 0.009, 24.0, 5_600, 16_000, (1,), 6.1, 0.3, 0.2),
+        *(False, 0.0, 0.45, 3.0, 3.0, 1.0, 0.1),
+    ),
+)
+
+
+@dataclass(slots=True)
+class PlayedJob:
+    """A submitted job, and when it ended."""
+
+    load: Load
+    spec: JobSpec
+    work_seconds: float
+    sent_at: float
+    done_at: float = math.inf
+
+    def worth(self) -> float:
+        """Return what the answer is worth to its caller."""
+        load = self.load
+        objective = load.slack_factor * self.work_seconds + load.latency_seconds
+        took = self.done_at - self.sent_at
+        if took <= objective:
+            return load.worth
+        return load.late_worth if took <= LATE_FACTOR * objective else 0.0
+
+
+@dataclass(slots=True)
+class Outcome:
+    """Figures of one played minute."""
+
+    worth: dict[str, float] = field(default_factory=dict)
+    owed: dict[str, float] = field(default_factory=dict)
+    lost_core_seconds: float = 0.0
+    violations: int = 0
+
+
+class LoadChecker(Checker):
+    """Also notes when jobs end and what work is thrown away."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.played: dict[str, PlayedJob] = {}
+        self.lost_core_seconds = 0.0
+
+    def on_end(self, run: RunTruth, kind: EndKind) -> None:
+        """Take an end."""
+        super().on_end(run, kind)
+        job = self.played[run.key.task.step.job_id]
+        now = asyncio.get_running_loop().time()
+        if kind is EndKind.DONE:
+            if self.is_step_done(run.key.task.step, self.jobs[job_key(run)]):
+                job.done_at = min(job.done_at, now)
+        elif run.working_since is not None:
+            worked = now - run.working_since
+            if job.spec.steps[0].checkpoints:
+                worked = min(worked, 1.0)
+            cores = run.room.cpu / MILLICORES + run.room.gpus * CORES_PER_GPU
+            self.lost_core_seconds += worked * cores
+
+
+def job_key(run: RunTruth) -> str:
+    """Return the id of a run's job."""
+    return run.key.task.step.job_id
+
+
+def arrivals(generator: random.Random, times: float) -> Iterator[tuple[float, Load]]:
+    """Yield the times of arrival of all queues in order."""
+    found: list[tuple[float, int]] = []
+    for number, load in enumerate(LOADS):
+        at = 0.0
+        while (
+            at := at + generator.expovariate(times * load.per_second * TARGETS)
+        ) < SECONDS:
+            found.append((at, number))
+    for at, number in sorted(found):
+        yield at, LOADS[number]
+
+
+def draw_job(generator: random.Random, load: Load, at: float) -> PlayedJob:
+    """Return a job of a load."""
+    sigma = 0.7
+    factor = generator.lognormvariate(-sigma * sigma / 2, sigma)
+    tasks = max(1, min(int(load.mean_tasks * factor), int(load.mean_tasks * 4)))
+    spread = generator.lognormvariate(-(load.work_spread**2) / 2, load.work_spread)
+    work = load.work_seconds * spread
+    error = load.estimate_error
+    step = StepSpec(
+        tasks=tasks,
+        room=Room(load.cpu, load.memory_mb, generator.choice(load.gpu_choices)),
+        estimate_ms=int(1000 * work * generator.uniform(1 - error, 1 + error)),
+        gang=load.gang,
+        same_rack=generator.random() < load.same_rack_share,
+        checkpoints=generator.random() < load.checkpoint_share,
+    )
+    return PlayedJob(load, JobSpec("payload", (step,)), work, at)
+
+
+async def play(seed: int, times: float) -> Outcome:
+    """Play one minute."""
+    generator = random.Random(seed)
+    checker = LoadChecker()
+    world = FleetWorld(
+        seed,
+        fake_peers_factory(PeerHub()),
+        1,
+        TARGETS,
+        checker=checker,
+        targets_per_rack=TARGETS_PER_RACK,
+    )
+    await world.start()
+    started = world.clock.steady()
+    tasks = []
+    for number, (at, load) in enumerate(arrivals(generator, times)):
+        await asyncio.sleep(max(0.0, started + at - world.clock.steady()))
+        job = draw_job(generator, load, world.clock.steady())
+        checker.played[job_id(number)] = job
+        call = world.submit(job_id(number), job.spec, job.work_seconds, load.queue)
+        tasks.append(asyncio.create_task(call))
+    await asyncio.gather(*tasks)
+    await asyncio.sleep(FINISH_SECONDS)
+    await world.stop()
+    outcome = Outcome(lost_core_seconds=checker.lost_core_seconds)
+    outcome.violations = len(checker.violations)
+    for job in checker.played.values():
+        queue = job.load.queue
+        outcome.worth[queue] = outcome.worth.get(queue, 0.0) + job.worth()
+        outcome.owed[queue] = outcome.owed.get(queue, 0.0) + job.load.worth
+    return outcome
+
+
+Change = tuple[ModuleType, str, float]
+POLICIES: dict[str, tuple[Change, ...]] = {
+    "as it is": (),
+    "no patience": ((reclaiming, "RECLAIM_PATIENCE_SECONDS", 0.0),),
+    "estimates alone": ((run_times, "ESTIMATE_WEIGHT", 1.0),),
+    "means alone": ((run_times, "ESTIMATE_WEIGHT", 0.0),),
+    "spread at two run times": ((placing, "SPREAD_AFTER_RUN_TIMES", 2.0),),
+    "spread at one run time": ((placing, "SPREAD_AFTER_RUN_TIMES", 1.0),),
+    "dearer reclaims": ((reclaiming, "WORTHWHILE_LOSS", 1.0),),
+    "cheaper reclaims": ((reclaiming, "WORTHWHILE_LOSS", 0.0),),
+}
+
+
+def play_policy(policy: str, seed: int, times: float) -> Outcome:
+    """Play one minute under a policy, in a process of its own."""
+    quiet = structlog.make_filtering_bound_logger(logging.CRITICAL)
+    structlog.configure(wrapper_class=quiet)
+    saved = [
+        (module, name, getattr(module, name)) for module, name, _ in changes(policy)
+    ]
+    for module, name, value in changes(policy):
+        setattr(module, name, value)
+    try:
+        return run_virtual(play(seed, times))
+    finally:
+        for module, name, value in saved:
+            setattr(module, name, value)
+
+
+def changes(policy: str) -> tuple[Change, ...]:
+    """Return what a policy changes."""
+    return POLICIES[policy]
+
+
+@click.command()
+@click.option("--first-seed", default=1, show_default=True)
+@click.option("--seeds", default=10, show_default=True)
+@click.option("--load", default=1.6, show_default=True, help="Times the usual load.")
+@click.option("--jobs", default=2, show_default=True, help="Processes.")
+@click.option("--policy", "policies", multiple=True, type=click.Choice(list(POLICIES)))
+def main(
+    first_seed: int, seeds: int, load: float, jobs: int, policies: tuple[str, ...]
+) -> None:
+    """Print worth by queue, and work thrown away, for each policy."""
+    with ProcessPoolExecutor(jobs) as pool:
+        for policy in policies or POLICIES:
+            numbers = range(first_seed, first_seed + seeds)
+            outcomes = list(
+                pool.map(play_policy, [policy] * seeds, numbers, [load] * seeds)
+            )
+            click.echo(line(policy, outcomes))
+
+
+def line(policy: str, outcomes: list[Outcome]) -> str:
+    """Return the figures of a policy: means over seeds, and the spread of the total."""
+    parts = []
+    for load in LOADS:
+        worth = sum(o.worth.get(load.queue, 0.0) for o in outcomes)
+        owed = sum(o.owed.get(load.queue, 0.0) for o in outcomes)
+        parts.append(f"{load.queue} {worth / max(owed, 1e-9):.3f}")
+    totals = [sum(o.worth.values()) / max(sum(o.owed.values()), 1e-9) for o in outcomes]
+    spread = statistics.stdev(totals) if len(totals) > 1 else 0.0
+    lost = statistics.mean(o.lost_core_seconds for o in outcomes)
+    broken = sum(o.violations for o in outcomes)
+    return (
+        f"{policy:18} worth {statistics.mean(totals):.3f} (sd {spread:.3f}); "
+        f"{', '.join(parts)}; lost {lost:.0f} core-s; violations {broken}"
+    )
+
+
+if __name__ == "__main__":
+    main()
--- a/tools/standins/fleet/targets.py
+++ b/tools/standins/fleet/targets.py
@@ -20,6 +20,7 @@
     StartOrder,
     StartRefusal,
     StepKey,
+    StepSpec,
     TargetFailure,
     TargetFailureKind,
     TargetReport,
@@ -31,6 +32,8 @@
 STOP_SECONDS = 0.3
 GANG_SECONDS = 3.0
 HOLD_MAX_SECONDS = 6.0
+# A gang that wants one rack takes this many times as long on several.
+REMOTE_FACTOR = 3.0
 LATE_ORDER_SECONDS = (2.0, 12.0)
 
 
@@ -170,7 +173,7 @@
         if truth is not None and spec is not None:
             run.work_left = truth.work_seconds
             if spec.gang:
-                self.join_gang(run, spec.tasks)
+                self.join_gang(run, spec)
             else:
                 self.work(run)
         return Success(self.time_ms())
@@ -183,13 +186,19 @@
             )
         )
 
-    def join_gang(self, run: RunTruth, size: int) -> None:
-        """Wait for the other members; all begin together."""
+    def join_gang(self, run: RunTruth, spec: StepSpec) -> None:
+        """Wait for the other members; all begin together.
+
+        A gang that wants one rack is slower on several.
+        """
         key = (run.key.task.step, run.key.attempt)
         members = self.gangs.setdefault(key, [])
         members.append(run)
-        if len(members) == size:
+        if len(members) == spec.tasks:
+            racks = {self.all_targets[member.target_id].rack for member in members}
             for member in members:
+                if spec.same_rack and len(racks) > 1:
+                    member.work_left *= REMOTE_FACTOR
                 self.all_targets[member.target_id].work(member)
             return
         loop = asyncio.get_running_loop()
--- a/tools/standins/fleet/world.py
+++ b/tools/standins/fleet/world.py
@@ -117,12 +117,15 @@
         target_count: int = 8,
         zones: tuple[str, ...] = ("zone-a", "zone-b"),
         processors: dict[str, float] | None = None,
+        checker: Checker | None = None,
+        targets_per_rack: int = TARGETS_PER_RACK,
     ) -> None:
         self.generator = random.Random(seed)
         self.peers_of = peers_of
         self.clock = LoopFleetClock()
         self.store = EmulatedStore(self.generator)
-        self.checker = Checker()
+        self.checker = checker or Checker()
+        self.targets_per_rack = targets_per_rack
         self.gangs: dict[tuple[StepKey, int], list[RunTruth]] = {}
         self.targets: dict[str, EmulatedTarget] = {}
         self.processes: dict[str, Process] = {}
@@ -141,7 +144,7 @@
             f"target-{number}",
             SERVICE,
             self.zones[number % len(self.zones)],
-            f"r-{number // TARGETS_PER_RACK}",
+            f"r-{number // self.targets_per_rack}",
             WHOLE_TARGET,
             self.checker,
             self.gangs,
