Bind a leader by its shorter heartbeat though the answer is lost

Cause (read in the diff, not seen in a run): after a slow spell a heartbeat is valid for a shorter time again. If its answer is lost, the others already follow the shorter one, while the leader went on by the longer, up to 1.5 s too long. Ruled out: a second run of a task meanwhile; the successor's doubt and the epoch fences held that off. Change: the leader takes the shorter validity when it sends the heartbeat. Before: test_a_shorter_heartbeat_binds_the_leader_though_its_answer_is_lost fails; after: 117 tests of the fleet pass.

--- a/src/egretloft/_internal/fleet/election.py
+++ b/src/egretloft/_internal/fleet/election.py
@@ -260,6 +260,8 @@
         )
         asked_at = self.clock.steady()
         self.last_heartbeat_at = asked_at
+        # The others may see this heartbeat although its answer is lost here.
+        self.confirmed_for = min(self.confirmed_for, heartbeat.valid_seconds)
         result = await self.store.commit(
             RowTransaction(
                 (
--- a/tests/unit/fleet/test_slow_store.py
+++ b/tests/unit/fleet/test_slow_store.py
@@ -3,12 +3,20 @@
 from __future__ import annotations
 
 import asyncio
+import random
 
-from returns.result import Success
+from returns.result import Failure, Result, Success
 
+from egretloft._internal.fleet.constants import HEARTBEAT_TIMEOUT_SECONDS
+from egretloft._internal.fleet.election import create_election
+from egretloft._internal.fleet.interfaces import (
+    RowTransaction,
+    StoreFailure,
+    StoreFailureKind,
+)
 from lib.fleet_builders import build_world, job_id, single_step
 from lib.virtual_time import run_virtual
-from standins.fleet.world import FleetWorld
+from standins.fleet.world import FleetWorld, LoopFleetClock
 
 # Answers of the store take this many times as long; a transaction then takes 0.4 s.
 SLOWNESS = 80.0
@@ -89,3 +97,46 @@
         await world.stop()
 
     run_virtual(main())
+
+
+class ForgetfulStore:
+    """A store whose answers may be lost."""
+
+    def __init__(self) -> None:
+        self.version = 0
+        self.answers = True
+
+    async def commit(
+        self, transaction: RowTransaction, timeout_seconds: float
+    ) -> Result[int, StoreFailure]:
+        self.version += 1
+        if self.answers:
+            return Success(self.version)
+        return Failure(StoreFailure(StoreFailureKind.UNKNOWN, "no answer"))
+
+
+def test_a_shorter_heartbeat_binds_the_leader_though_its_answer_is_lost() -> None:
+    """Guards against orders of a leader whom others may already have succeeded."""
+
+    async def main() -> None:
+        delays = [0.5]
+        store = ForgetfulStore()
+        election = create_election(
+            store,  # type: ignore[arg-type]
+            LoopFleetClock(),
+            "a",
+            "life-1",
+            random.Random(1),
+            dict,
+            lambda: None,
+            lambda: delays[0],
+        )
+        await election.campaign()
+        await asyncio.sleep(HEARTBEAT_TIMEOUT_SECONDS + 0.2)
+        assert election.is_confirmed()
+        delays[0] = 0.0
+        store.answers = False
+        await election.send_heartbeat(released=False)
+        assert not election.is_confirmed()
+
+    run_virtual(main())
