Wait at most 0.4 s before room is taken back for a guarantee

Change: RECLAIM_PATIENCE_SECONDS is 0.4 instead of 1.0. Before: the test of the patience fails at 0.5 s; after: 117 tests of the fleet pass.

--- a/src/egretloft/_internal/fleet/reclaiming.py
+++ b/src/egretloft/_internal/fleet/reclaiming.py
@@ -38,9 +38,10 @@
 MILLISECONDS = 1000.0
 # Work that may be lost for each unit of urgent work beyond a guarantee.
 WORTHWHILE_LOSS = 0.3
-# Longest wait of an urgent step for runs that end by themselves. Stops and starts must
-# still fit into the bound that the operators set for a guarantee, about 3 s.
-RECLAIM_PATIENCE_SECONDS = 1.0
+# Longest wait of an urgent step for runs that end by themselves. Stops, starts and a
+# second choice of targets must still fit into the bound that the operators set for a
+# guarantee, about 3 s.
+RECLAIM_PATIENCE_SECONDS = 0.4
 # Share of the time that a job has to spare that it may wait for such ends.
 PATIENCE_SHARE = 0.5
 # Time in which the targets chosen for a step are not changed, as stops take a while.
--- a/tests/unit/fleet/test_placing.py
+++ b/tests/unit/fleet/test_placing.py
@@ -155,7 +155,11 @@
 
 
 def test_guaranteed_gang_waits_a_moment_before_much_work_is_lost() -> None:
-    """Guards against whole gangs stopped for room that comes free by itself."""
+    """Guards against whole gangs stopped for room that comes free by itself.
+
+    The wait is short: with one of 1 s a guarantee was met 52 ms after its bound (grown
+    software house, mix day of seed 253232644336).
+    """
     targets = [build_target(n) for n in range(2)]
     tables = build_tables(*targets)
     borrower = add_job(tables, 1, single_step(2, WHOLE, gang=True), priority=1)
@@ -170,7 +174,7 @@
     assert ended.run is not None
     del targets[0].runs[ended.run.key]
     assert started(decide(tables)) == []
-    first_step(urgent).ready_at = NOW - 1.1
+    first_step(urgent).ready_at = NOW - 0.5
     assert [run.target_id for run in decide(tables).stops] == ["target-1"]
 
 
