Bound the peers that an instance is connected to

Ruled out: slower heartbeats, which would delay takeovers and the proof that the store is gone; links to the leader only, which leave an instance without a relay when the leader is lost. Change: above 12 instances, links.py chooses the leader, the four best candidates and a neighbour in each zone; members that stay missing for 2 s are followed by the next ones. Heartbeats carry their body both ways, so the leader, which every instance dials, still judges by all peers whether the store is gone.

--- a/src/egretloft/_internal/fleet/instance.py
+++ b/src/egretloft/_internal/fleet/instance.py
@@ -35,6 +35,7 @@
     Targets,
 )
 from egretloft._internal.fleet.leader import Leader
+from egretloft._internal.fleet.links import Links, create_links
 from egretloft._internal.fleet.operators import OperatorView, create_operator_view
 from egretloft._internal.fleet.records import InstanceRecord
 from egretloft._internal.fleet.store_access import StoreAccess, create_store_access
@@ -47,6 +48,8 @@
 log = structlog.get_logger(__name__)
 
 ELECTION_TICK_SECONDS = 0.05
+# The links to the peers are chosen anew this often, to replace peers that are missing.
+LINKS_SECONDS = 1.0
 # The leader hands over once a larger instance has been able to lead for this long.
 YIELD_SECONDS = 2.0
 # An instance that has not reached the store for this long is not ready, unless its
@@ -105,6 +108,13 @@
             self.succession.larger_instance,
             self.store.delay_seconds,
         )
+        self.links: Links = create_links(
+            identity.instance_id,
+            self.members.values,
+            self.leader_id,
+            peers,
+            clock,
+        )
         self.control_watcher: TableWatcher = create_table_watcher(
             self.store,
             clock,
@@ -137,6 +147,7 @@
             self.operator_watcher.run(),
             self.store.probe(),
             self.run_election(),
+            self.maintain_links(),
             self.register(),
         ):
             self.spawn(work)
@@ -230,15 +241,31 @@
 
     def on_control_rows(self, rows: tuple[StoredRow, ...]) -> None:
         """Apply changed rows of the leader, its heartbeat and the instances."""
+        former_leader = self.leader_id()
         self.election.on_rows(rows)
-        changed = False
+        changed = self.leader_id() != former_leader
         for row in rows:
             if not row.key.key.startswith(INSTANCE_PREFIX):
                 continue
             changed = True
             self.on_instance_row(row)
         if changed:
-            self.peers.set_members([member_of(m) for m in self.members.values()])
+            self.update_links()
+
+    def leader_id(self) -> str:
+        """Return the instance that leads, or an empty string if none ever has."""
+        leader = self.election.leader
+        return leader.instance_id if leader is not None else ""
+
+    def update_links(self) -> None:
+        """Connect to the chosen peers and disconnect from all others."""
+        self.peers.set_members([member_of(m) for m in self.links.choose()])
+
+    async def maintain_links(self) -> None:
+        """Choose the links anew periodically."""
+        while True:
+            await asyncio.sleep(LINKS_SECONDS)
+            self.update_links()
 
     def on_instance_row(self, row: StoredRow) -> None:
         """Update an instance; remove it if its row was removed or is unreadable."""
--- a/src/egretloft/_internal/fleet/store_access.py
+++ b/src/egretloft/_internal/fleet/store_access.py
@@ -140,9 +140,14 @@
         return {HEARTBEAT_STORE: self.direct_works and self.reached_at is not None}
 
     def peers_lack_store(self) -> bool:
-        """Return whether at least one peer is alive and none reaches the store."""
+        """Return whether at least one peer is alive and none reaches the store.
+
+        All instances keep a connection to the leader, so it judges by every peer,
+        although it may itself be connected to a few only.
+        """
         alive = [peer for peer in self.peer_ids() if self.peers.is_alive(peer)]
         heartbeats = [self.peers.last_heartbeat(peer) for peer in alive]
+        heartbeats += self.peers.inbound_heartbeats()
         return bool(heartbeats) and not any(h.get(HEARTBEAT_STORE) for h in heartbeats)
 
     async def commit(
--- a/src/egretloft/_internal/peers/connection.py
+++ b/src/egretloft/_internal/peers/connection.py
@@ -6,6 +6,7 @@
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
+from typing import Any
 
 from returns.result import Failure
 
@@ -50,6 +51,8 @@
         self.clock = clock
         self.metrics = metrics
         self.instance_id = ""  # known after the peer's hello
+        # Body of the newest heartbeat; kept for streams that the peer opened.
+        self.heartbeat: dict[str, Any] | None = None
         self.calls_in_progress: set[int] = set()
         # Set by the peer's goodbye: it handles no further call.
         self.peer_is_stopping = False
--- a/src/egretloft/_internal/peers/network.py
+++ b/src/egretloft/_internal/peers/network.py
@@ -1,9 +1,10 @@
 """Calls and heartbeats between the instances on the roster.
 
-Each instance dials every other one. Its calls, their answers and the other side's
+Each instance dials its members. Its calls, their answers and the other side's
 heartbeats all use the connection that it dialled. So everything an instance knows
-about a peer comes over one stream, and an instance can reach a peer that does not
-know it yet.
+about a member comes over one stream, and an instance can reach a member that does not
+know it yet. The heartbeats of instances that are connected to this one are available
+too, whether or not they are members.
 """
 
 from __future__ import annotations
@@ -168,6 +169,17 @@
         peer = self.peers.get(instance_id)
         return peer.heartbeat if peer and self.is_alive(instance_id) else {}
 
+    def inbound_heartbeats(self) -> list[dict[str, Any]]:
+        """Return the bodies of the last heartbeats on live streams that others opened.
+
+        A stream on which no heartbeat has arrived yet is left out.
+        """
+        return [
+            connection.heartbeat
+            for connection in self.accepted
+            if connection.heartbeat is not None and not self._is_silent(connection)
+        ]
+
     async def call(
         self,
         instance_id: str,
@@ -263,16 +275,15 @@
         # A heartbeat that does not fit into a full buffer is not needed: the frames in
         # it show that this instance is alive.
         empty_heartbeat = encode_frame(FrameType.HEARTBEAT).unwrap()
-        for connection in self.dialled:
-            connection.offer(empty_heartbeat)
         heartbeat_frame = encode_frame(FrameType.HEARTBEAT, body=self._heartbeat_body())
         if isinstance(heartbeat_frame, Failure):
             self.metrics.count("peer_heartbeat_errors")
             log.error(
                 "sending heartbeat without its body", error=heartbeat_frame.failure()
             )
-        for connection in self.accepted:
-            connection.offer(heartbeat_frame.value_or(empty_heartbeat))
+        frame = heartbeat_frame.value_or(empty_heartbeat)
+        for connection in self.dialled | self.accepted:
+            connection.offer(frame)
 
     def _hello_frame(self, expected: str) -> bytes:
         body = {
@@ -382,7 +393,9 @@
             connection.offer(self._hello_frame(expected=sender))
         elif frame.t is FrameType.CALL:
             self.call_server.on_call(connection, frame)
-        elif frame.t is not FrameType.HEARTBEAT:
+        elif frame.t is FrameType.HEARTBEAT:
+            connection.heartbeat = frame.body
+        else:
             self._refuse_frame(connection, "unexpected_type")
 
 
--- a/src/egretloft/_internal/peers/protocols.py
+++ b/src/egretloft/_internal/peers/protocols.py
@@ -60,3 +60,9 @@
 
     def last_heartbeat(self, instance_id: str) -> dict[str, Any]:
         """Return the body of the last heartbeat, empty if the peer is not alive."""
+
+    def inbound_heartbeats(self) -> list[dict[str, Any]]:
+        """Return the last heartbeats of the instances that are connected to this one.
+
+        They may include instances that are not members.
+        """
--- a/tests/lib/peer_fakes.py
+++ b/tests/lib/peer_fakes.py
@@ -65,8 +65,18 @@
     def last_heartbeat(self, instance_id: str) -> dict[str, Any]:
         if not self.is_alive(instance_id):
             return {}
+        return self.hub.networks[self.addresses[instance_id]].heartbeat_body()
+
+    def inbound_heartbeats(self) -> list[dict[str, Any]]:
+        return [
+            network.heartbeat_body()
+            for network in self.hub.networks.values()
+            if network.is_alive(self.instance_id)
+        ]
+
+    def heartbeat_body(self) -> dict[str, Any]:
         body: dict[str, Any] = {}
-        for source in self.hub.networks[self.addresses[instance_id]].heartbeat_sources:
+        for source in self.heartbeat_sources:
             body.update(source())
         return body
 
--- a/tests/unit/peers/test_network.py
+++ b/tests/unit/peers/test_network.py
@@ -113,6 +113,19 @@
     assert not a.calls.pending
 
 
+async def test_heartbeats_of_connected_instances_are_known_without_dialling(
+    start: Start,
+) -> None:
+    """Guards against an instance that knows nothing of those it does not dial."""
+    a, b = await start("a"), await start("b")
+    a.heartbeat_sources.append(lambda: {"store": True})
+    a.set_members([build_member(b)])
+    await until(lambda: b.inbound_heartbeats() == [{"store": True}])
+    assert not b.is_alive("a")
+    a.set_members(())
+    await until(lambda: b.inbound_heartbeats() == [])
+
+
 async def test_late_answer_is_dropped_and_counted(start: Start) -> None:
     """Guards against a late answer that is taken for that of a later call.
 
