Decide on changes and at known times instead of in every tick

A slow tick paused at most 50 ms, so on a slow machine ticks took most of the processor and renewals of leases came late. Ruled out: a longer tick period, which delays starts after an end. Change: a decision follows an event that frees or needs capacity, or comes when a waiting step may get other capacity: at the end of its reclaim delay, when an occurrence is due, and at least every 0.25 s while steps wait. The pause after a slow tick is up to 0.25 s. Stalls are looked for every 0.25 s. What guarantees need is computed only when asked for.

--- a/src/egretloft/_internal/fleet/guarantees.py
+++ b/src/egretloft/_internal/fleet/guarantees.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 
 from egretloft._internal.fleet.models import OperatorState
 from egretloft._internal.fleet.tables import FleetTables, JobRow
@@ -20,34 +20,45 @@
 
 
 class Guarantees:
-    """Guaranteed and needed accelerators by organisation, as of one tick."""
+    """Guaranteed and needed accelerators by organisation, as of one tick.
+
+    What is needed is computed when it is first asked for, as most ticks do not ask.
+    """
 
     def __init__(
-        self, guaranteed: Mapping[str, int], needed: Mapping[str, int]
+        self, guaranteed: Mapping[str, int], needed: Callable[[], Mapping[str, int]]
     ) -> None:
         self.guaranteed = guaranteed
-        self.needed = needed
+        self.compute_needed = needed
+        self.needed: Mapping[str, int] | None = None
 
     def covers(self, job: JobRow) -> bool:
         """Return whether the job may preempt others whatever work that loses."""
         accepted = job.accepted
         if accepted.priority != GUARANTEED_PRIORITY:
             return False
+        if self.needed is None:
+            self.needed = self.compute_needed()
         guaranteed = self.guaranteed.get(accepted.organisation, 0)
         return 0 < self.needed.get(accepted.organisation, 0) <= guaranteed
 
 
 def create_guarantees(tables: FleetTables, operators: OperatorState) -> Guarantees:
-    """Compute the guarantees and what the unfinished urgent jobs need."""
+    """Return the guarantees beside what the unfinished urgent jobs need."""
     configuration = operators.configuration
     guaranteed = {
         organisation.name: organisation.guaranteed_gpus
         for organisation in (configuration.organisations if configuration else ())
     }
+    return Guarantees(guaranteed, lambda: needed_gpus(tables))
+
+
+def needed_gpus(tables: FleetTables) -> dict[str, int]:
+    """Return the accelerators that each organisation's urgent jobs need together."""
     needed: dict[str, int] = {}
     for job in tables.open_jobs.values():
         accepted = job.accepted
         if accepted.priority == GUARANTEED_PRIORITY:
             sum_so_far = needed.get(accepted.organisation, 0)
             needed[accepted.organisation] = sum_so_far + widest_step_gpus(job)
-    return Guarantees(guaranteed, needed)
+    return needed
--- a/src/egretloft/_internal/fleet/leader.py
+++ b/src/egretloft/_internal/fleet/leader.py
@@ -69,6 +69,10 @@
 # Idle time after a tick, as a multiple of the tick's duration: ticks then use at most
 # a quarter of the processor.
 TICK_PAUSE_FACTOR = 3.0
+# Longest such pause, so that a slow tick does not delay the next starts for too long.
+MAX_TICK_PAUSE_SECONDS = 0.25
+# Runs are examined for progress this often.
+STALL_CHECK_SECONDS = 0.25
 # A task that has not ended this long after it was cancelled is cancelled again.
 CANCEL_RETRY_SECONDS = 0.2
 # An attempt number is the epoch shifted by this many bits plus a counter, so the
@@ -118,6 +122,9 @@
         self.draining = False
         self.state_loaded = False
         self.tick_pause = 0.0
+        self.decision_needed = True
+        self.decide_at = 0.0
+        self.stalls_checked_at = 0.0
 
     @staticmethod
     def max_unrenewed_seconds() -> float:
@@ -147,15 +154,16 @@
 
     def on_job_changed(self, job: JobRow) -> None:
         """Schedule a write of the job's progress and wake the scheduling loop."""
+        self.wake_scheduler()
         if job.is_final():
             self.tables.close_job(job)
             if not job.finished_at_ms:
                 job.finished_at_ms = int(self.clock.wall() * 1000)
         self.recorder.mark_dirty(job)
-        self.wake.set()
 
     def wake_scheduler(self) -> None:
-        """Start the next tick without waiting for the tick period."""
+        """Start the next tick, with new decisions, without waiting for its period."""
+        self.decision_needed = True
         self.wake.set()
 
     def on_run_done(self, run: RunRow) -> None:
@@ -300,7 +308,7 @@
             spent = self.clock.boottime() - started
             self.metrics.observe_seconds("tick_seconds", spent)
             # Pause after a long tick so that renewals and callers are not starved.
-            self.tick_pause = min(TICK_SECONDS, TICK_PAUSE_FACTOR * spent)
+            self.tick_pause = min(MAX_TICK_PAUSE_SECONDS, TICK_PAUSE_FACTOR * spent)
 
     def add_target(self, target: TargetRow) -> None:
         """Add a target to the tables and create its session."""
@@ -332,13 +340,22 @@
         self.remove_expired_jobs()
         if not self.may_issue_orders():
             return
-        self.stop_stalled_runs(now)
+        if now - self.stalls_checked_at >= STALL_CHECK_SECONDS:
+            self.stalls_checked_at = now
+            self.stop_stalled_runs(now)
         for run in runs_to_stop(self.tables, now, self.recovering):
             self.stop_run(run, "not needed")
         if self.draining:
             return
+        if self.decision_needed or now >= self.decide_at:
+            self.decide(now)
+
+    def decide(self, now: float) -> None:
+        """Decide what to start and to preempt, and carry it out."""
+        self.decision_needed = False
         context = TickContext(now, self.clock.wall(), self.recovering)
         decisions = self.scheduler.decide(self.operators(), context)
+        self.decide_at = now + decisions.review_seconds
         for reclaim in decisions.reclaims:
             self.preempt(reclaim, now)
         for placement in decisions.placements:
@@ -355,6 +372,7 @@
         unfenced = [t for t in self.tables.targets.values() if not t.fenced]
         if not unfenced or now >= self.recovery_deadline:
             self.recovering = False
+            self.decision_needed = True
             for job in self.tables.open_jobs.values():
                 self.tables.touch(job)
             log.info("recovered", epoch=self.epoch, unfenced=len(unfenced))
--- a/src/egretloft/_internal/fleet/scheduler.py
+++ b/src/egretloft/_internal/fleet/scheduler.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass, field
 
 from egretloft._internal.fleet.demands import UnplaceableDemands, demand_of
@@ -43,6 +44,9 @@
 
 # A step that has waited longer than this may use targets in quarantine.
 QUARANTINE_FALLBACK_SECONDS = 2.5
+# While steps wait, decisions are reviewed at least this often: quarantines end,
+# reservations expire and operators change zones without an event of a run.
+MAX_REVIEW_SECONDS = 0.25
 # Only steps of this priority, the most urgent one, may preempt other runs.
 RECLAIMING_PRIORITY = 0
 MILLISECONDS = 1000.0
@@ -73,10 +77,14 @@
 
 @dataclass(slots=True)
 class Decisions:
-    """Starts and stops that one tick decided on."""
+    """Starts and stops that one tick decided on.
+
+    Without an event, the next decision is due after ``review_seconds``.
+    """
 
     placements: list[Placement] = field(default_factory=list)
     reclaims: list[ReclaimDecision] = field(default_factory=list)
+    review_seconds: float = math.inf
 
     @property
     def stops(self) -> list[RunRow]:
@@ -185,9 +193,35 @@
                     self.tables, targets, guarantees, context
                 )
             services[service].schedule(waiting, decisions)
+            decisions.review_seconds = min(
+                decisions.review_seconds, seconds_until_review(waiting, context.now)
+            )
+        for job in self.tables.startable_jobs.values():
+            decisions.review_seconds = min(
+                decisions.review_seconds, seconds_until_occurrence(job, context.wall)
+            )
         return decisions
 
 
+def seconds_until_review(waiting: WaitingStep, now: float) -> float:
+    """Return after how many seconds a waiting step may get other capacity."""
+    waited = now - waiting.step.ready_at
+    limits = [QUARANTINE_FALLBACK_SECONDS]
+    if waiting.job.accepted.priority <= RECLAIMING_PRIORITY:
+        limits.append(reclaim_delay_seconds(waiting.job))
+    left = [limit - waited for limit in limits if limit > waited]
+    return min([MAX_REVIEW_SECONDS, *left])
+
+
+def seconds_until_occurrence(job: JobRow, wall: float) -> float:
+    """Return the seconds until the job's next occurrence, or infinity."""
+    for occurrence in range(job.occurrences()):
+        left = job.due_at_ms(occurrence) / MILLISECONDS - wall
+        if left > 0:
+            return left
+    return math.inf
+
+
 class ServiceTick:
     """Scheduling of one service's steps over its targets in one tick."""
 
--- a/src/egretloft/_internal/fleet/state_reader.py
+++ b/src/egretloft/_internal/fleet/state_reader.py
@@ -89,44 +89,59 @@
                 target.listed = False
 
     def on_target_rows(self, rows: tuple[StoredRow, ...]) -> None:
-        """Apply changed rows of the list of targets."""
+        """Apply changed rows of the list of targets.
+
+        Most of them are check-ins that change nothing.
+        """
+        changed = False
         for row in rows:
             if row.value is None:
-                self.on_target_removed(row.key.key)
+                changed |= self.on_target_removed(row.key.key)
                 continue
             report = self.decoder.target(row)
             if isinstance(report, Failure):
                 self.metrics.count("target_rows_refused")
                 log.info("target row refused", target=row.key.key, why=report.failure())
-                self.on_target_removed(row.key.key)
+                changed |= self.on_target_removed(row.key.key)
                 continue
-            self.on_target_report(report.unwrap())
-        self.owner.wake_scheduler()
+            changed |= self.on_target_report(report.unwrap())
+        if changed:
+            self.owner.wake_scheduler()
+
+    def on_target_removed(self, target_id: str) -> bool:
+        """Mark a target as unlisted, so that it gets no new work.
 
-    def on_target_removed(self, target_id: str) -> None:
-        """Mark a target as unlisted, so that it gets no new work."""
+        Return whether it was listed.
+        """
         target = self.tables.targets.get(target_id)
-        if target is not None and target.listed:
-            target.listed = False
-            log.info("target no longer listed", target=target_id, runs=len(target.runs))
+        if target is None or not target.listed:
+            return False
+        target.listed = False
+        log.info("target no longer listed", target=target_id, runs=len(target.runs))
+        return True
+
+    def on_target_report(self, report: TargetReport) -> bool:
+        """Add or update a listed target; one that restarted or moved is fenced anew.
 
-    def on_target_report(self, report: TargetReport) -> None:
-        """Add or update a listed target; one that restarted or moved is fenced anew."""
+        Return whether anything changed.
+        """
         target = self.tables.targets.get(report.target_id)
         if target is None:
             log.info("target listed", target=report.target_id, zone=report.zone)
             self.owner.add_target(TargetRow(report))
-            return
+            return True
+        restarted = 0 < target.incarnation_ms < report.incarnation_ms
+        if target.listed and target.report == report and not restarted:
+            return False
         if report.draining and not target.report.draining:
             log.info("target draining", target=report.target_id, runs=len(target.runs))
         moved = target.report.address != report.address
         target.report = report
         target.listed = True
-        if moved or (
-            target.incarnation_ms and report.incarnation_ms > target.incarnation_ms
-        ):
+        if moved or restarted:
             target.fenced = False
             self.owner.on_target_changed(target)
+        return True
 
     def on_job_rows(self, rows: tuple[StoredRow, ...]) -> None:
         """Apply rows of accepted jobs, progress and cancel requests, in this order.
