Wake sessions after a flush instead of polling for it

Cause: each session with unrecorded ends asked every 5 ms whether they had been recorded; on a large fleet many sessions do that at once. Ruled out: acknowledging before the ends are recorded, which loses them with the leader. Change: the recorder sets an event after each flush.

--- a/src/egretloft/_internal/fleet/leader.py
+++ b/src/egretloft/_internal/fleet/leader.py
@@ -189,6 +189,10 @@
         if self.election.term is self.term:
             self.election.step_down("a target has seen a newer epoch")
 
+    async def wait_for_flush(self) -> None:
+        """Wait until pending changes have been written to the store once more."""
+        await self.recorder.flushed.wait()
+
     # The term.
 
     async def run(self) -> None:
--- a/src/egretloft/_internal/fleet/recorder.py
+++ b/src/egretloft/_internal/fleet/recorder.py
@@ -85,6 +85,8 @@
         self.ended_jobs: dict[str, bool] = {}
         self.old_progress: set[str] = set()
         self.failing = False
+        # Set after a flush, and replaced so that each flush wakes only earlier waits.
+        self.flushed = asyncio.Event()
 
     def mark_dirty(self, job: JobRow) -> None:
         """Schedule a write of the job's progress."""
@@ -165,6 +167,8 @@
             target = self.tables.targets.get(target_id)
             if target is not None and target.incarnation_ms == incarnations[target_id]:
                 target.last_recorded_end = max(target.last_recorded_end, number)
+        self.flushed.set()
+        self.flushed = asyncio.Event()
         return True
 
     def next_batch(self) -> Batch:
--- a/src/egretloft/_internal/fleet/sessions.py
+++ b/src/egretloft/_internal/fleet/sessions.py
@@ -77,6 +77,9 @@
     def on_fenced(self) -> None:
         """End the term because a target has seen a newer epoch."""
 
+    async def wait_for_flush(self) -> None:
+        """Wait until pending changes have been written to the store once more."""
+
 
 class TargetSession:
     """Renews the lease of one target and applies its answers to the tables."""
@@ -180,7 +183,7 @@
     async def wait_until_recorded(self) -> None:
         """Wait until the store holds all applied ends."""
         while self.target.last_applied_end > self.target.last_recorded_end:
-            await asyncio.sleep(0.005)
+            await self.owner.wait_for_flush()
 
     async def on_failure(self, failure: TargetFailure) -> None:
         """Handle a failed renewal, then wait before the next one."""
--- a/tests/unit/fleet/test_sessions.py
+++ b/tests/unit/fleet/test_sessions.py
@@ -35,6 +35,9 @@
     def on_fenced(self) -> None:
         """Do nothing."""
 
+    async def wait_for_flush(self) -> None:
+        """Do nothing."""
+
 
 def build_session() -> TargetSession:
     target = build_target(0)
