Let a claimed request outlive the takeover of its runner group

Cause: a non-idempotent request has to reach a runner within 2 s of the claim of its key, but a killed owner is replaced after 3.5 s. A request that came in the first 1.5 s of a takeover was refused as not_owner although its caller's deadline was 10 s. Ruled out: a longer time from claim to start, which lets a paused receiver start a request that its caller has given up; waiting before the claim, which delays the stored answer of a repeat. Change: when the group has no owner and the key has been released, the receiver claims the key again, for at most 6 s and only before the deadline. Groups are still not spread over the owners.

--- a/src/egretloft/_internal/requests/once.py
+++ b/src/egretloft/_internal/requests/once.py
@@ -29,7 +29,11 @@
     ServiceRequest,
 )
 from egretloft._internal.platform.protocols import Clock
-from egretloft._internal.requests.delivery import Delivery
+from egretloft._internal.requests.delivery import (
+    OWNER_WAIT_SECONDS,
+    REROUTE_REASONS,
+    Delivery,
+)
 from egretloft._internal.requests.interfaces import PeerNetwork, View
 from egretloft._internal.requests.key_memory import KeyMemory
 from egretloft._internal.requests.messages import (
@@ -50,7 +54,11 @@
 log = structlog.get_logger(__name__)
 
 # The limit on the time from the claim of the key until the request is sent to a runner.
+# A takeover of a runner group can last longer, so the key is then claimed again.
 CLAIM_TO_START_SECONDS = 2.0
+# With less time left than this, a claim is not repeated, as it could not wait for an
+# owner.
+MIN_OWNER_WAIT_SECONDS = 0.2
 # The longest that a caller's answer is held back until its record is written.
 STORE_WAIT_SECONDS = 1.0
 QUERY_TIMEOUT_SECONDS = 0.5
@@ -102,6 +110,7 @@
     async def _claim_and_run(
         self, request: ServiceRequest, deadline: float
     ) -> tuple[Result[Answer, Refusal], bool]:
+        owner_wait_ends = self.clock.monotonic() + OWNER_WAIT_SECONDS
         while True:
             remaining = deadline - self.clock.monotonic()
             if remaining <= 0:
@@ -121,7 +130,14 @@
                 return Failure(store_unavailable(failure.message)), False
             holder = claimed.unwrap()
             if isinstance(holder, Claim):
-                return await self._run_claimed(request, holder, deadline), True
+                self.open_claims.add(request.request_id)
+                outcome, released = await self._run_claimed(request, holder, deadline)
+                latest = min(deadline, owner_wait_ends) - MIN_OWNER_WAIT_SECONDS
+                may_wait = released and self.clock.monotonic() < latest
+                if may_wait and lacks_owner(outcome):
+                    self.metrics.count("request_reclaims")
+                    continue
+                return outcome, True
             result = await self._await_first_request(request, holder, deadline)
             if result is not None:
                 return result, False
@@ -203,19 +219,21 @@
 
     async def _run_claimed(
         self, request: ServiceRequest, claim: Claim, deadline: float
-    ) -> Result[Answer, Refusal]:
+    ) -> tuple[Result[Answer, Refusal], bool]:
+        """Return the outcome, and whether the key was released without a run."""
         start_by = min(deadline, self.clock.monotonic() + CLAIM_TO_START_SECONDS)
         result = await self.delivery.deliver(request, deadline, start_by)
         if isinstance(result, Success):
             final_write = self.records.store_answer(claim, result.unwrap())
-        elif result.failure().kind is OutcomeKind.NOT_RUN:
+        elif is_not_run(result.failure()):
             final_write = self.records.release(claim)
         else:
             final_write = self.records.mark_unknown(claim)
         task = self._start_final_write(request, final_write)
         remaining = deadline - self.clock.monotonic()
         await asyncio.wait({task}, timeout=max(0, min(remaining, STORE_WAIT_SECONDS)))
-        return result
+        released = isinstance(result, Failure) and is_not_run(result.failure())
+        return result, released and task.done() and is_written(task)
 
     async def _await_first_request(
         self, request: ServiceRequest, record: RequestRecord, deadline: float
@@ -271,7 +289,7 @@
         def finish(task: asyncio.Task[bool]) -> None:
             self.final_writes.pop(request_id, None)
             self.open_claims.discard(request_id)
-            if task.cancelled() or task.exception() is not None or not task.result():
+            if not is_written(task):
                 self.metrics.count("request_records_not_settled")
                 log.warning(
                     "final state of the request record not written",
@@ -284,6 +302,21 @@
         return task
 
 
+def is_not_run(refusal: Refusal) -> bool:
+    """Return whether the request certainly did not run."""
+    return refusal.kind is OutcomeKind.NOT_RUN
+
+
+def lacks_owner(result: Result[Answer, Refusal]) -> bool:
+    """Return whether the request was refused because its group changes its owner."""
+    return isinstance(result, Failure) and result.failure().reason in REROUTE_REASONS
+
+
+def is_written(task: asyncio.Task[bool]) -> bool:
+    """Return whether a finished write is confirmed by the store."""
+    return not task.cancelled() and task.exception() is None and task.result()
+
+
 def key_reused() -> Refusal:
     """Return the refusal of a key that belongs to another request."""
     return not_run(
--- a/tests/unit/requests/test_once.py
+++ b/tests/unit/requests/test_once.py
@@ -20,6 +20,8 @@
     return refusal.kind, refusal.reason
 
 
+# An owner that is killed is replaced within this time.
+TAKEOVER_SECONDS = 3.5
 UNKNOWN_STORE = OutcomeKind.UNKNOWN, Reason.STORE_UNAVAILABLE
 
 
@@ -352,3 +354,55 @@
         assert isinstance((await first).unwrap(), Answer)
 
     run_virtual(main())
+
+
+def test_request_waits_for_a_new_owner_longer_than_a_claim_may_wait() -> None:
+    """Guards against a refusal while a takeover is still in time for the caller.
+
+    The only owner is lost for longer than a claimed request may wait for its start.
+    """
+
+    async def main() -> None:
+        world = World(instances=3)
+        await world.start()
+        (partition,) = world.owners
+        await world.submit(1, key="first", idempotent=False, payload="p")
+        world.owners[partition] = ("", 1)
+        waiting = [
+            asyncio.create_task(
+                world.submit(n % 3, key=f"k{n}", idempotent=False, payload=f"q{n}")
+            )
+            for n in range(6)
+        ]
+        repeat = asyncio.create_task(
+            world.submit(2, key="k0", idempotent=False, payload="q0")
+        )
+        await asyncio.sleep(TAKEOVER_SECONDS)
+        world.owners[partition] = ("entry-1", 2)
+        results = await asyncio.gather(*waiting, repeat)
+        assert all(isinstance(result.unwrap(), Answer) for result in results)
+        assert set(world.total_runs().values()) == {1}
+
+    run_virtual(main())
+
+
+def test_request_without_an_owner_is_refused_truly_before_its_deadline() -> None:
+    """Guards against claims without end, and a key that a repeat could not use.
+
+    No instance ever takes over; afterwards the key is free for the caller's repeat.
+    """
+
+    async def main() -> None:
+        world = World(instances=2)
+        await world.start()
+        (partition,) = world.owners
+        world.owners[partition] = ("", 1)
+        result = await world.submit(0, key="k", idempotent=False, payload="p")
+        assert outcome(result) == (OutcomeKind.NOT_RUN, Reason.NOT_OWNER)
+        world.owners[partition] = ("entry-1", 2)
+        await asyncio.sleep(0.5)
+        repeat = await world.submit(1, key="k", idempotent=False, payload="p")
+        assert isinstance(repeat.unwrap(), Answer)
+        assert world.total_runs() == {b"p": 1}
+
+    run_virtual(main())
