Count the silence of the heartbeat from the store's return

Ruled out: restarting the timeout after every failed call, which delays the takeover of a dead leader by each reset connection. Change: no campaign while the leader's rows cannot be read, and the timeout restarts once they had been unreadable for longer than one long poll.

--- a/src/egretloft/_internal/fleet/election.py
+++ b/src/egretloft/_internal/fleet/election.py
@@ -16,6 +16,7 @@
 
 from egretloft._internal import codec
 from egretloft._internal.fleet.constants import (
+    FEED_WAIT_SECONDS,
     HEARTBEAT_SECONDS,
     HEARTBEAT_TIMEOUT_SECONDS,
     KEY_HEARTBEAT,
@@ -47,6 +48,10 @@
 # Extra delay of a candidate while a larger instance could lead, or after a release that
 # names another successor.
 SECONDARY_DELAY_SECONDS = 0.3
+# The heartbeat may have been impossible to write, and not only to read, once its feed
+# has failed for longer than this. A call that is cut off may have waited for
+# FEED_WAIT_SECONDS before it failed.
+UNREADABLE_SECONDS = FEED_WAIT_SECONDS + 0.2
 # Range of the random backoff after a failed takeover. Without it, the attempts of many
 # candidates would delay the leader's writes while the store is slow.
 CAMPAIGN_BACKOFF_SECONDS = (0.2, 0.6)
@@ -76,6 +81,7 @@
         waiting_counts: Callable[[], dict[str, int]],
         larger_instance: Callable[[], str | None],
         store_delay: Callable[[], float],
+        rows_readable: Callable[[], bool],
     ) -> None:
         self.store = store
         self.clock = clock
@@ -85,6 +91,7 @@
         self.waiting_counts = waiting_counts
         self.larger_instance = larger_instance
         self.store_delay = store_delay
+        self.rows_readable = rows_readable
         self.leader: LeaderRecord | None = None
         self.leader_version = 0
         self.heartbeat: HeartbeatRecord | None = None
@@ -133,6 +140,15 @@
         self.heartbeat_version = row.version
         self.heartbeat_changed_at = self.clock.boottime()
 
+    def on_rows_regained(self, unreadable_for: float) -> None:
+        """Restart the heartbeat timeout if the rows could not be read for long.
+
+        The leader may have been alive without reaching the store either, so it gets the
+        time to send a heartbeat.
+        """
+        if unreadable_for > UNREADABLE_SECONDS:
+            self.heartbeat_changed_at = self.clock.boottime()
+
     def step_down(self, why: str) -> None:
         """End our term, if any, without releasing it in the store."""
         if self.term is not None:
@@ -154,6 +170,9 @@
         """Return whether leadership is vacant and it is this instance's turn to try."""
         if not self.rows_loaded or not self.may_campaign:
             return False
+        if not self.rows_readable():
+            # A heartbeat that cannot be read is not evidence of a silent leader.
+            return False
         if self.leader is None or self.heartbeat is None:
             return True
         is_own = self.leader.instance_id == self.instance_id
@@ -336,12 +355,14 @@
     waiting_counts: Callable[[], dict[str, int]],
     larger_instance: Callable[[], str | None],
     store_delay: Callable[[], float],
+    rows_readable: Callable[[], bool],
 ) -> Election:
     """Return an election in which this instance does not lead.
 
     ``waiting_counts`` returns the waiting jobs per queue, for the heartbeat;
     ``larger_instance`` a live instance that is preferred as leader, if any;
-    ``store_delay`` how many seconds late the store's answers are.
+    ``store_delay`` how many seconds late the store's answers are; ``rows_readable``
+    whether the last attempt to read the leader's rows succeeded.
     """
     return Election(
         store,
@@ -352,4 +373,5 @@
         waiting_counts,
         larger_instance,
         store_delay,
+        rows_readable,
     )
--- a/src/egretloft/_internal/fleet/instance.py
+++ b/src/egretloft/_internal/fleet/instance.py
@@ -107,6 +107,7 @@
             self.waiting_counts,
             self.succession.larger_instance,
             self.store.delay_seconds,
+            lambda: not self.control_watcher.failing,
         )
         self.links: Links = create_links(
             identity.instance_id,
@@ -123,6 +124,7 @@
             self.on_control_snapshot,
             self.on_control_rows,
             self.control_pause_seconds,
+            self.election.on_rows_regained,
         )
         self.operator_watcher: TableWatcher = create_table_watcher(
             self.store,
--- a/src/egretloft/_internal/fleet/watching.py
+++ b/src/egretloft/_internal/fleet/watching.py
@@ -93,6 +93,7 @@
         on_snapshot: SnapshotHandler,
         on_change: ChangeHandler,
         pause_seconds: Callable[[], float],
+        on_regained: Callable[[float], None],
     ) -> None:
         self.store = store
         self.clock = clock
@@ -101,9 +102,12 @@
         self.on_snapshot = on_snapshot
         self.on_change = on_change
         self.pause_seconds = pause_seconds
+        self.on_regained = on_regained
         self.version: int | None = None
         self.confirmed_at: float | None = None
         self.failing = False
+        # When the first of the failing calls was made.
+        self.failing_since = 0.0
 
     def staleness_seconds(self) -> float:
         """Return the seconds since the rows were last confirmed to be current."""
@@ -130,12 +134,19 @@
             result = await self.store.feed(self.table, self.version, FEED_WAIT_SECONDS)
             handler = self.on_change
         if isinstance(result, Failure):
-            self.on_failure(result.failure())
+            self.on_failure(result.failure(), asked_at)
             return False
         page = result.unwrap()
         if self.failing:
             self.failing = False
-            log.info("feed regained", table=self.table, version=page.version)
+            unreadable_for = self.clock.boottime() - self.failing_since
+            log.info(
+                "feed regained",
+                table=self.table,
+                version=page.version,
+                seconds=round(unreadable_for, 3),
+            )
+            self.on_regained(unreadable_for)
         self.confirmed_at = asked_at
         rows = tuple(row for row in page.rows if row.key.part in self.parts)
         if self.version is None or rows:
@@ -143,13 +154,17 @@
         self.version = page.version
         return True
 
-    def on_failure(self, failure: StoreFailure) -> None:
-        """Read a new snapshot if the history was lost; otherwise keep the version."""
+    def on_failure(self, failure: StoreFailure, asked_at: float) -> None:
+        """Read a new snapshot if the history was lost; otherwise keep the version.
+
+        ``asked_at`` is when the failed call was made.
+        """
         if failure.kind is StoreFailureKind.HISTORY_LOST:
             log.info("feed history lost", table=self.table, version=self.version)
             self.version = None
         elif not self.failing:
             self.failing = True
+            self.failing_since = asked_at
             log.warning("feed lost", table=self.table, error=failure.message)
 
 
@@ -161,11 +176,14 @@
     on_snapshot: SnapshotHandler,
     on_change: ChangeHandler,
     pause_seconds: Callable[[], float] = lambda: 0.0,
+    on_regained: Callable[[float], None] = lambda seconds: None,
 ) -> TableWatcher:
     """Return a watcher that has read nothing yet.
 
     ``pause_seconds`` returns the pause after each answer, which limits the call rate.
+    ``on_regained`` is called before the handlers when the table can be read again, with
+    the seconds for which it could not.
     """
     return TableWatcher(
-        store, clock, table, parts, on_snapshot, on_change, pause_seconds
+        store, clock, table, parts, on_snapshot, on_change, pause_seconds, on_regained
     )
--- a/tests/unit/fleet/test_sessions.py
+++ b/tests/unit/fleet/test_sessions.py
@@ -36,7 +36,8 @@
         """Do nothing."""
 
     async def wait_for_flush(self) -> None:
-        """Do nothing."""
+        """Wait for ever, as nothing is written."""
+        await asyncio.Event().wait()
 
 
 def build_session() -> TargetSession:
