--- a/tests/unit/fleet/test_slow_store.py
+++ b/tests/unit/fleet/test_slow_store.py
@@ -146,6 +146,7 @@
             dict,
             lambda: None,
             lambda: delays[0],
+            lambda: True,
         )
         await election.campaign()
         await asyncio.sleep(HEARTBEAT_TIMEOUT_SECONDS + 0.2)
