Remove ended jobs by their time of end, not among the oldest jobs

Cause: each tick examined the 20 oldest jobs only, so 20 lasting jobs at the head kept every later ended job and its rows for ever. Ruled out: examining more jobs a tick, which moves the bound and costs a scan. Change: FleetTables keeps a heap of the times at which jobs ended; a tick takes up to 20 that have expired. One whose final state is not recorded yet is examined again after 1 s.

--- a/src/egretloft/_internal/fleet/leader.py
+++ b/src/egretloft/_internal/fleet/leader.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import contextlib
-import itertools
 from collections.abc import Callable, Coroutine
 from typing import Any
 
@@ -71,6 +70,10 @@
 TICK_PAUSE_FACTOR = 3.0
 # Longest such pause, so that a slow tick does not delay the next starts for too long.
 MAX_TICK_PAUSE_SECONDS = 0.25
+# Expired jobs are removed at most at this rate, as each costs a transaction.
+MAX_REMOVALS_PER_TICK = 20
+# An expired job whose state is not recorded yet is examined again after this time.
+REMOVAL_RETRY_MS = 1000.0
 # Runs are examined for progress this often.
 STALL_CHECK_SECONDS = 0.25
 # A task that has not ended this long after it was cancelled is cancelled again.
@@ -156,9 +159,9 @@
         """Schedule a write of the job's progress and wake the scheduling loop."""
         self.wake_scheduler()
         if job.is_final():
-            self.tables.close_job(job)
             if not job.finished_at_ms:
                 job.finished_at_ms = int(self.clock.wall() * 1000)
+            self.tables.close_job(job)
         self.recorder.mark_dirty(job)
 
     def wake_scheduler(self) -> None:
@@ -405,12 +408,13 @@
     def remove_expired_jobs(self) -> None:
         """Remove jobs whose retention period has passed, and their rows."""
         cutoff_ms = (self.clock.wall() - RETENTION_SECONDS) * 1000
-        # Jobs are in order of arrival and mostly end in that order, so only the first
-        # few are examined in each tick.
-        for job_id, job in list(itertools.islice(self.tables.jobs.items(), 20)):
-            if job.is_final() and not job.is_dirty() and job.finished_at_ms < cutoff_ms:
-                self.tables.remove_job(job)
-                self.recorder.forget_job(job_id, job.cancelled)
+        for job in self.tables.take_expired_jobs(cutoff_ms, MAX_REMOVALS_PER_TICK):
+            if job.is_dirty():
+                # Its final state is not in the store yet.
+                self.tables.postpone_removal(job, cutoff_ms + REMOVAL_RETRY_MS)
+                continue
+            self.tables.remove_job(job)
+            self.recorder.forget_job(job.accepted.job_id, job.cancelled)
 
     def stop_stalled_runs(self, now: float) -> None:
         """Stop runs that make no progress, and quarantine their targets."""
--- a/src/egretloft/_internal/fleet/tables.py
+++ b/src/egretloft/_internal/fleet/tables.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import heapq
 from dataclasses import dataclass, field
 from enum import StrEnum
 
@@ -260,7 +261,8 @@
     that may have tasks to start, and ``unreviewed_jobs`` every job of which a run may
     have become unnecessary. Whoever changes a job, its tasks or its runs calls
     ``touch``; the methods for runs do so themselves. ``orphans`` are runs of unknown
-    tasks.
+    tasks. ``closed_jobs`` is a heap of the times at which jobs ended, in Unix
+    milliseconds.
     """
 
     jobs: dict[str, JobRow] = field(default_factory=dict)
@@ -268,6 +270,7 @@
     startable_jobs: dict[str, JobRow] = field(default_factory=dict)
     unreviewed_jobs: dict[str, JobRow] = field(default_factory=dict)
     orphans: dict[RunKey, RunRow] = field(default_factory=dict)
+    closed_jobs: list[tuple[int, str]] = field(default_factory=list)
     targets: dict[str, TargetRow] = field(default_factory=dict)
 
     def add_job(self, job: JobRow) -> None:
@@ -278,14 +281,36 @@
         self.touch(job)
 
     def close_job(self, job: JobRow) -> None:
-        """Remove a job in a final state from the open jobs; its runs are reviewed."""
+        """Remove a job in a final state from the open jobs; its runs are reviewed.
+
+        Idempotent. The job's ``finished_at_ms`` must be set.
+        """
         job_id = job.accepted.job_id
-        self.open_jobs.pop(job_id, None)
+        if self.open_jobs.pop(job_id, None) is not None:
+            heapq.heappush(self.closed_jobs, (job.finished_at_ms, job_id))
         self.startable_jobs.pop(job_id, None)
         self.touch(job)
 
+    def take_expired_jobs(self, cutoff_ms: float, limit: int) -> list[JobRow]:
+        """Return up to ``limit`` jobs that ended before ``cutoff_ms``, oldest first.
+
+        They are no longer in ``closed_jobs``.
+        """
+        expired: list[JobRow] = []
+        while self.closed_jobs and len(expired) < limit:
+            finished_at_ms, job_id = self.closed_jobs[0]
+            if finished_at_ms >= cutoff_ms:
+                break
+            heapq.heappop(self.closed_jobs)
+            expired.append(self.jobs[job_id])
+        return expired
+
+    def postpone_removal(self, job: JobRow, until_ms: float) -> None:
+        """Return an expired job to ``closed_jobs`` as if it had ended later."""
+        heapq.heappush(self.closed_jobs, (int(until_ms), job.accepted.job_id))
+
     def remove_job(self, job: JobRow) -> None:
-        """Remove a closed job that has no runs."""
+        """Remove a closed job."""
         job_id = job.accepted.job_id
         del self.jobs[job_id]
         self.unreviewed_jobs.pop(job_id, None)
--- a/tests/unit/fleet/test_recovery.py
+++ b/tests/unit/fleet/test_recovery.py
@@ -422,6 +422,31 @@
     run_virtual(main())
 
 
+def test_ended_jobs_behind_lasting_ones_are_removed_from_the_store(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against rows that are kept for ever behind jobs that never end.
+
+    The jobs that arrived first serve until they are cancelled.
+    """
+    monkeypatch.setattr(leader, "RETENTION_SECONDS", RETENTION_SECONDS)
+
+    async def main() -> None:
+        world = build_world()
+        await world.start()
+        lasting = range(30)
+        for number in lasting:
+            await submit_accepted(world, number, single_step(1, lasting=True), 1.0)
+        for number in range(100, 130):
+            await submit_accepted(world, number, single_step(1), 0.5)
+        await asyncio.sleep(RETENTION_SECONDS + 20)
+        kept = {key.key[:16] for key in world.store.rows if key.table == TABLE_JOBS}
+        assert kept == {job_id(number) for number in lasting}
+        await world.stop()
+
+    run_virtual(main())
+
+
 def test_instances_stay_ready_during_a_store_outage_that_affects_all() -> None:
     """Guards against instances that all report themselves as not ready.
 
