Write no more changes in a transaction than the store accepts

Cause: next_batch limited jobs, targets and removals each by itself, so 60 jobs and 60 new targets at the same time gave 161 entries. The store refuses more than 100, the batch stayed as it was, and nothing was recorded in that term any more: no job became complete and no end was acknowledged. Ruled out: smaller limits for each kind, which waste most of a transaction. Change: a batch is filled up to the limit, targets first. The emulated store refuses larger transactions; its feed no longer swallows a cancellation, which had turned a failed test into one that hangs.

--- a/src/egretloft/_internal/fleet/constants.py
+++ b/src/egretloft/_internal/fleet/constants.py
@@ -52,9 +52,8 @@
 FEED_RETRY_SECONDS = 0.2
 # Callers can query the state of an ended job for at least this long.
 RETENTION_SECONDS = 600.0
-# Largest number of job rows, and of target rows, in one transaction. The store allows
-# 100 entries, conditions included: a full set of 40 jobs or of 40 targets takes 81.
-ROWS_PER_TRANSACTION = 40
+# The store refuses a transaction with more entries; conditions count as entries.
+ENTRIES_PER_TRANSACTION = 100
 
 TABLE_JOBS = "jobs"
 TABLE_CONTROL = "control"
--- a/src/egretloft/_internal/fleet/recorder.py
+++ b/src/egretloft/_internal/fleet/recorder.py
@@ -13,8 +13,8 @@
 
 from egretloft._internal import codec
 from egretloft._internal.fleet.constants import (
+    ENTRIES_PER_TRANSACTION,
     PARTITION,
-    ROWS_PER_TRANSACTION,
     STORE_CALL_TIMEOUT_SECONDS,
     TABLE_TARGETS,
 )
@@ -43,6 +43,8 @@
 RETRY_SECONDS = 0.1
 # Changes within this time are written in one batch.
 GROUP_SECONDS = 0.003
+# A write or removal that depends on the row's version takes one entry for each.
+CONDITIONAL_WRITE_ENTRIES = 2
 
 
 @dataclass(slots=True)
@@ -63,6 +65,15 @@
         """Return whether there is nothing to write."""
         return not (self.jobs or self.targets or self.removals or self.old_progress)
 
+    def free_entries(self) -> int:
+        """Return how many more entries the transaction may have.
+
+        One entry is the condition on the leader row.
+        """
+        conditional = len(self.jobs) + len(self.targets) + len(self.removals)
+        used = 1 + CONDITIONAL_WRITE_ENTRIES * conditional + len(self.old_progress)
+        return ENTRIES_PER_TRANSACTION - used
+
 
 class Recorder:
     """Writes the leader's changes to the store and removes obsolete rows."""
@@ -172,14 +183,20 @@
         return True
 
     def next_batch(self) -> Batch:
-        """Return pending changes, a limited number of each kind."""
+        """Return as many pending changes as fit into one transaction.
+
+        Targets come first, as steps wait for them to be recorded.
+        """
         batch = Batch()
-        for job in list(self.dirty.values())[:ROWS_PER_TRANSACTION]:
-            batch.jobs.append((job, job.changes, job.state))
         unrecorded = [t for t in self.tables.targets.values() if not t.recorded]
-        batch.targets = unrecorded[:ROWS_PER_TRANSACTION]
-        batch.removals = sorted(self.gone_targets)[: ROWS_PER_TRANSACTION // 2]
-        batch.old_progress = sorted(self.old_progress)[: ROWS_PER_TRANSACTION // 2]
+        batch.targets = unrecorded[: batch.free_entries() // CONDITIONAL_WRITE_ENTRIES]
+        for job in self.dirty.values():
+            if batch.free_entries() < CONDITIONAL_WRITE_ENTRIES:
+                break
+            batch.jobs.append((job, job.changes, job.state))
+        removable = batch.free_entries() // CONDITIONAL_WRITE_ENTRIES
+        batch.removals = sorted(self.gone_targets)[:removable]
+        batch.old_progress = sorted(self.old_progress)[: batch.free_entries()]
         return batch
 
     async def write(self, batch: Batch) -> bool:
--- a/tools/standins/fleet/store.py
+++ b/tools/standins/fleet/store.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import random
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
@@ -24,6 +25,8 @@
 # is longer than ``MAX_QUEUE_SECONDS``.
 TRANSACTION_SECONDS = 0.005
 MAX_QUEUE_SECONDS = 1.0
+# Conditions and writes of one transaction.
+MAX_TRANSACTION_ENTRIES = 100
 PAGE_ROWS = 500
 # Timers may fire this much early, because the event loop rounds to its clock's
 # resolution.
@@ -177,6 +180,9 @@
         failure = await self.begin(timeout_seconds)
         if failure is not None:
             return Failure(failure)
+        entries = len(transaction.expectations) + len(transaction.writes)
+        if entries > MAX_TRANSACTION_ENTRIES:
+            return Failure(refused("400"))
         store = self.store
         queue_delay = store.enqueue(transaction)
         if queue_delay is None:
@@ -266,10 +272,11 @@
                 await self.finish()
                 return Success(page)
             changed = store.changed
-            try:
-                await asyncio.wait_for(changed.wait(), left)
-            except TimeoutError:
-                continue
+            # Not asyncio.wait_for, which swallows a cancellation that arrives as the
+            # wait ends.
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(left):
+                    await changed.wait()
 
     def changes(self, table: str, after_version: int) -> tuple[StoredRow, ...]:
         """Return the newest change of each row after a version, in version order."""
