Let a malformed message cost only itself

Cause: one unreadable row in a target's answer to a renewal made the whole answer unreadable, so the target was lost and its leases lapsed; a number such as 1e999 raised OverflowError, which ended the session of that target for the term. A job of 10^9 tasks or 10^12 occurrences was accepted and would have taken the memory of each leader in turn; negative sizes were accepted as well. Ruled out: catching everything around the decoders, which hides their faults. Change: rows of renewal answers are checked one by one, and those refused are counted and logged; numbers on the wire have bounds; a job has at most 10,000 tasks over all steps and occurrences.

--- a/src/egretloft/_internal/fleet/models.py
+++ b/src/egretloft/_internal/fleet/models.py
@@ -218,12 +218,16 @@
 
 @dataclass(slots=True, frozen=True)
 class RenewalAnswer:
-    """Answer to a lease renewal: the target's clock, active runs and ended runs."""
+    """Answer to a lease renewal: the target's clock, active runs and ended runs.
+
+    ``unreadable`` counts the listed runs and ends that could not be decoded.
+    """
 
     target_time_ms: int
     incarnation_ms: int
     active: tuple[ActiveRun, ...]
     ends: tuple[RunEnd, ...]
+    unreadable: int = 0
 
 
 class StartRefusal(StrEnum):
--- a/src/egretloft/_internal/fleet/sessions.py
+++ b/src/egretloft/_internal/fleet/sessions.py
@@ -218,6 +218,13 @@
         """
         target = self.target
         now = self.clock.boottime()
+        if answer.unreadable:
+            self.metrics.count("renewal_rows_refused", answer.unreadable)
+            log.warning(
+                "listed runs cannot be decoded",
+                target=target.report.target_id,
+                rows=answer.unreadable,
+            )
         if answer.incarnation_ms != target.incarnation_ms:
             self.on_new_incarnation(answer)
             last_recorded_end = 0
--- a/src/egretloft/platform/decoding.py
+++ b/src/egretloft/platform/decoding.py
@@ -32,6 +32,12 @@
 # A target's labels start with its kind and its rack.
 MIN_LABELS = 2
 
+# A job's tasks and their progress have to fit into the leader's memory and into one
+# row of the store.
+MAX_JOB_TASKS = 10_000
+# What a malformed value raises; the last one is raised for invalid UTF-8.
+UNREADABLE = (msgspec.MsgspecError, UnicodeDecodeError)
+
 config_decoder = msgspec.json.Decoder(WireConfig, strict=False)
 server_decoder = msgspec.json.Decoder(WireServer)
 job_decoder = msgspec.json.Decoder(WireJob)
@@ -54,7 +60,7 @@
             return None
         try:
             wire = config_decoder.decode(row.value or b"")
-        except msgspec.MsgspecError as error:
+        except UNREADABLE as error:
             return Failure(str(error))
         return Success(configuration_from_wire(wire))
 
@@ -68,7 +74,7 @@
         """Return a target's report about itself, or why the row is malformed."""
         try:
             wire = server_decoder.decode(row.value or b"")
-        except msgspec.MsgspecError as error:
+        except UNREADABLE as error:
             return Failure(str(error))
         if wire.state not in TARGET_STATES:
             return Failure(f"unknown state {wire.state!r}")
@@ -129,7 +135,7 @@
     """Return the job in the body of a submission, or why it is malformed."""
     try:
         wire = job_decoder.decode(body)
-    except msgspec.MsgspecError as error:
+    except UNREADABLE as error:
         return Failure(str(error))
     if not wire.phases:
         return Failure("a job needs at least one step")
@@ -140,6 +146,9 @@
             return Failure(
                 f"step {number} depends on a step that is not listed before it"
             )
+    tasks = max(1, wire.times) * sum(step.replicas for step in wire.phases)
+    if tasks > MAX_JOB_TASKS:
+        return Failure(f"the job has {tasks} tasks; at most {MAX_JOB_TASKS} are allowed")
     steps = tuple(step_from_wire(step, wire.long_running) for step in wire.phases)
     return Success(
         JobSpec(
--- a/src/egretloft/platform/rows.py
+++ b/src/egretloft/platform/rows.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import base64
-import binascii
 from urllib.parse import urlencode
 
 import msgspec
@@ -143,7 +142,7 @@
     try:
         page = rows_decoder.decode(answer.body)
         rows = tuple(stored_row(row) for row in page.rows)
-    except msgspec.MsgspecError as error:
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
         message = f"answer of the store unreadable: {error}"
         return Failure(StoreFailure(StoreFailureKind.UNKNOWN, message))
     if answer.status == CONDITION_FAILED:
@@ -159,7 +158,7 @@
         return StoredRow(key, None, row.schema_version)
     try:
         value = base64.b64decode(row.value, validate=True)
-    except binascii.Error:
+    except ValueError:
         # Another program wrote the row. Its reader logs and refuses the empty value.
         value = b""
     return StoredRow(key, value, row.schema_version)
--- a/src/egretloft/platform/targets.py
+++ b/src/egretloft/platform/targets.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
+import contextlib
 import math
+from collections.abc import Callable
+from typing import Any, TypeVar
 
 import msgspec
 from returns.result import Failure, Result, Success
@@ -45,6 +48,13 @@
     "ticket": StartRefusal.TICKET,
 }
 
+# What a malformed body raises; the last one is raised for invalid UTF-8.
+UNREADABLE_BODY = (msgspec.MsgspecError, UnicodeDecodeError)
+# What a row with missing or malformed columns raises.
+ROW_ERRORS = (ValueError, TypeError, LookupError, OverflowError)
+
+T = TypeVar("T")
+
 encoder = msgspec.json.Encoder()
 answer_decoder = msgspec.json.Decoder(WireRunnerAnswer)
 hold_decoder = msgspec.json.Decoder(WireHoldAnswer)
@@ -56,11 +66,43 @@
     return f"{step.job_id}.{step.occurrence}.{step.step}.{task.index}"
 
 
+def parse_count(value: object) -> int:
+    """Return a whole number that is not negative; raises ``ValueError``."""
+    number = int(str(value))
+    if number < 0:
+        raise ValueError(f"{number} is negative")
+    return number
+
+
 def parse_run(name: object, attempt: object) -> RunKey:
     """Return the run for a task's name and an attempt; raises ``ValueError``."""
     job_id, occurrence, step, index = str(name).rsplit(".", 3)
-    key = StepKey(job_id, int(occurrence), int(step))
-    return RunKey(TaskKey(key, int(index)), int(str(attempt)))
+    key = StepKey(job_id, parse_count(occurrence), parse_count(step))
+    return RunKey(TaskKey(key, parse_count(index)), parse_count(attempt))
+
+
+def parse_active_run(row: Any) -> ActiveRun:
+    """Return an active run; more columns than are used here are allowed."""
+    return ActiveRun(parse_run(row[0], row[1]), str(row[2]), int(float(row[3])))
+
+
+def parse_end(row: Any) -> RunEnd:
+    """Return an end; more columns than are used here are allowed."""
+    return RunEnd(
+        parse_count(row[0]),
+        parse_run(row[1], row[2]),
+        EndKind(str(row[3])),
+        str(row[4]),
+    )
+
+
+def parse_rows(rows: list[Any], parse: Callable[[Any], T]) -> list[T]:
+    """Return the readable rows."""
+    parsed: list[T] = []
+    for row in rows:
+        with contextlib.suppress(*ROW_ERRORS):
+            parsed.append(parse(row))
+    return parsed
 
 
 class PlatformTargets:
@@ -163,7 +205,7 @@
     """Return the runner's clock in an answer, in milliseconds."""
     try:
         return Success(math.floor(answer_decoder.decode(body).server_time_ms))
-    except msgspec.MsgspecError as error:
+    except UNREADABLE_BODY as error:
         return unreadable_answer(error)
 
 
@@ -171,24 +213,19 @@
     """Return the active and the ended runs of a runner."""
     try:
         wire = hold_decoder.decode(body)
-        # Rows may have more columns than are used here.
-        active = tuple(
-            ActiveRun(parse_run(row[0], row[1]), str(row[2]), int(float(row[3])))
-            for row in wire.active
-        )
-        ends = tuple(
-            RunEnd(
-                int(row[0]),
-                parse_run(row[1], row[2]),
-                EndKind(str(row[3])),
-                str(row[4]),
-            )
-            for row in wire.finished
-        )
-    except (msgspec.MsgspecError, ValueError, IndexError) as error:
+    except UNREADABLE_BODY as error:
         return unreadable_answer(error)
+    active = parse_rows(wire.active, parse_active_run)
+    ends = parse_rows(wire.finished, parse_end)
+    unreadable = len(wire.active) + len(wire.finished) - len(active) - len(ends)
     return Success(
-        RenewalAnswer(math.floor(wire.server_time_ms), wire.born, active, ends)
+        RenewalAnswer(
+            math.floor(wire.server_time_ms),
+            wire.born,
+            tuple(active),
+            tuple(ends),
+            unreadable,
+        )
     )
 
 
@@ -199,7 +236,7 @@
     """
     try:
         wire = answer_decoder.decode(body) if body else WireRunnerAnswer()
-    except msgspec.MsgspecError:
+    except UNREADABLE_BODY:
         wire = WireRunnerAnswer()
     message = f"the target answered {status} {wire.reason}".rstrip()
     refusal: StartRefusal | None = None
--- a/src/egretloft/platform/wire.py
+++ b/src/egretloft/platform/wire.py
@@ -5,8 +5,17 @@
 
 from __future__ import annotations
 
+from typing import Annotated, Any
+
 import msgspec
 
+# Larger whole numbers are not exact in every JSON implementation.
+MAX_COUNT = 1 << 53
+
+Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_COUNT)]
+Milliseconds = Annotated[float, msgspec.Meta(ge=0, le=MAX_COUNT)]
+Factor = Annotated[float, msgspec.Meta(ge=0, le=MAX_COUNT)]
+
 
 class WireRow(msgspec.Struct):
     """A row of the store; ``value`` is base64, ``deleted`` marks a removed row."""
@@ -64,9 +73,9 @@
 class WireRoom(msgspec.Struct):
     """Resources; ``cpu`` is in thousandths of a core."""
 
-    cpu: int = 0
-    mem_mb: int = 0
-    gpus: int = 0
+    cpu: Count = 0
+    mem_mb: Count = 0
+    gpus: Count = 0
 
 
 class WireServer(msgspec.Struct):
@@ -83,7 +92,7 @@
     state: str
     free_resources: WireRoom
     labels: list[str]
-    born: int = 0
+    born: Count = 0
 
 
 class WireRoute(msgspec.Struct):
@@ -95,9 +104,9 @@
     backend: str = ""
     priority: int = 0
     attempts: int = 1
-    slack_factor: float = 1.0
-    target_latency_ms: float = 0
-    timeout_ms: float = 0
+    slack_factor: Factor = 1.0
+    target_latency_ms: Milliseconds = 0
+    timeout_ms: Milliseconds = 0
     public: bool = False
     hint: dict[str, float] | None = None
 
@@ -105,7 +114,7 @@
 class WireGuarantee(msgspec.Struct):
     """Resources that are guaranteed to a tenant."""
 
-    gpus: int = 0
+    gpus: Count = 0
 
 
 class WireTenant(msgspec.Struct):
@@ -134,24 +143,24 @@
 class WireStep(msgspec.Struct):
     """A step of a job; ``replicas`` is its number of tasks, ``affinity`` a rack."""
 
-    replicas: int = 1
-    cpu: int = 0
-    mem_mb: int = 0
-    gpus: int = 0
-    estimate_ms: float = 0
+    replicas: Count = 1
+    cpu: Count = 0
+    mem_mb: Count = 0
+    gpus: Count = 0
+    estimate_ms: Milliseconds = 0
     after: list[int] = []
     checkpointing: bool = False
     coscheduled: bool = False
     same_rack: bool = False
     node_selector: str = ""
     affinity: str = ""
-    anti_affinity: int = 0
+    anti_affinity: Count = 0
     speculative: bool = False
     long_running: bool = False
     image: str = ""
-    target_ms: float = 0
+    target_ms: Milliseconds = 0
     utilization: bool | float = False
-    max_unavailable: int = 0
+    max_unavailable: Count = 0
 
 
 class WireJob(msgspec.Struct):
@@ -159,9 +168,9 @@
 
     spec: str = ""
     phases: list[WireStep] = []
-    times: int = 0
-    start_at_ms: float = 0
-    interval_ms: float = 0
+    times: Count = 0
+    start_at_ms: Milliseconds = 0
+    interval_ms: Milliseconds = 0
     long_running: bool = False
 
 
@@ -198,16 +207,19 @@
 
 
 class WireHoldAnswer(msgspec.Struct):
-    """Active and ended runs of a runner; columns are told apart by position."""
+    """Active and ended runs of a runner; columns are told apart by position.
+
+    The rows are checked one by one, so that an unreadable one costs only itself.
+    """
 
-    server_time_ms: float
-    born: int = 0
-    active: list[list[str | int | float]] = []
-    finished: list[list[str | int | float]] = []
+    server_time_ms: Milliseconds
+    born: Count = 0
+    active: list[Any] = []
+    finished: list[Any] = []
 
 
 class WireRunnerAnswer(msgspec.Struct):
     """Answer to a start or a stop; ``reason`` says why it was refused."""
 
-    server_time_ms: float = 0
+    server_time_ms: Milliseconds = 0
     reason: str = ""
