Keep a process going after an unexpected error or a bad row

Cause: an exception in a background task ended that task for the life of the process or term: an instance that no longer followed the configuration, a target whose leases were no longer renewed, changes that were no longer recorded. A progress row with tasks that its job does not have ended the term of each leader that read it. An evacuated zone whose row has no content was out when the row changed but not when it was read at a start, so a restarted instance used it. Ruled out: ending the process, which repeats the error in the next one.

--- a/src/egretloft/_internal/fleet/instance.py
+++ b/src/egretloft/_internal/fleet/instance.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import random
-from collections.abc import Coroutine
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from typing import Any
 
@@ -40,6 +40,7 @@
 from egretloft._internal.fleet.records import InstanceRecord
 from egretloft._internal.fleet.store_access import StoreAccess, create_store_access
 from egretloft._internal.fleet.succession import Succession, create_succession
+from egretloft._internal.fleet.supervision import apply_each, keep_running
 from egretloft._internal.fleet.watching import TableWatcher, create_table_watcher
 from egretloft._internal.metrics import Metrics
 from egretloft._internal.models.members import Member
@@ -144,21 +145,17 @@
 
     async def start(self) -> None:
         """Start all periodic work."""
-        for work in (
-            self.control_watcher.run(),
-            self.operator_watcher.run(),
-            self.store.probe(),
-            self.run_election(),
-            self.maintain_links(),
-            self.register(),
-        ):
-            self.spawn(work)
-
-    def spawn(self, work: Coroutine[Any, Any, None]) -> None:
-        """Run ``work`` in a task until the instance stops, and log its exception."""
-        task = asyncio.create_task(work)
-        task.add_done_callback(log_task_failure)
-        self.tasks.append(task)
+        works: dict[str, Callable[[], Awaitable[None]]] = {
+            "control_watcher": self.control_watcher.run,
+            "operator_watcher": self.operator_watcher.run,
+            "store_probe": self.store.probe,
+            "election": self.run_election,
+            "links": self.maintain_links,
+            "registration": self.register,
+        }
+        for name, work in works.items():
+            task = asyncio.create_task(keep_running(name, work, self.metrics))
+            self.tasks.append(task)
 
     async def begin_shutdown(self) -> None:
         """Begin a graceful shutdown: stop campaigning and hand over leadership."""
@@ -245,13 +242,9 @@
         """Apply changed rows of the leader, its heartbeat and the instances."""
         former_leader = self.leader_id()
         self.election.on_rows(rows)
-        changed = self.leader_id() != former_leader
-        for row in rows:
-            if not row.key.key.startswith(INSTANCE_PREFIX):
-                continue
-            changed = True
-            self.on_instance_row(row)
-        if changed:
+        instances = [row for row in rows if row.key.key.startswith(INSTANCE_PREFIX)]
+        apply_each(instances, self.on_instance_row, self.metrics)
+        if instances or self.leader_id() != former_leader:
             self.update_links()
 
     def leader_id(self) -> str:
@@ -373,12 +366,6 @@
     )
 
 
-def log_task_failure(task: asyncio.Task[Any]) -> None:
-    """Log the exception of a failed task."""
-    if not task.cancelled() and task.exception() is not None:
-        log.error("background task of the instance failed", exc_info=task.exception())
-
-
 def create_instance(
     identity: Identity,
     direct_store: RowStore,
--- a/src/egretloft/_internal/fleet/leader.py
+++ b/src/egretloft/_internal/fleet/leader.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import contextlib
-from collections.abc import Callable, Coroutine
+from collections.abc import Awaitable, Callable, Coroutine
 from typing import Any
 
 import structlog
@@ -52,6 +52,7 @@
 from egretloft._internal.fleet.sessions import TargetSession, create_target_session
 from egretloft._internal.fleet.state_reader import create_state_reader
 from egretloft._internal.fleet.store_access import StoreAccess
+from egretloft._internal.fleet.supervision import apply_each, keep_running
 from egretloft._internal.fleet.tables import (
     FleetTables,
     JobRow,
@@ -256,8 +257,7 @@
             await asyncio.sleep(FEED_RETRY_SECONDS)
         else:
             return False
-        for row in used.unwrap().rows:
-            self.reader.add_used_target(row)
+        apply_each(used.unwrap().rows, self.reader.add_used_target, self.metrics)
         self.jobs_watcher = create_table_watcher(
             self.store,
             self.clock,
@@ -288,7 +288,7 @@
         # Sessions start last: an end that arrives before its job has been read would
         # be acknowledged without effect.
         for target_id, session in self.sessions.items():
-            self.session_tasks[target_id] = self.spawn(session.run())
+            self.start_session(target_id, session)
         log.info(
             "jobs and targets loaded from the store",
             epoch=self.epoch,
@@ -300,9 +300,13 @@
 
     async def serve(self) -> None:
         """Run a tick after each wake-up, or each tick period, until the term ends."""
-        self.spawn(self.jobs_watcher.run())
-        self.spawn(self.targets_watcher.run())
-        self.spawn(self.recorder.run())
+        works: dict[str, Callable[[], Awaitable[None]]] = {
+            "jobs_watcher": self.jobs_watcher.run,
+            "targets_watcher": self.targets_watcher.run,
+            "recorder": self.recorder.run,
+        }
+        for name, work in works.items():
+            self.spawn(keep_running(name, work, self.metrics))
         self.last_tick = self.clock.boottime()
         while self.is_current():
             with contextlib.suppress(TimeoutError):
@@ -326,10 +330,15 @@
         )
         self.sessions[target_id] = session
         if self.state_loaded:
-            self.session_tasks[target_id] = self.spawn(session.run())
+            self.start_session(target_id, session)
         if not target.recorded:
             self.recorder.wake.set()
 
+    def start_session(self, target_id: str, session: TargetSession) -> None:
+        """Begin to renew a target's lease and to hear its ends."""
+        work = keep_running("session", session.run, self.metrics)
+        self.session_tasks[target_id] = self.spawn(work)
+
     # The tick.
 
     def tick(self) -> None:
--- a/src/egretloft/_internal/fleet/operators.py
+++ b/src/egretloft/_internal/fleet/operators.py
@@ -9,6 +9,7 @@
 
 from egretloft._internal.fleet.interfaces import RowDecoder, StoredRow
 from egretloft._internal.fleet.models import Configuration, OperatorState
+from egretloft._internal.fleet.supervision import apply_each
 from egretloft._internal.metrics import Metrics
 
 log = structlog.get_logger(__name__)
@@ -31,21 +32,25 @@
 
     def on_snapshot(self, rows: tuple[StoredRow, ...]) -> None:
         """Replace the zones and apply the configuration from a snapshot of all rows."""
-        zones = {self.decoder.evacuated_zone(row) for row in rows if row.value}
+        # A row without content, or with content that cannot be read, counts as well.
+        present = [row for row in rows if row.value is not None]
+        zones = {self.decoder.evacuated_zone(row) for row in present}
         self.set_evacuated_zones(frozenset(zone for zone in zones if zone is not None))
-        for row in rows:
-            self.apply_configuration(row)
+        apply_each(rows, self.apply_configuration, self.metrics)
 
     def on_rows(self, rows: tuple[StoredRow, ...]) -> None:
         """Apply changed rows."""
-        for row in rows:
-            zone = self.decoder.evacuated_zone(row)
-            if zone is not None and row.value is None:
-                self.set_evacuated_zones(self.state.evacuated_zones - {zone})
-            elif zone is not None:
-                self.set_evacuated_zones(self.state.evacuated_zones | {zone})
-            else:
-                self.apply_configuration(row)
+        apply_each(rows, self.on_row, self.metrics)
+
+    def on_row(self, row: StoredRow) -> None:
+        """Apply a changed row."""
+        zone = self.decoder.evacuated_zone(row)
+        if zone is None:
+            self.apply_configuration(row)
+        elif row.value is None:
+            self.set_evacuated_zones(self.state.evacuated_zones - {zone})
+        else:
+            self.set_evacuated_zones(self.state.evacuated_zones | {zone})
 
     def set_evacuated_zones(self, zones: frozenset[str]) -> None:
         """Set the zones that are out of service, and log a change."""
--- a/src/egretloft/_internal/fleet/recorder.py
+++ b/src/egretloft/_internal/fleet/recorder.py
@@ -123,6 +123,8 @@
 
     async def run(self) -> None:
         """Write batches until cancelled."""
+        # Changes may be left from a run that failed.
+        self.wake.set()
         while True:
             await self.wake.wait()
             await asyncio.sleep(GROUP_SECONDS)
--- a/src/egretloft/_internal/fleet/scheduler.py
+++ b/src/egretloft/_internal/fleet/scheduler.py
@@ -9,6 +9,8 @@
 import math
 from dataclasses import dataclass, field
 
+import structlog
+
 from egretloft._internal.fleet.demands import UnplaceableDemands, demand_of
 from egretloft._internal.fleet.guarantees import Guarantees, create_guarantees
 from egretloft._internal.fleet.lifecycle import open_steps
@@ -42,6 +44,8 @@
     TaskRow,
 )
 
+log = structlog.get_logger(__name__)
+
 # A step that has waited longer than this may use targets in quarantine.
 QUARANTINE_FALLBACK_SECONDS = 2.5
 # While steps wait, decisions are reviewed at least this often: quarantines end,
@@ -192,7 +196,15 @@
                 services[service] = ServiceTick(
                     self.tables, targets, guarantees, context
                 )
-            services[service].schedule(waiting, decisions)
+            try:
+                services[service].schedule(waiting, decisions)
+            except Exception:
+                # The other steps, and the term, must not depend on this one.
+                log.exception(
+                    "step cannot be scheduled",
+                    request_id=waiting.step.key.job_id,
+                    step=waiting.step.key.step,
+                )
             decisions.review_seconds = min(
                 decisions.review_seconds, seconds_until_review(waiting, context.now)
             )
--- a/src/egretloft/_internal/fleet/state_reader.py
+++ b/src/egretloft/_internal/fleet/state_reader.py
@@ -14,11 +14,15 @@
 from egretloft._internal.fleet.models import Resources, TargetReport
 from egretloft._internal.fleet.recorder import Recorder
 from egretloft._internal.fleet.records import AcceptedJob, JobProgress, UsedTarget
+from egretloft._internal.fleet.supervision import apply_each
 from egretloft._internal.fleet.tables import FleetTables, JobRow, TargetRow
 from egretloft._internal.metrics import Metrics
 
 log = structlog.get_logger(__name__)
 
+# What the rows of a job hold: the job itself, its progress and its cancel request.
+JOB_SUFFIXES = ("", PROGRESS_SUFFIX, CANCEL_SUFFIX)
+
 
 class StateOwner(Protocol):
     """The leader, as seen by the state reader."""
@@ -93,46 +97,41 @@
 
         Most of them are check-ins that change nothing.
         """
-        changed = False
-        for row in rows:
-            if row.value is None:
-                changed |= self.on_target_removed(row.key.key)
-                continue
-            report = self.decoder.target(row)
-            if isinstance(report, Failure):
-                self.metrics.count("target_rows_refused")
-                log.info("target row refused", target=row.key.key, why=report.failure())
-                changed |= self.on_target_removed(row.key.key)
-                continue
-            changed |= self.on_target_report(report.unwrap())
-        if changed:
-            self.owner.wake_scheduler()
+        apply_each(rows, self.on_target_row, self.metrics)
 
-    def on_target_removed(self, target_id: str) -> bool:
-        """Mark a target as unlisted, so that it gets no new work.
+    def on_target_row(self, row: StoredRow) -> None:
+        """Apply a changed row of the list of targets."""
+        if row.value is None:
+            self.on_target_removed(row.key.key)
+            return
+        report = self.decoder.target(row)
+        if isinstance(report, Failure):
+            self.metrics.count("target_rows_refused")
+            log.info("target row refused", target=row.key.key, why=report.failure())
+            self.on_target_removed(row.key.key)
+            return
+        self.on_target_report(report.unwrap())
 
-        Return whether it was listed.
-        """
+    def on_target_removed(self, target_id: str) -> None:
+        """Mark a target as unlisted, so that it gets no new work."""
         target = self.tables.targets.get(target_id)
         if target is None or not target.listed:
-            return False
+            return
         target.listed = False
         log.info("target no longer listed", target=target_id, runs=len(target.runs))
-        return True
-
-    def on_target_report(self, report: TargetReport) -> bool:
-        """Add or update a listed target; one that restarted or moved is fenced anew.
+        self.owner.wake_scheduler()
 
-        Return whether anything changed.
-        """
+    def on_target_report(self, report: TargetReport) -> None:
+        """Add or update a listed target; one that restarted or moved is fenced anew."""
         target = self.tables.targets.get(report.target_id)
         if target is None:
             log.info("target listed", target=report.target_id, zone=report.zone)
             self.owner.add_target(TargetRow(report))
-            return True
+            self.owner.wake_scheduler()
+            return
         restarted = 0 < target.incarnation_ms < report.incarnation_ms
         if target.listed and target.report == report and not restarted:
-            return False
+            return
         if report.draining and not target.report.draining:
             log.info("target draining", target=report.target_id, runs=len(target.runs))
         moved = target.report.address != report.address
@@ -141,7 +140,7 @@
         if moved or restarted:
             target.fenced = False
             self.owner.on_target_changed(target)
-        return True
+        self.owner.wake_scheduler()
 
     def on_job_rows(self, rows: tuple[StoredRow, ...]) -> None:
         """Apply rows of accepted jobs, progress and cancel requests, in this order.
@@ -149,24 +148,19 @@
         Progress is taken only from an earlier leader; the other progress rows are this
         leader's own writes.
         """
-        for row in rows:
-            key = row.key.key
-            if row.value is None or key.endswith((CANCEL_SUFFIX, PROGRESS_SUFFIX)):
-                continue
-            if key not in self.tables.jobs:
-                self.add_job(row)
-        for row in rows:
-            key = row.key.key
-            if row.value is not None and key.endswith(PROGRESS_SUFFIX):
-                self.restore_job(key.removesuffix(PROGRESS_SUFFIX), row)
-        for row in rows:
-            key = row.key.key
-            if row.value is not None and key.endswith(CANCEL_SUFFIX):
-                self.cancel_job(key.removesuffix(CANCEL_SUFFIX), row)
+        present = [row for row in rows if row.value is not None]
+        by_suffix: dict[str, list[StoredRow]] = {suffix: [] for suffix in JOB_SUFFIXES}
+        for row in present:
+            by_suffix[job_row_suffix(row)].append(row)
+        apply_each(by_suffix[""], self.add_job, self.metrics)
+        apply_each(by_suffix[PROGRESS_SUFFIX], self.restore_job, self.metrics)
+        apply_each(by_suffix[CANCEL_SUFFIX], self.cancel_job, self.metrics)
         self.owner.wake_scheduler()
 
     def add_job(self, row: StoredRow) -> None:
-        """Add an accepted job to the tables."""
+        """Add an accepted job to the tables, unless it is there already."""
+        if row.key.key in self.tables.jobs:
+            return
         record = codec.decode(row.value or b"", AcceptedJob)
         if isinstance(record, Failure):
             log.error(
@@ -184,8 +178,9 @@
             tasks=sum(step.tasks for step in job.accepted.spec.steps),
         )
 
-    def restore_job(self, job_id: str, row: StoredRow) -> None:
+    def restore_job(self, row: StoredRow) -> None:
         """Restore a job from the progress that an earlier leader wrote."""
+        job_id = row.key.key.removesuffix(PROGRESS_SUFFIX)
         job = self.tables.jobs.get(job_id)
         if job is None:
             # The progress was written before this term, and the job's row before that,
@@ -207,8 +202,9 @@
         if job.is_final():
             self.tables.close_job(job)
 
-    def cancel_job(self, job_id: str, row: StoredRow) -> None:
+    def cancel_job(self, row: StoredRow) -> None:
         """Apply a cancel request."""
+        job_id = row.key.key.removesuffix(CANCEL_SUFFIX)
         job = self.tables.jobs.get(job_id)
         if job is None or job.cancelled:
             return
@@ -226,6 +222,14 @@
         self.owner.on_job_changed(job)
 
 
+def job_row_suffix(row: StoredRow) -> str:
+    """Return the suffix that tells what a job's row holds; empty for the job itself."""
+    for suffix in (PROGRESS_SUFFIX, CANCEL_SUFFIX):
+        if row.key.key.endswith(suffix):
+            return suffix
+    return ""
+
+
 def create_state_reader(
     owner: StateOwner,
     tables: FleetTables,
--- a/src/egretloft/platform/decoding.py
+++ b/src/egretloft/platform/decoding.py
@@ -148,7 +148,9 @@
             )
     tasks = max(1, wire.times) * sum(step.replicas for step in wire.phases)
     if tasks > MAX_JOB_TASKS:
-        return Failure(f"the job has {tasks} tasks; at most {MAX_JOB_TASKS} are allowed")
+        return Failure(
+            f"the job has {tasks} tasks; at most {MAX_JOB_TASKS} are allowed"
+        )
     steps = tuple(step_from_wire(step, wire.long_running) for step in wire.phases)
     return Success(
         JobSpec(
--- a/tests/unit/adapter/test_malformed_input.py
+++ b/tests/unit/adapter/test_malformed_input.py
@@ -63,7 +63,13 @@
 }
 PAGE = {
     "rows": [
-        {"table_name": "t", "part": "", "key": "k", "value": "AA==", "schema_version": 1}
+        {
+            "table_name": "t",
+            "part": "",
+            "key": "k",
+            "value": "AA==",
+            "schema_version": 1,
+        }
     ],
     "schema_version": 9,
 }
@@ -76,8 +82,9 @@
     | st.floats(allow_nan=False, allow_infinity=False)
     | st.sampled_from(["", "x", RUN, "a.b.c.d", "-1", "1e999", "done", "\ud7ff"])
     | TEXT,
-    lambda inner: st.lists(inner, max_size=4)
-    | st.dictionaries(TEXT, inner, max_size=4),
+    lambda inner: (
+        st.lists(inner, max_size=4) | st.dictionaries(TEXT, inner, max_size=4)
+    ),
     max_leaves=6,
 )
 # Numbers that are valid JSON and too large for a float.
