Count a restart under the same id as a loss of known keys

Cause: with the table down, a repeat of a key that had run was refused as not_run after the instance that knew the key was restarted under its id: its new process has an empty memory, and nobody saw a member leave. Ruled out: an incomplete memory after each start, which makes every refusal of a new system in a store outage say unknown for 15 minutes. Change: the memory compares the incarnations of the members, not only their ids. Also: a run that is adopted at a takeover takes what a started one takes, so best-effort work no longer blocks a target's processor; a deadline of NaN is replaced by the default instead of waiting for ever. A lone instance that restarts may miss its own former row.

--- a/src/egretloft/_internal/fleet/lifecycle.py
+++ b/src/egretloft/_internal/fleet/lifecycle.py
@@ -11,6 +11,7 @@
     RunKey,
     StepKey,
 )
+from egretloft._internal.fleet.placing import required_resources
 from egretloft._internal.fleet.tables import (
     FleetTables,
     JobRow,
@@ -227,7 +228,7 @@
     run = RunRow(
         key=key,
         target_id=target.report.target_id,
-        room=spec.room if spec else target.report.room,
+        room=required_resources(spec) if spec else target.report.room,
         priority=job.accepted.priority if job else 0,
         phase=RunPhase.ACTIVE,
         started_at=now,
--- a/src/egretloft/_internal/requests/interfaces.py
+++ b/src/egretloft/_internal/requests/interfaces.py
@@ -24,6 +24,10 @@
     def instance_id(self) -> str:
         """Return the id; a process restarted with a configured id keeps it."""
 
+    @property
+    def incarnation(self) -> str:
+        """Return what tells apart the processes with the same id."""
+
 
 class Epoch(Protocol):
     """A term of ownership of a partition."""
--- a/src/egretloft/_internal/requests/key_memory.py
+++ b/src/egretloft/_internal/requests/key_memory.py
@@ -7,9 +7,10 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Iterable
+from collections.abc import Mapping
 
 from egretloft._internal.platform.protocols import Clock
+from egretloft._internal.requests.interfaces import Member
 
 # The longest deadline is 10 min, and callers repeat soon after it.
 KEY_RETENTION_SECONDS = 900.0
@@ -20,7 +21,8 @@
 class KeyMemory:
     """The keys in progress and the keys that may have run.
 
-    It is incomplete for a while after a member left the roster or keys were evicted.
+    It is incomplete for a while after a member left the roster or was restarted under
+    its id, or keys were evicted.
     """
 
     def __init__(self, clock: Clock) -> None:
@@ -28,7 +30,8 @@
         self.in_progress: Counter[str] = Counter()
         # Expiry times by key, in order of entry, so that the oldest entries come first.
         self.maybe_ran: dict[str, float] = {}
-        self.members: set[str] = set()
+        # The incarnation of each member of the roster.
+        self.members: dict[str, str] = {}
         self.incomplete_until = float("-inf")
 
     def begin(self, key: str) -> None:
@@ -51,17 +54,17 @@
     def is_complete(self) -> bool:
         """Return whether no key was lost within ``KEY_RETENTION_SECONDS``.
 
-        Keys are lost when they are evicted or when a member leaves the roster.
+        Keys are lost when they are evicted or when a member's process ends.
         """
         return self.clock.monotonic() >= self.incomplete_until
 
-    def update_members(self, members: Iterable[str]) -> None:
-        """Apply the roster; a departed member marks the memory incomplete.
+    def update_members(self, members: Mapping[str, Member]) -> None:
+        """Apply the roster; a process that has ended marks the memory incomplete.
 
-        The keys that it received are lost.
+        The keys that it received are lost, also if a new process has its id.
         """
-        current = set(members)
-        if self.members - current:
+        current = {name: member.incarnation for name, member in members.items()}
+        if any(current.get(name) != known for name, known in self.members.items()):
             self._mark_incomplete()
         self.members = current
 
--- a/src/egretloft/platform/ingress.py
+++ b/src/egretloft/platform/ingress.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import re
 from collections.abc import Callable
 
@@ -109,7 +110,9 @@
 
     async def serve(self, request: web.BaseRequest, started: float) -> web.Response:
         """Check the caller's key and route the call by its path and method."""
-        deadline = started + seconds_to_deadline(request)
+        deadline = started + seconds_to_deadline(
+            request.headers.get(DEADLINE_HEADER, "")
+        )
         body = b""
         if request.method == "POST":
             try:
@@ -178,13 +181,14 @@
     return answer(200, StateAnswer(result.unwrap().value))
 
 
-def seconds_to_deadline(request: web.BaseRequest) -> float:
-    """Return how many seconds the client waits for the answer."""
-    text = request.headers.get(DEADLINE_HEADER, "")
+def seconds_to_deadline(text: str) -> float:
+    """Return how many seconds the client waits for the answer, by its header."""
     try:
         seconds = float(text) / 1000
     except ValueError:
         return DEFAULT_DEADLINE_SECONDS
+    if math.isnan(seconds):
+        return DEFAULT_DEADLINE_SECONDS
     return min(max(seconds, 0.0), MAX_DEADLINE_SECONDS)
 
 
--- a/tests/lib/request_world.py
+++ b/tests/lib/request_world.py
@@ -56,6 +56,7 @@
 @dataclass
 class Member:
     instance_id: str
+    incarnation: str = ""
 
 
 @dataclass
@@ -211,7 +212,10 @@
 
     @property
     def members(self) -> dict[str, Member]:
-        return {name: Member(name) for name in self.world.instances}
+        return {
+            name: Member(name, instance.incarnation)
+            for name, instance in self.world.instances.items()
+        }
 
     def is_fresh(self) -> bool:
         return self.fresh
@@ -290,7 +294,9 @@
     client: Client
     table: MemoryTable
     service: RequestService
+    incarnation: str
     frozen: bool = False
+    ticks: asyncio.Task[None] | None = None
 
 
 class World:
@@ -370,7 +376,10 @@
             generator=random.Random(seed),
             link_seconds=2 * self.link_seconds,
         )
-        instance = Instance(instance_id, zone, view, network, client, table, service)
+        incarnation = f"life-{next(self.numbers)}"
+        instance = Instance(
+            instance_id, zone, view, network, client, table, service, incarnation
+        )
         self.instances[instance_id] = instance
         return instance
 
@@ -383,7 +392,19 @@
     async def start(self) -> None:
         """Start the timers and wait until the runners' loads are known."""
         for instance in self.instances.values():
-            self.background.add(asyncio.create_task(self._drive(instance)))
+            self._start_ticks(instance)
+        await asyncio.sleep(0.5)
+
+    def _start_ticks(self, instance: Instance) -> None:
+        instance.ticks = asyncio.create_task(self._drive(instance))
+        self.background.add(instance.ticks)
+
+    async def restart(self, index: int) -> None:
+        """Replace an instance by a new process with the same id."""
+        former = self[index]
+        if former.ticks is not None:
+            former.ticks.cancel()
+        self._start_ticks(self.add_instance(former.instance_id, former.zone, index))
         await asyncio.sleep(0.5)
 
     async def _drive(self, instance: Instance) -> None:
--- a/tests/unit/adapter/test_malformed_input.py
+++ b/tests/unit/adapter/test_malformed_input.py
@@ -21,6 +21,7 @@
     create_platform_row_decoder,
     decode_job,
 )
+from egretloft.platform.ingress import MAX_DEADLINE_SECONDS, seconds_to_deadline
 from egretloft.platform.rows import decode_page
 from egretloft.platform.settings import parse_settings
 from egretloft.platform.targets import (
@@ -224,3 +225,12 @@
 def test_settings_never_raise(data: bytes) -> None:
     text = data.decode("utf-8", errors="replace")
     assert isinstance(parse_settings(text), Success | Failure)
+
+
+@given(TEXT)
+@example("nan")
+@example("-inf")
+@example("1e999")
+def test_any_deadline_is_bounded(text: str) -> None:
+    """Guards against a call that waits for ever, as any comparison with NaN fails."""
+    assert 0 <= seconds_to_deadline(text) <= MAX_DEADLINE_SECONDS
--- a/tests/unit/fleet/test_lifecycle.py
+++ b/tests/unit/fleet/test_lifecycle.py
@@ -3,8 +3,19 @@
 from __future__ import annotations
 
 from egretloft._internal import codec
-from egretloft._internal.fleet.lifecycle import apply_end, runs_to_stop, update_state
-from egretloft._internal.fleet.models import EndKind, JobState, RunEnd, RunKey
+from egretloft._internal.fleet.lifecycle import (
+    adopt_run,
+    apply_end,
+    runs_to_stop,
+    update_state,
+)
+from egretloft._internal.fleet.models import (
+    EndKind,
+    JobState,
+    Resources,
+    RunEnd,
+    RunKey,
+)
 from egretloft._internal.fleet.records import JobProgress
 from egretloft._internal.fleet.tables import JobRow
 from lib.fleet_builders import (
@@ -149,3 +160,12 @@
     ]
     assert first_task(successor, index=2).failed == {1}
     assert first_task(successor, index=2).checkpoint == "saved"
+
+
+def test_an_adopted_best_effort_run_takes_no_processor() -> None:
+    """Guards against a takeover after which best-effort work blocks a target."""
+    target = build_target(0)
+    tables = build_tables(target)
+    job = add_job(tables, 1, single_step(1, best_effort_cpu=True))
+    run = adopt_run(tables, target, RunKey(first_task(job).key, 1), 0, 1.0)
+    assert run.room == Resources(0, SMALL.memory_mb, SMALL.gpus)
--- a/tests/unit/requests/test_once.py
+++ b/tests/unit/requests/test_once.py
@@ -147,6 +147,29 @@
     run_virtual(main())
 
 
+@pytest.mark.parametrize("receiver", [0, 1])
+def test_repeat_is_unknown_while_store_is_down_after_first_receiver_restarted(
+    receiver: int,
+) -> None:
+    """Guards against ``not_run`` for a key that ran.
+
+    A new process has the id of the one that knew the key.
+    """
+
+    async def main() -> None:
+        world = World(instances=2)
+        await world.start()
+        await world.submit(1, key="k", idempotent=False, payload="p")
+        await world.restart(1)
+        for instance in world.instances.values():
+            instance.table.fault = Fault.DOWN
+        result = await world.submit(receiver, key="k", idempotent=False, payload="p")
+        assert outcome(result) == UNKNOWN_STORE
+        assert world.total_runs() == {b"p": 1}
+
+    run_virtual(main())
+
+
 @pytest.mark.parametrize("reason", ["draining", "stale_view", "limit_exceeded"])
 def test_early_refusal_of_repeat_is_not_called_not_run(reason: str) -> None:
     """Guards against ``not_run`` for a key that is running or has run.
--- a/tests/unit/requests/test_parts.py
+++ b/tests/unit/requests/test_parts.py
@@ -31,7 +31,7 @@
 )
 from lib.builders import build_profile
 from lib.fakes import ManualClock
-from lib.request_world import SERVICE, World
+from lib.request_world import SERVICE, Member, World
 from lib.virtual_time import run_virtual
 
 
@@ -174,14 +174,20 @@
     run_virtual(main())
 
 
+def roster(**incarnations: str) -> dict[str, Member]:
+    """Return a roster with the incarnation of each member."""
+    return {name: Member(name, value) for name, value in incarnations.items()}
+
+
 def test_key_memory_is_incomplete_after_a_loss() -> None:
     """Guards against ``not_run`` for a key that may have run.
 
-    A member that had received keys leaves, and its keys are lost with it.
+    A member that had received keys leaves, or is restarted under its id, and its keys
+    are lost with it.
     """
     clock = ManualClock()
     memory = create_key_memory(clock)
-    memory.update_members({"a", "b"})
+    memory.update_members(roster(a="1", b="1"))
     memory.begin("k")
     assert memory.was_seen("k")
     assert not memory.was_seen("k", own_submissions=1)
@@ -191,7 +197,11 @@
     memory.end("l", maybe_ran=False)
     assert not memory.was_seen("l")
     assert memory.is_complete()
-    memory.update_members({"a"})
+    memory.update_members(roster(a="1"))
+    assert not memory.is_complete()
+    clock.advance(KEY_RETENTION_SECONDS)
+    assert memory.is_complete()
+    memory.update_members(roster(a="2"))
     assert not memory.is_complete()
     clock.advance(KEY_RETENTION_SECONDS)
     memory.prune()
