Weigh the work that a reclaim loses against a slow run

Cause: a guaranteed gang that asks for one rack stopped whatever stood in the rack with the lowest sum of costs, also where free targets in several racks would have held it. Ruled out: waiting longer than 0.4 s before such a reclaim, which has missed the bound of a guarantee before; never stopping more work than the gang itself does, which leaves guarantees unmet. Change: every rack, and for a guaranteed gang all racks together, is planned with the runs that would really be stopped, and the cheapest is taken. A slow run counts as five times the gang's own work. What is placed in the same tick is withheld from reclaims.

--- a/src/egretloft/_internal/fleet/leader.py
+++ b/src/egretloft/_internal/fleet/leader.py
@@ -438,6 +438,7 @@
     def stop_run(self, run: RunRow, why: str) -> None:
         """Stop a run; its resources stay in use until the target lists its end."""
         run.phase = RunPhase.STOPPING
+        run.stop_reason = why
         if run.job is not None:
             self.tables.touch(run.job)
         target = self.tables.targets[run.target_id]
--- a/src/egretloft/_internal/fleet/reclaiming.py
+++ b/src/egretloft/_internal/fleet/reclaiming.py
@@ -8,17 +8,20 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+import math
 from dataclasses import dataclass
 from enum import StrEnum
 
-from egretloft._internal.fleet.models import Resources, StepKey
+from egretloft._internal.fleet.lost_work import LostWorkCache, expected_work
+from egretloft._internal.fleet.models import Resources
 from egretloft._internal.fleet.placing import (
     FreeCapacity,
     Plan,
+    fitting_tasks,
     free_capacity,
     place_gang,
     place_tasks,
+    racks_of,
     required_resources,
     total_capacity,
 )
@@ -31,13 +34,14 @@
     TargetRow,
 )
 
-# Weight of a GPU, in cores, when work is computed in core-seconds.
-CORES_PER_GPU = 8
-MILLICORES = 1000
 MILLISECONDS = 1000.0
 # Unless a guarantee entitles a step to the resources, the lost work may be at most this
 # share of the work that the step itself is expected to do.
 MAX_LOSS_RATIO = 0.3
+# A gang that is spread over racks, or away from its data, runs several times as long
+# and its caller waits. That is worth as much lost work of others as this multiple of
+# its own expected work.
+SLOW_RUN_COST = 5.0
 # Longest time that an urgent step waits for runs to end by themselves. Stops, starts
 # and a second choice of targets must still fit into the bound that the operators set
 # for a guarantee, about 3 s.
@@ -50,8 +54,6 @@
 RESERVATION_PIN_SECONDS = 5.0
 # Least remaining time assumed for a run, also if it has exceeded its estimate.
 MIN_REMAINING_SECONDS = 1.0
-# Most run time that a checkpointing task loses when it is stopped.
-MAX_CHECKPOINT_LOSS_SECONDS = 1.0
 
 
 @dataclass(slots=True, frozen=True)
@@ -70,63 +72,6 @@
     TOO_COSTLY = "too_costly"
 
 
-class LostWorkCache:
-    """Work that stopping runs would lose, in core-seconds, cached for one tick."""
-
-    def __init__(self, now: float) -> None:
-        self.now = now
-        self.cached: dict[int, float] = {}
-
-    def for_run(self, run: RunRow) -> float:
-        """Return what stopping a run would lose, for a gang member the gang's loss."""
-        lost = self.cached.get(id(run))
-        if lost is None:
-            lost = compute_lost_work(run, self.now)
-            self.cached[id(run)] = lost
-        return lost
-
-    def total(self, runs: Iterable[RunRow]) -> float:
-        """Return what stopping all of the runs would lose; each gang counts once."""
-        total = 0.0
-        gangs: set[tuple[StepKey, int]] = set()
-        for run in runs:
-            if run.gang:
-                key = (run.key.task.step, run.key.attempt)
-                if key in gangs:
-                    continue
-                gangs.add(key)
-            total += self.for_run(run)
-        return total
-
-
-def compute_lost_work(run: RunRow, now: float) -> float:
-    """Return the core-seconds of work that stopping a run would lose."""
-    cores = run.room.cpu / MILLICORES + run.room.gpus * CORES_PER_GPU
-    worked = max(0.0, now - run.started_at)
-    job = run.job
-    if job is not None:
-        spec = job.accepted.spec.steps[run.key.task.step.step]
-        if spec.checkpoints:
-            worked = min(worked, MAX_CHECKPOINT_LOSS_SECONDS)
-        if spec.gang:
-            cores *= spec.tasks
-        # What the step lost before is added, so that a step that was preempted once is
-        # less likely to be preempted again and can finish.
-        return cores * worked + job.step(run.key.task.step).reclaimed_work
-    return cores * worked
-
-
-def record_lost_work(losses: LostWorkCache, runs: Iterable[RunRow]) -> None:
-    """Update the work that the steps of stopped runs have lost so far.
-
-    If several runs of a step are stopped, only the most costly one counts.
-    """
-    for run in runs:
-        if run.job is not None:
-            step = run.job.step(run.key.task.step)
-            step.reclaimed_work = max(step.reclaimed_work, losses.for_run(run))
-
-
 def plan_reservation(
     preemptible: PreemptibleCapacity,
     step: StepRow,
@@ -257,13 +202,6 @@
     return free
 
 
-def expected_work(step: StepRow) -> float:
-    """Return the expected work of a step in core-seconds."""
-    spec = step.spec
-    cores = spec.room.cpu / MILLICORES + spec.room.gpus * CORES_PER_GPU
-    return cores * spec.tasks * step.expected_seconds
-
-
 def plan_reclaim(
     preemptible: PreemptibleCapacity,
     step: StepRow,
@@ -277,34 +215,106 @@
 
     ``reserved`` is what is reserved per target for steps earlier in the order.
     Unless the step is ``entitled``, the lost work must not exceed ``MAX_LOSS_RATIO`` of
-    the step's own expected work.
+    the step's own expected work. An entitled gang that asks for one rack is spread
+    over several ones if clearing a rack would lose far more work.
     """
-    losses, now = preemptible.lost_work_cache, preemptible.now
+    now = preemptible.now
     pinned = pinned_targets(step, targets, now)
     capacities = preemptible.unreserved(
         pinned or targets, priority, reserved, required_resources(step.spec)
     )
-    if step.spec.gang:
-        plan = place_gang(step, capacities, spread)
-    else:
-        plan = place_tasks(step, step.waiting(), capacities)
-    if plan is None or not plan.entries:
+    reclaim = cheapest_reclaim(
+        preemptible.lost_work_cache,
+        step,
+        capacity_groups(step, capacities, spread, entitled),
+        reserved,
+        priority,
+    )
+    if reclaim is None:
         # If only the pinned targets were tried, the step may still fit on others.
         return (
             NoReclaimReason.TOO_COSTLY
             if pinned
             else NoReclaimReason.INSUFFICIENT_RESOURCES
         )
+    if not entitled and reclaim.lost_work > expected_work(step) * MAX_LOSS_RATIO:
+        return NoReclaimReason.TOO_COSTLY
+    if not pinned:
+        pin_targets(step, reclaim.plan, now + RECLAIM_PIN_SECONDS)
+    return reclaim
+
+
+def capacity_groups(
+    step: StepRow, capacities: list[FreeCapacity], spread: bool, entitled: bool
+) -> list[list[FreeCapacity]]:
+    """Return the sets of capacities from which a step may be placed as a whole.
+
+    For a gang that must not be spread yet, these are the racks. An entitled one may
+    also use all of them together.
+    """
+    if not step.spec.gang or not step.spec.same_rack:
+        return [capacities]
+    groups = list(racks_of(capacities).values())
+    if entitled or spread:
+        # A plan takes from its capacities, so the groups must not share any.
+        groups.append([free.copy() for free in capacities])
+    return groups
+
+
+def cheapest_reclaim(
+    losses: LostWorkCache,
+    step: StepRow,
+    groups: list[list[FreeCapacity]],
+    reserved: dict[str, Resources],
+    priority: int,
+) -> Reclaim | None:
+    """Return the reclaim with the lowest cost, or ``None`` if the step fits nowhere.
+
+    The cost is the lost work, and for a slow run ``SLOW_RUN_COST`` times the step's own
+    expected work.
+    """
+    best: Reclaim | None = None
+    best_cost = math.inf
+    slow_run_cost = SLOW_RUN_COST * expected_work(step)
+    for capacities in groups:
+        plan = place_step(step, capacities)
+        if plan is None or not plan.entries:
+            continue
+        victims = plan_victims(losses, plan, reserved, priority)
+        lost = losses.total(victims)
+        cost = lost + slow_run_cost if is_slow(step, plan) else lost
+        if cost < best_cost:
+            best, best_cost = Reclaim(victims, lost, plan), cost
+    return best
+
+
+def place_step(step: StepRow, capacities: list[FreeCapacity]) -> Plan | None:
+    """Place all members of a gang on any of the targets, or as many tasks as fit."""
+    if not step.spec.gang:
+        return place_tasks(step, step.waiting(), capacities)
+    if fitting_tasks(step, capacities) < len(step.tasks):
+        return None
+    plan = place_tasks(step, step.tasks, capacities)
+    return plan if len(plan.entries) == len(step.tasks) else None
+
+
+def is_slow(step: StepRow, plan: Plan) -> bool:
+    """Return whether the plan is away from the step's data or its single rack."""
+    racks = {free.target.report.rack for _, free in plan.entries}
+    if step.spec.data_rack and racks != {step.spec.data_rack}:
+        return True
+    return step.spec.gang and step.spec.same_rack and len(racks) > 1
+
+
+def plan_victims(
+    losses: LostWorkCache, plan: Plan, reserved: dict[str, Resources], priority: int
+) -> tuple[RunRow, ...]:
+    """Return the runs to stop so that the plan fits."""
     victims: dict[int, RunRow] = {}
     for free in {id(free): free for _, free in plan.entries}.values():
         for run in victims_on(losses, free, plan, reserved, priority):
             victims[id(run)] = run
-    lost = losses.total(victims.values())
-    if not entitled and lost > expected_work(step) * MAX_LOSS_RATIO:
-        return NoReclaimReason.TOO_COSTLY
-    if not pinned:
-        pin_targets(step, plan, now + RECLAIM_PIN_SECONDS)
-    return Reclaim(tuple(victims.values()), lost, plan)
+    return tuple(victims.values())
 
 
 def victims_on(
--- a/src/egretloft/_internal/fleet/scheduler.py
+++ b/src/egretloft/_internal/fleet/scheduler.py
@@ -14,6 +14,7 @@
 from egretloft._internal.fleet.demands import UnplaceableDemands, demand_of
 from egretloft._internal.fleet.guarantees import Guarantees, create_guarantees
 from egretloft._internal.fleet.lifecycle import open_steps
+from egretloft._internal.fleet.lost_work import record_lost_work
 from egretloft._internal.fleet.models import OperatorState, Resources
 from egretloft._internal.fleet.placing import (
     FreeCapacity,
@@ -31,7 +32,6 @@
     plan_reclaim,
     plan_reservation,
     reclaim_delay_seconds,
-    record_lost_work,
 )
 from egretloft._internal.fleet.run_times import RunTimes, create_run_times
 from egretloft._internal.fleet.tables import (
@@ -276,7 +276,8 @@
         plan: Plan | None = None
         if not self.unplaceable.rules_out(demand):
             plan = self.place(step, spread)
-            add_placement(step, priority, plan, decisions)
+            if add_placement(step, priority, plan, decisions) and plan is not None:
+                self.note_taken(plan)
             if plan is not None and len(plan.entries) == len(step.waiting()):
                 return
             self.unplaceable.add(step, demand)
@@ -316,14 +317,7 @@
                 self.reserve_for_gang(step, priority, spread)
             return
         entitled = self.guarantees.covers(waiting.job)
-        if self.reclaim(step, priority, spread, entitled, decisions) or spread:
-            return
-        # No single rack can be freed. A guaranteed step is spread over several racks
-        # rather than left waiting.
-        if entitled and not add_placement(
-            step, priority, self.place(step, True), decisions
-        ):
-            self.reclaim(step, priority, True, entitled, decisions)
+        self.reclaim(step, priority, spread, entitled, decisions)
 
     def reclaim(
         self,
@@ -357,9 +351,31 @@
             decisions.reclaims.append(
                 ReclaimDecision(step, outcome.victims, outcome.lost_work, entitled)
             )
+        elif self.start_planned(step, priority, outcome.plan, decisions):
+            return True
         self.reserve(outcome.plan)
         return True
 
+    def start_planned(
+        self, step: StepRow, priority: int, plan: Plan, decisions: Decisions
+    ) -> bool:
+        """Start the tasks of a plan if what it takes is free; return whether it is.
+
+        It is not while runs that were stopped earlier have not ended yet.
+        """
+        taken: dict[str, Resources] = {}
+        for _, planned in plan.entries:
+            target_id = planned.target.report.target_id
+            before = taken.get(target_id, Resources())
+            taken[target_id] = before.plus(plan.task_resources)
+        if not all(
+            self.capacity_by_target[target_id].holds(needed)
+            for target_id, needed in taken.items()
+        ):
+            return False
+        self.reserve(plan)
+        return add_placement(step, priority, plan, decisions)
+
     def reserve_for_gang(self, step: StepRow, priority: int, spread: bool) -> None:
         """Reserve the capacity that a waiting gang will get once runs have ended."""
         demand = demand_of(step, spread, True)
@@ -383,5 +399,11 @@
         for _, planned in plan.entries:
             target_id = planned.target.report.target_id
             self.capacity_by_target[target_id].take(plan.task_resources)
+        self.note_taken(plan)
+
+    def note_taken(self, plan: Plan) -> None:
+        """Withhold what a plan takes from reclaims of steps later in the order."""
+        for _, planned in plan.entries:
+            target_id = planned.target.report.target_id
             already_reserved = self.reserved.get(target_id, Resources())
             self.reserved[target_id] = already_reserved.plus(plan.task_resources)
--- a/src/egretloft/_internal/fleet/sessions.py
+++ b/src/egretloft/_internal/fleet/sessions.py
@@ -25,10 +25,12 @@
     apply_end,
     may_be_waiting,
 )
+from egretloft._internal.fleet.lost_work import unsaved_work
 from egretloft._internal.fleet.models import (
     EndKind,
     JobState,
     RenewalAnswer,
+    RunEnd,
     StartRefusal,
     TargetFailure,
 )
@@ -323,6 +325,7 @@
                     times=self.target.quarantines,
                 )
             self.metrics.count("run_ends", kind=end.kind.value)
+            lost = self.lost_work(run, end)
             log.info(
                 "run ended",
                 request_id=end.run.task.step.job_id,
@@ -332,11 +335,25 @@
                 target=self.target.report.target_id,
                 number=end.number,
                 outcome=end.kind.value,
+                lost_work=round(lost, 1),
+                why=run.stop_reason if run is not None else "",
             )
             if job is not None:
                 self.owner.on_job_changed(job)
             self.owner.wake_scheduler()
 
+    def lost_work(self, run: RunRow | None, end: RunEnd) -> float:
+        """Return the core-seconds of work that the end of a run has lost, and count it.
+
+        What an unknown run has worked is not known.
+        """
+        if run is None or end.kind is EndKind.DONE:
+            return 0.0
+        lost = unsaved_work(run, self.clock.boottime())
+        cause = run.stop_reason or end.kind.value
+        self.metrics.count("lost_core_seconds", round(lost), cause=cause)
+        return lost
+
     def apply_active_runs(self, answer: RenewalAnswer, now: float) -> None:
         """Confirm listed runs, adopt unknown ones, and update progress."""
         for active in answer.active:
--- a/src/egretloft/_internal/fleet/tables.py
+++ b/src/egretloft/_internal/fleet/tables.py
@@ -41,8 +41,8 @@
     ``adopted`` run was started by an earlier leader. A ``gang`` run works only together
     with the others of its step and attempt; ``finishing_since`` is when another of them
     was first seen to be done. ``times_missing`` counts the target's consecutive answers
-    that do not list the run. ``job`` and ``task`` are ``None`` for a run of an unknown
-    task.
+    that do not list the run. ``stop_reason`` is why the leader stops it. ``job`` and
+    ``task`` are ``None`` for a run of an unknown task.
     """
 
     key: RunKey
@@ -63,6 +63,7 @@
     confirmed: bool = False
     stop_confirmed_at: float = 0.0
     times_missing: int = 0
+    stop_reason: str = ""
     job: JobRow | None = None
     task: TaskRow | None = None
 
--- a/tests/unit/fleet/test_placing.py
+++ b/tests/unit/fleet/test_placing.py
@@ -309,6 +309,58 @@
     assert found == [(job_id(3), ["target-1", "target-3"])]
 
 
+def build_split_racks(worked_seconds: float) -> FleetTables:
+    """Return two racks, each half taken by a member of the same low-priority gang.
+
+    An urgent gang that asks for one rack waits.
+    """
+    targets = [build_target(n, f"r-{n // 2}") for n in range(4)]
+    tables = build_tables(*targets)
+    borrower = add_job(tables, 1, single_step(2, WHOLE, gang=True), priority=1)
+    for index, target in enumerate((targets[0], targets[2])):
+        task = first_task(borrower, index=index)
+        started_at = NOW - worked_seconds
+        run_task(tables, target, task, WHOLE, 1, started_at=started_at, gang=True)
+    gang = single_step(2, WHOLE, gang=True, same_rack=True, estimate_ms=2000)
+    add_urgent(tables, 2, gang)
+    return tables
+
+
+def test_guaranteed_gang_is_spread_where_clearing_a_rack_loses_far_more_work() -> None:
+    """Guards against throwing away a large gang's work for a short urgent one.
+
+    60 s of the gang are 15,360 core-seconds, the urgent one takes 512.
+    """
+    tables = build_split_racks(worked_seconds=60.0)
+    decisions = decide(tables, operators(guaranteed=64))
+    assert decisions.stops == []
+    assert started(decisions) == [(job_id(2), ["target-1", "target-3"])]
+
+
+def test_rack_is_cleared_for_a_guaranteed_gang_where_little_work_is_lost() -> None:
+    tables = build_split_racks(worked_seconds=2.0)
+    decisions = decide(tables, operators(guaranteed=64))
+    assert len(decisions.stops) == 1
+    assert started(decisions) == []
+
+
+def test_reclaim_counts_what_was_placed_in_the_same_tick() -> None:
+    """Guards against a reclaim that stops too few runs.
+
+    The first step takes the free half of the only target, so the second one needs all
+    that the low-priority tasks take.
+    """
+    target = build_target(0)
+    tables = build_tables(target)
+    fill(target, tables, 1, 4)
+    half = Resources(4_000, 8_000, 4)
+    add_urgent(tables, 2, single_step(1, half))
+    add_urgent(tables, 3, single_step(1, half))
+    decisions = decide(tables, operators(guaranteed=64))
+    assert started(decisions) == [(job_id(2), ["target-0"])]
+    assert len(decisions.stops) == 4
+
+
 def test_step_that_waited_may_use_a_quarantined_target() -> None:
     """Guards against a job that never starts as its only target is in quarantine."""
     target = build_target(0)
--- a/tools/bench/fleet_load.py
+++ b/tools/bench/fleet_load.py
@@ -21,8 +21,8 @@
 import structlog
 
 from egretloft._internal.fleet import placing, reclaiming, run_times
+from egretloft._internal.fleet.lost_work import weighted_cores
 from egretloft._internal.fleet.models import EndKind, JobSpec, Resources, StepSpec
-from egretloft._internal.fleet.reclaiming import CORES_PER_GPU, MILLICORES
 from lib.fleet_builders import fake_peers_factory, job_id
 from lib.peer_fakes import PeerHub
 from lib.virtual_time import run_virtual
@@ -133,8 +133,7 @@
             worked = now - run.working_since
             if job.spec.steps[0].checkpoints:
                 worked = min(worked, 1.0)
-            cores = run.room.cpu / MILLICORES + run.room.gpus * CORES_PER_GPU
-            self.lost_core_seconds += worked * cores
+            self.lost_core_seconds += worked * weighted_cores(run.room)
 
 
 def job_id_of(run: RunTruth) -> str:
