Remove the rows of instances that are gone

Cause: every instance registers itself in the store, and nothing ever removed a row. Ruled out: removal by every instance, which hears only some of the others; a lease on the row, which costs a write for each instance and period. Change: the leader, which every instance connects to, removes the row of one that has been silent for 120 s of its term, if the row is unchanged and the term is current. An instance whose row is gone registers again. The emulated peers of a killed process are gone too; they had counted as alive for ever. Random faults take zones out of service as well now.

--- a/src/egretloft/_internal/fleet/instance.py
+++ b/src/egretloft/_internal/fleet/instance.py
@@ -21,7 +21,12 @@
     STORE_CALL_TIMEOUT_SECONDS,
     TABLE_CONTROL,
 )
-from egretloft._internal.fleet.election import Election, create_election
+from egretloft._internal.fleet.election import (
+    LEADER_KEY,
+    Election,
+    Term,
+    create_election,
+)
 from egretloft._internal.fleet.intake import Intake, create_intake
 from egretloft._internal.fleet.interfaces import (
     Expectation,
@@ -36,6 +41,10 @@
 )
 from egretloft._internal.fleet.leader import Leader
 from egretloft._internal.fleet.links import Links, create_links
+from egretloft._internal.fleet.member_expiry import (
+    MemberExpiry,
+    create_member_expiry,
+)
 from egretloft._internal.fleet.operators import OperatorView, create_operator_view
 from egretloft._internal.fleet.records import InstanceRecord
 from egretloft._internal.fleet.store_access import StoreAccess, create_store_access
@@ -53,6 +62,8 @@
 LINKS_SECONDS = 1.0
 # The leader hands over once a larger instance has been able to lead for this long.
 YIELD_SECONDS = 2.0
+# The leader looks for members that are gone this often.
+MEMBER_EXPIRY_PERIOD_SECONDS = 5.0
 # An instance that has not reached the store for this long is not ready, unless its
 # peers do not reach the store either.
 READY_WITHOUT_STORE_SECONDS = 3.0
@@ -91,6 +102,9 @@
         self.clock = clock
         self.metrics = metrics
         self.members: dict[str, InstanceRecord] = {}
+        self.member_versions: dict[str, int] = {}
+        self.unregistered = asyncio.Event()
+        self.unregistered.set()
         self.store: StoreAccess = create_store_access(
             direct_store, peers, self.peer_ids, clock, metrics
         )
@@ -151,7 +165,8 @@
             "store_probe": self.store.probe,
             "election": self.run_election,
             "links": self.maintain_links,
-            "registration": self.register,
+            "registration": self.stay_registered,
+            "member_expiry": self.expire_members,
         }
         for name, work in works.items():
             task = asyncio.create_task(keep_running(name, work, self.metrics))
@@ -202,6 +217,13 @@
         zone = self.identity.zone
         return sorted(others, key=lambda m: (self.members[m].zone != zone, m))
 
+    async def stay_registered(self) -> None:
+        """Register at the start, and again whenever the leader has removed the row."""
+        while True:
+            await self.unregistered.wait()
+            self.unregistered.clear()
+            await self.register()
+
     async def register(self) -> None:
         """Write this instance's record to the store, with retries."""
         identity = self.identity
@@ -236,7 +258,10 @@
     def on_control_snapshot(self, rows: tuple[StoredRow, ...]) -> None:
         """Apply a complete snapshot of the control table."""
         self.members.clear()
+        self.member_versions.clear()
         self.on_control_rows(rows)
+        if self.identity.instance_id not in self.members:
+            self.unregistered.set()
 
     def on_control_rows(self, rows: tuple[StoredRow, ...]) -> None:
         """Apply changed rows of the leader, its heartbeat and the instances."""
@@ -268,8 +293,54 @@
         record = codec.decode(row.value or b"", InstanceRecord)
         if isinstance(record, Failure):
             self.members.pop(instance_id, None)
+            self.member_versions.pop(instance_id, None)
+            if instance_id == self.identity.instance_id:
+                log.warning("own instance row removed, registering again")
+                self.unregistered.set()
             return
         self.members[instance_id] = record.unwrap()
+        self.member_versions[instance_id] = row.version
+
+    async def expire_members(self) -> None:
+        """While leading, remove the rows of instances that are gone."""
+        expiry: MemberExpiry = create_member_expiry()
+        epoch = 0
+        while True:
+            await asyncio.sleep(MEMBER_EXPIRY_PERIOD_SECONDS)
+            term = self.election.term
+            if term is None or not self.election.is_confirmed():
+                continue
+            if term.epoch != epoch:
+                epoch = term.epoch
+                expiry = create_member_expiry()
+            others = self.members.keys() - {self.identity.instance_id}
+            now = self.clock.boottime()
+            for gone in expiry.expired(others, self.peers.alive_ids(), now):
+                await self.remove_member(gone, term)
+
+    async def remove_member(self, instance_id: str, term: Term) -> None:
+        """Remove an instance's row, unless the instance has registered again."""
+        key = RowKey(TABLE_CONTROL, PARTITION, INSTANCE_PREFIX + instance_id)
+        version = self.member_versions.get(instance_id)
+        if version is None:
+            return
+        result = await self.store.commit(
+            RowTransaction(
+                (
+                    Expectation(LEADER_KEY, term.leader_version),
+                    Expectation(key, version),
+                ),
+                ((key, None),),
+            ),
+            STORE_CALL_TIMEOUT_SECONDS,
+        )
+        removed = not isinstance(result, Failure)
+        self.metrics.count("members_expired" if removed else "member_expiry_failures")
+        log.info(
+            "silent instance removed" if removed else "silent instance not removed",
+            member=instance_id,
+            epoch=term.epoch,
+        )
 
     def control_pause_seconds(self) -> float:
         """Return the pause between reads of the control table's feed.
--- a/src/egretloft/_internal/peers/network.py
+++ b/src/egretloft/_internal/peers/network.py
@@ -162,6 +162,14 @@
             and not self._is_silent(peer.connection)
         )
 
+    def alive_ids(self) -> set[str]:
+        """Return the instances that were heard from recently, on any stream."""
+        return {
+            connection.instance_id
+            for connection in self.dialled | self.accepted
+            if connection.instance_id and not self._is_silent(connection)
+        }
+
     def last_heartbeat(self, instance_id: str) -> dict[str, Any]:
         """Return the body of the last heartbeat, empty if the peer is not alive."""
         if instance_id == self.instance_id:
--- a/src/egretloft/_internal/peers/protocols.py
+++ b/src/egretloft/_internal/peers/protocols.py
@@ -58,6 +58,12 @@
     def is_alive(self, instance_id: str) -> bool:
         """Return whether the instance was heard from recently."""
 
+    def alive_ids(self) -> set[str]:
+        """Return the instances that were heard from recently, on any stream.
+
+        They may include instances that are not members.
+        """
+
     def last_heartbeat(self, instance_id: str) -> dict[str, Any]:
         """Return the body of the last heartbeat, empty if the peer is not alive."""
 
--- a/tests/lib/fleet_builders.py
+++ b/tests/lib/fleet_builders.py
@@ -23,20 +23,25 @@
     TaskRow,
 )
 from egretloft._internal.models.members import Member
-from egretloft._internal.peers.protocols import Peers
 from lib.peer_fakes import PeerHub, create_fake_peers
-from standins.fleet.world import SERVICE, WHOLE_TARGET, FleetWorld
+from standins.fleet.world import (
+    SERVICE,
+    WHOLE_TARGET,
+    EmulatedPeers,
+    FleetWorld,
+    PeersFactory,
+)
 
 SMALL = Resources(4_000, 8_000, 1)
 WHOLE = Resources(20_000, 100_000, 8)
 
 
-def fake_peers_factory(
-    hub: PeerHub,
-) -> Callable[[str, Callable[[], Awaitable[None]]], Peers]:
+def fake_peers_factory(hub: PeerHub) -> PeersFactory:
     """Return a factory of peer networks that are connected in memory."""
 
-    def create(name: str, wait_until_thawed: Callable[[], Awaitable[None]]) -> Peers:
+    def create(
+        name: str, wait_until_thawed: Callable[[], Awaitable[None]]
+    ) -> EmulatedPeers:
         member = Member(name, "", "", name, "region", "zone-a")
         return create_fake_peers(hub, member, wait_until_thawed)
 
--- a/tests/lib/fleet_faults.py
+++ b/tests/lib/fleet_faults.py
@@ -28,6 +28,8 @@
 SUBMIT_TRIES = 12
 # A target that is leaving gets no start this long after the store has its report.
 DRAIN_SECONDS = 2.0
+# A zone out of service gets no start this long after the operators took it out.
+EVACUATION_SECONDS = 5.0
 # No task of a cancelled job starts this long after the caller's answer.
 CANCEL_SECONDS = 3.0
 # How much later an order may arrive that a target carries out without an answer.
@@ -39,9 +41,10 @@
 
 
 class StormChecker(Checker):
-    """Also checks starts on leaving targets and of cancelled jobs.
+    """Also checks starts on leaving targets, in zones out of service and after cancels.
 
-    ``left_at`` holds when a target reported that it is leaving. While ``orders_late``
+    ``left_at`` holds when a target reported that it is leaving, ``out_since`` when a
+    zone was taken out of service. While ``orders_late``
     is set, targets may carry out an order long after it was sent. ``disturbed_until``
     is the end of the last fault of instances, the store or orders, ``store_back_at``
     when the store last began to answer again. A leader cannot read cancellations while
@@ -51,6 +54,8 @@
     def __init__(self) -> None:
         super().__init__()
         self.left_at: dict[str, float] = {}
+        self.out_since: dict[str, float] = {}
+        self.zone_of: dict[str, str] = {}
         self.orders_late = False
         self.disturbed_until = 0.0
         self.store_back_at = 0.0
@@ -66,6 +71,10 @@
         left_at = self.left_at.get(run.target_id)
         if left_at is not None and at > left_at + DRAIN_SECONDS + slack:
             self.report("DRAIN", f"{run.key.task} on {run.target_id}", at)
+        out_since = self.out_since.get(self.zone_of[run.target_id], math.inf)
+        known_at = max(out_since, self.store_back_at)
+        if out_since < at and at > known_at + EVACUATION_SECONDS + slack:
+            self.report("EVAC", f"{run.key.task} on {run.target_id}", at)
         truth = self.jobs.get(run.key.task.step.job_id)
         if truth is None or truth.cancelled_at is None:
             return
@@ -97,6 +106,9 @@
             target_count=8,
             checker=self.checker,
         )
+        self.checker.zone_of = {
+            target.target_id: target.zone for target in self.world.targets.values()
+        }
         self.report = StormReport()
         self.accepted: list[str] = []
         self.cancelled: set[str] = set()
@@ -206,6 +218,7 @@
             self.delay_orders,
             self.slow_store,
             self.forget_history,
+            self.evacuate_zone,
         ]
         fault = self.generator.choice(faults)
         seconds = self.generator.uniform(0.4, LONGEST_FAULT_SECONDS)
@@ -348,6 +361,16 @@
         await asyncio.sleep(seconds)
         self.world.store.slowness = 1.0
 
+    async def evacuate_zone(self, seconds: float) -> None:
+        zone = self.world.zones[0]
+        if zone in self.checker.out_since:
+            return
+        self.world.evacuate(zone)
+        self.checker.out_since[zone] = asyncio.get_running_loop().time()
+        await asyncio.sleep(EVACUATION_SECONDS + seconds)
+        self.world.evacuate(zone, out=False)
+        del self.checker.out_since[zone]
+
     async def forget_history(self, seconds: float) -> None:
         self.world.store.forget_history()
 
--- a/tests/lib/peer_fakes.py
+++ b/tests/lib/peer_fakes.py
@@ -52,6 +52,10 @@
     handlers: dict[str, Handler] = field(default_factory=dict)
     addresses: dict[str, str] = field(default_factory=dict)
 
+    def close(self) -> None:
+        if self.hub.networks.get(self.address) is self:
+            del self.hub.networks[self.address]
+
     def register(self, call_type: str, handler: Handler) -> None:
         self.handlers[call_type] = handler
 
@@ -62,6 +66,13 @@
         address = self.addresses.get(instance_id, "")
         return self.hub.connected(self.address, address)
 
+    def alive_ids(self) -> set[str]:
+        return {
+            network.instance_id
+            for network in self.hub.networks.values()
+            if network.is_alive(self.instance_id) or self.is_alive(network.instance_id)
+        }
+
     def last_heartbeat(self, instance_id: str) -> dict[str, Any]:
         if not self.is_alive(instance_id):
             return {}
--- a/tools/standins/fleet/world.py
+++ b/tools/standins/fleet/world.py
@@ -6,6 +6,7 @@
 import random
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
+from typing import Protocol
 
 from returns.result import Failure, Result, Success
 
@@ -42,7 +43,15 @@
 WHOLE_TARGET = Resources(64_000, 262_144, 8)
 TARGETS_PER_RACK = 4
 
-PeersFactory = Callable[[str, Callable[[], Awaitable[None]]], Peers]
+
+class EmulatedPeers(Peers, Protocol):
+    """The peer network of an emulated process."""
+
+    def close(self) -> None:
+        """Close all connections, as the process has ended."""
+
+
+PeersFactory = Callable[[str, Callable[[], Awaitable[None]]], EmulatedPeers]
 
 
 class EmulatedDecoder:
@@ -103,6 +112,7 @@
     instance: Instance
     store: StoreClient
     targets: TargetsClient
+    peers: EmulatedPeers
     gate: Gate
 
 
@@ -205,6 +215,7 @@
         gate.open.set()
         store = StoreClient(self.store, wait_until_thawed=gate.wait)
         targets = TargetsClient(self.targets, self.generator, gate.wait)
+        peers = self.peers_of(name, gate.wait)
         instance = create_instance(
             Identity(
                 name,
@@ -217,12 +228,12 @@
             store,
             targets,
             EmulatedDecoder(),
-            self.peers_of(name, gate.wait),
+            peers,
             self.clock,
             create_metrics(),
             random.Random(self.generator.random()),
         )
-        process = Process(instance, store, targets, gate)
+        process = Process(instance, store, targets, peers, gate)
         self.processes[name] = process
         await instance.start()
         return process
@@ -230,6 +241,7 @@
     async def kill(self, name: str) -> None:
         """End an instance at once, without any cleanup."""
         process = self.processes.pop(name)
+        process.peers.close()
         process.gate.open.set()
         instance = process.instance
         instance.election.term = None
@@ -247,6 +259,7 @@
         process = self.processes.pop(name)
         await process.instance.begin_shutdown()
         await process.instance.stop()
+        process.peers.close()
 
     def leader_name(self) -> str | None:
         """Return the instance that leads with the highest epoch, or ``None``."""
