Keep the room of stopped runs for the step that they were stopped for

Its targets had been pinned by the reservation of its first 0.4 s, so the reclaim was bound to them whatever was lost there, and nothing marked the step as one that had stopped runs: steps submitted earlier, and less urgent ones in ticks in which the guarantee was exceeded, took the room as it came free. Ruled out: a longer pin, which other steps did not respect either; the order of ends, which came within the pin. Change: for 2 s after a reclaim the step comes first within its priority and counts as entitled on its pinned targets. A reclaim ignores the pins of a reservation. A demand that needs one rack no longer rules out the same demand that may be spread. The log names the targets.

--- a/src/egretloft/_internal/fleet/leader.py
+++ b/src/egretloft/_internal/fleet/leader.py
@@ -468,6 +468,7 @@
             entitled=reclaim.entitled,
             lost_work=round(reclaim.lost_work, 1),
             stops=len(reclaim.victims),
+            targets=sorted(step.pinned_target_ids)[:8],
         )
         for run in reclaim.victims:
             self.stop_run(run, "room reclaimed")
--- a/src/egretloft/_internal/fleet/queueing.py
+++ b/src/egretloft/_internal/fleet/queueing.py
@@ -1,9 +1,9 @@
 """Scheduling order of the waiting steps.
 
 Matters while more work waits than fits: the most urgent queues come first. Within a
-priority, jobs whose result still has value are in the order of submission, and jobs
-that are too late to be useful come last. A step that waits for a retry keeps the
-position of its job.
+priority, a step for which runs have been stopped comes first, jobs whose result still
+has value are in the order of submission, and jobs that are too late to be useful come
+last. A step that waits for a retry keeps the position of its job.
 """
 
 from __future__ import annotations
@@ -47,14 +47,28 @@
     return start_ms / MILLISECONDS + objective_seconds(job) - wall
 
 
-def scheduling_key(waiting: WaitingStep, wall: float) -> tuple[int, int, float]:
-    """Return the sort key: priority, whether it is too late, time of submission."""
+def scheduling_key(
+    waiting: WaitingStep, wall: float, now: float
+) -> tuple[int, bool, bool, float]:
+    """Return the sort key of a waiting step.
+
+    It consists of the priority, whether no runs were stopped for the step, whether it
+    is too late, and the time of submission. A step for which runs were stopped comes
+    first, or others would take the capacity as the runs end.
+    """
     job = waiting.job
     left = seconds_until_due(job, waiting.step, wall)
     too_late = left < -(LATE_FACTOR - 1.0) * objective_seconds(job)
-    return (job.accepted.priority, int(too_late), float(job.accepted.accepted_at_ms))
+    has_reclaimed = now < waiting.step.reclaimed_until
+    accepted_at = float(job.accepted.accepted_at_ms)
+    return (job.accepted.priority, not has_reclaimed, too_late, accepted_at)
+
 
+def sort_waiting(
+    steps: list[WaitingStep], wall: float, now: float
+) -> list[WaitingStep]:
+    """Return the waiting steps in scheduling order.
 
-def sort_waiting(steps: list[WaitingStep], wall: float) -> list[WaitingStep]:
-    """Return the waiting steps in scheduling order."""
-    return sorted(steps, key=lambda waiting: scheduling_key(waiting, wall))
+    ``wall`` is in Unix seconds, ``now`` in seconds on the boot-time clock.
+    """
+    return sorted(steps, key=lambda waiting: scheduling_key(waiting, wall, now))
--- a/src/egretloft/_internal/fleet/reclaiming.py
+++ b/src/egretloft/_internal/fleet/reclaiming.py
@@ -219,7 +219,8 @@
     over several ones if clearing a rack would lose far more work.
     """
     now = preemptible.now
-    pinned = pinned_targets(step, targets, now)
+    # A reservation also pins its targets, but other ones may be cheaper to clear.
+    pinned = pinned_targets(step, targets, now) if now < step.reclaimed_until else []
     capacities = preemptible.unreserved(
         pinned or targets, priority, reserved, required_resources(step.spec)
     )
@@ -239,8 +240,9 @@
         )
     if not entitled and reclaim.lost_work > expected_work(step) * MAX_LOSS_RATIO:
         return NoReclaimReason.TOO_COSTLY
-    if not pinned:
+    if reclaim.victims:
         pin_targets(step, reclaim.plan, now + RECLAIM_PIN_SECONDS)
+        step.reclaimed_until = step.pinned_until
     return reclaim
 
 
--- a/src/egretloft/_internal/fleet/scheduler.py
+++ b/src/egretloft/_internal/fleet/scheduler.py
@@ -151,7 +151,7 @@
                 found.append(WaitingStep(job, step))
         if not waiting and not has_future_occurrences(job, context.wall):
             del tables.startable_jobs[job_id]
-    return sort_waiting(found, context.wall)
+    return sort_waiting(found, context.wall, context.now)
 
 
 def has_future_occurrences(job: JobRow, wall: float) -> bool:
@@ -316,7 +316,11 @@
             if not self.reclaim(step, priority, spread, False, decisions):
                 self.reserve_for_gang(step, priority, spread)
             return
-        entitled = self.guarantees.covers(waiting.job)
+        # The guarantee may be exceeded by now, but runs have been stopped for the step.
+        entitled = (
+            self.guarantees.covers(waiting.job)
+            or self.context.now < step.reclaimed_until
+        )
         self.reclaim(step, priority, spread, entitled, decisions)
 
     def reclaim(
@@ -328,7 +332,7 @@
         decisions: Decisions,
     ) -> bool:
         """Stop lower-priority runs for a step; return whether tasks of it then fit."""
-        demand = demand_of(step, spread, True)
+        demand = demand_of(step, spread or entitled, True)
         if self.unreclaimable.rules_out(demand, priority):
             return False
         outcome = plan_reclaim(
--- a/src/egretloft/_internal/fleet/tables.py
+++ b/src/egretloft/_internal/fleet/tables.py
@@ -105,6 +105,7 @@
     started: bool = False
     pinned_target_ids: frozenset[str] = frozenset()
     pinned_until: float = 0.0
+    reclaimed_until: float = 0.0
     reclaimed_work: float = 0.0
 
     def is_done(self) -> bool:
--- a/tests/lib/fleet_builders.py
+++ b/tests/lib/fleet_builders.py
@@ -121,13 +121,14 @@
     spec: JobSpec,
     priority: int = 1,
     accepted_at_ms: int = 0,
+    organisation: str = "kennel",
 ) -> JobRow:
     """Add an accepted job to the tables."""
     accepted = AcceptedJob(
         job_id=job_id(number),
         queue=f"queue-{priority}",
         service=SERVICE,
-        organisation="kennel",
+        organisation=organisation,
         priority=priority,
         attempts=3,
         slack_factor=3.0,
--- a/tests/unit/fleet/test_placing.py
+++ b/tests/unit/fleet/test_placing.py
@@ -361,6 +361,33 @@
     assert len(decisions.stops) == 4
 
 
+def test_room_of_stopped_runs_goes_to_the_step_that_they_were_stopped_for() -> None:
+    """Guards against an urgent gang that stops runs again and again without starting.
+
+    Another urgent gang, which was submitted earlier but is beyond its guarantee, took
+    the capacity each time (further deployment, standard day scale-2).
+    """
+    targets = [build_target(n) for n in range(2)]
+    tables = build_tables(*targets)
+    jobs = [fill(target, tables, n + 1, 8) for n, target in enumerate(targets)]
+    gang = single_step(2, WHOLE, gang=True)
+    earlier = add_job(
+        tables, 3, gang, priority=0, organisation="other", accepted_at_ms=-1
+    )
+    first_step(earlier).ready_at = NOW - 5.0
+    guaranteed = add_urgent(tables, 4, gang, waited=0.1)
+    # While it waits for a moment, targets are reserved for it and pinned to it.
+    assert decide(tables).stops == []
+    assert first_step(guaranteed).pinned_target_ids
+    first_step(guaranteed).ready_at = NOW - 2.0
+    assert len(decide(tables).stops) == 16
+    for job, target in zip(jobs, targets, strict=True):
+        for task in first_step(job).tasks:
+            assert task.run is not None
+            tables.remove_run(target, task.run)
+    assert [job for job, _ in started(decide(tables))] == [job_id(4)]
+
+
 def test_step_that_waited_may_use_a_quarantined_target() -> None:
     """Guards against a job that never starts as its only target is in quarantine."""
     target = build_target(0)
