Let callers return later the longer the store has been away

Cause: a call that an outage of the store refused was told to come back after 1 s, whatever the outage's length. Ruled out: holding calls until the store is back, which lets callers wait in vain; doubling with each refusal of a caller, whom each instance sees once. Change: retry_after.py names 2 s while the store is not reached, half of the outage's age after 4 s, at most 5 s; 1 s for a single refusal of a working store.

--- a/src/egretloft/_internal/fleet/instance.py
+++ b/src/egretloft/_internal/fleet/instance.py
@@ -109,7 +109,9 @@
             direct_store, peers, self.peer_ids, clock, metrics
         )
         self.operators: OperatorView = create_operator_view(decoder, metrics)
-        self.intake: Intake = create_intake(self.store, clock, metrics)
+        self.intake: Intake = create_intake(
+            self.store, clock, metrics, self.store.outage_seconds
+        )
         self.succession: Succession = create_succession(
             identity.instance_id, identity.processors, self.members.values, peers
         )
--- a/src/egretloft/_internal/fleet/intake.py
+++ b/src/egretloft/_internal/fleet/intake.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from dataclasses import dataclass
 from enum import StrEnum
 
@@ -49,6 +50,7 @@
     job_key,
     job_partition,
 )
+from egretloft._internal.fleet.retry_after import retry_after_seconds
 from egretloft._internal.metrics import Metrics
 
 log = structlog.get_logger(__name__)
@@ -57,8 +59,6 @@
 # Part of the caller's deadline that is reserved for sending the response.
 RESPONSE_MARGIN_SECONDS = 0.1
 FIRST_RETRY_SECONDS = 0.02
-# Store outages mostly last longer than a second, so an earlier retry would fail again.
-STORE_RETRY_AFTER_SECONDS = 1
 
 
 class IntakeRefusalKind(StrEnum):
@@ -118,13 +118,6 @@
         return self.progress.state if self.progress else JobState.QUEUED
 
 
-def store_unavailable(message: str) -> IntakeRefusal:
-    """Return the refusal for a store that certainly applied nothing."""
-    return IntakeRefusal(
-        IntakeRefusalKind.STORE_UNAVAILABLE, message, STORE_RETRY_AFTER_SECONDS
-    )
-
-
 def admit(
     configuration: Configuration | None, host: str, path: str, key: str
 ) -> Result[Caller, IntakeRefusal]:
@@ -134,7 +127,7 @@
             IntakeRefusal(
                 IntakeRefusalKind.NO_CONFIGURATION,
                 "this instance has not read a configuration yet",
-                STORE_RETRY_AFTER_SECONDS,
+                retry_after_seconds(None),
             )
         )
     queue = configuration.find_queue(host, path)
@@ -155,10 +148,17 @@
 class Intake:
     """Serves submissions, state queries and cancellations from the store."""
 
-    def __init__(self, store: RowStore, clock: FleetClock, metrics: Metrics) -> None:
+    def __init__(
+        self,
+        store: RowStore,
+        clock: FleetClock,
+        metrics: Metrics,
+        outage_seconds: Callable[[], float | None],
+    ) -> None:
         self.store = store
         self.clock = clock
         self.metrics = metrics
+        self.outage_seconds = outage_seconds
 
     async def submit(
         self, caller: Caller, job_id: str, spec: JobSpec, deadline: float
@@ -201,7 +201,7 @@
         if failure.kind is StoreFailureKind.CONFLICT:
             self.log_decision("job known already", job_id, caller)
             return Success(False)
-        refusal = write_refusal(failure)
+        refusal = self.write_refusal(failure)
         self.log_decision("job refused", job_id, caller, why=failure.message)
         return Failure(refusal)
 
@@ -276,7 +276,7 @@
         """Return a job's state."""
         found = await self.find(job_id)
         if isinstance(found, Failure):
-            return Failure(store_unavailable(found.failure().message))
+            return Failure(self.store_unavailable(found.failure().message))
         job = found.unwrap()
         if job is None:
             return Failure(no_such_job(job_id))
@@ -288,7 +288,7 @@
         """Store a cancel request; the leader then stops the job's runs."""
         found = await self.find(job_id)
         if isinstance(found, Failure):
-            return Failure(store_unavailable(found.failure().message))
+            return Failure(self.store_unavailable(found.failure().message))
         job = found.unwrap()
         if job is None:
             return Failure(no_such_job(job_id))
@@ -308,10 +308,24 @@
                     request_id=job_id,
                     why=failure.message,
                 )
-                return Failure(write_refusal(failure))
+                return Failure(self.write_refusal(failure))
         log.info("cancel request stored", request_id=job_id)
         return Success(JobState.CANCELLED)
 
+    def store_unavailable(self, message: str) -> IntakeRefusal:
+        """Return the refusal for a store that certainly applied nothing."""
+        return IntakeRefusal(
+            IntakeRefusalKind.STORE_UNAVAILABLE,
+            message,
+            retry_after_seconds(self.outage_seconds()),
+        )
+
+    def write_refusal(self, failure: StoreFailure) -> IntakeRefusal:
+        """Return the refusal for a failed write: not stored, or outcome unknown."""
+        if failure.kind is StoreFailureKind.REFUSED:
+            return self.store_unavailable(failure.message)
+        return IntakeRefusal(IntakeRefusalKind.OUTCOME_UNKNOWN, failure.message)
+
     def log_decision(
         self,
         event: str,
@@ -348,13 +362,14 @@
     return IntakeRefusal(IntakeRefusalKind.NO_SUCH_JOB, f"no job {job_id}")
 
 
-def write_refusal(failure: StoreFailure) -> IntakeRefusal:
-    """Return the refusal for a failed write: not stored, or outcome unknown."""
-    if failure.kind is StoreFailureKind.REFUSED:
-        return store_unavailable(failure.message)
-    return IntakeRefusal(IntakeRefusalKind.OUTCOME_UNKNOWN, failure.message)
+def create_intake(
+    store: RowStore,
+    clock: FleetClock,
+    metrics: Metrics,
+    outage_seconds: Callable[[], float | None],
+) -> Intake:
+    """Return the intake of one instance.
 
-
-def create_intake(store: RowStore, clock: FleetClock, metrics: Metrics) -> Intake:
-    """Return the intake of one instance."""
-    return Intake(store, clock, metrics)
+    ``outage_seconds`` returns how long the store has not been reached, or ``None``.
+    """
+    return Intake(store, clock, metrics, outage_seconds)
--- a/src/egretloft/_internal/fleet/store_access.py
+++ b/src/egretloft/_internal/fleet/store_access.py
@@ -97,6 +97,7 @@
         self.metrics = metrics
         self.direct_works = True
         self.reached_at: float | None = None
+        self.lost_at = 0.0
         self.pending_due_at: dict[int, float] = {}
         self.call_numbers = itertools.count()
         self.delays: deque[tuple[float, float]] = deque()
@@ -116,6 +117,12 @@
         overdue = [now - due_at for due_at in self.pending_due_at.values()]
         return max([0.0, *overdue, *(delay for _, delay in self.delays)])
 
+    def outage_seconds(self) -> float | None:
+        """Return how long direct calls have failed, or ``None`` while they work."""
+        if self.direct_works:
+            return None
+        return self.clock.boottime() - self.lost_at
+
     async def timed(
         self, call: Awaitable[Result[T, StoreFailure]], wait_seconds: float = 0.0
     ) -> Result[T, StoreFailure]:
@@ -222,6 +229,7 @@
         )
         if failed and self.direct_works:
             self.direct_works = False
+            self.lost_at = self.clock.boottime()
             log.warning("store lost", error=result.failure().message)
             self.metrics.count("store_path_losses")
         elif not failed:
