Put small tasks into racks that are in use

Cause: of targets that fit equally well, the first in the table's order was taken, so small tasks touched all racks, and gangs that ask for one rack found none although many targets were idle. Change: after the fit of accelerators, the rack with the fewest free ones wins.

--- a/src/egretloft/_internal/fleet/placing.py
+++ b/src/egretloft/_internal/fleet/placing.py
@@ -1,8 +1,9 @@
 """Placement of the tasks of one step on targets.
 
 Keeps whole targets free where they are scarce: small tasks are packed onto targets
-that are already in use, so that gangs which need whole targets find them, and a gang
-that needs one rack gets the rack that it fills best.
+that are already in use, and otherwise into racks that are, so that gangs which need
+whole targets or one rack find them. A gang that needs one rack gets the rack that it
+fills best.
 """
 
 from __future__ import annotations
@@ -29,7 +30,8 @@
 
     ``reclaim_cost`` ranks capacity that is still in use; it is 0 if all is free now.
     For a reclaim it is the work that would be lost, in core-seconds; for a reservation
-    it is the estimated time until the runs end, in seconds.
+    it is the estimated time until the runs end, in seconds. ``rack_gpus`` are the
+    accelerators that were free in the target's rack when the tick began.
     """
 
     target: TargetRow
@@ -38,6 +40,7 @@
     gpus: int
     reclaim_cost: float = 0.0
     quarantined: bool = False
+    rack_gpus: int = 0
 
     def holds(self, needed: Resources) -> bool:
         """Return whether ``needed`` fits."""
@@ -62,6 +65,7 @@
             self.gpus,
             self.reclaim_cost,
             self.quarantined,
+            self.rack_gpus,
         )
 
     def give(self, returned: Resources) -> None:
@@ -126,14 +130,22 @@
     }
 
 
-Rank = tuple[bool, int, float, int, int, int]
+def note_rack_gpus(capacities: list[FreeCapacity]) -> None:
+    """Set ``rack_gpus`` of all targets of a service."""
+    for members in racks_of(capacities).values():
+        free_gpus = sum(free.gpus for free in members)
+        for free in members:
+            free.rack_gpus = free_gpus
+
+
+Rank = tuple[bool, int, float, int, int, int, int]
 
 
 def rank(free: FreeCapacity, spec: StepSpec, needed: Resources) -> Rank:
     """Return the sort key of a target for a task; the lowest is best.
 
-    Targets in quarantine come last; then the data's rack, the lowest cost and the
-    tightest fit are preferred.
+    Targets in quarantine come last; then the data's rack, the lowest cost, the tightest
+    fit of accelerators and the fullest rack are preferred.
     """
     off_data_rack = int(
         bool(spec.data_rack) and free.target.report.rack != spec.data_rack
@@ -143,6 +155,7 @@
         off_data_rack,
         free.reclaim_cost,
         free.gpus - needed.gpus,
+        free.rack_gpus,
         free.cpu - needed.cpu,
         free.memory_mb - needed.memory_mb,
     )
--- a/src/egretloft/_internal/fleet/scheduler.py
+++ b/src/egretloft/_internal/fleet/scheduler.py
@@ -21,6 +21,7 @@
     Plan,
     create_spread_policy,
     free_capacity,
+    note_rack_gpus,
     place_gang,
     place_tasks,
 )
@@ -252,6 +253,7 @@
         self.capacities: list[FreeCapacity] = [
             free_capacity(target) for target in targets
         ]
+        note_rack_gpus(self.capacities)
         for free in self.capacities:
             free.quarantined = free.target.quarantined_until > context.now
         self.capacity_by_target = {
--- a/tests/unit/fleet/test_placing.py
+++ b/tests/unit/fleet/test_placing.py
@@ -90,6 +90,18 @@
     assert started(decide(tables)) == [(job_id(2), ["target-1"] * 3)]
 
 
+def test_small_tasks_go_to_racks_in_use_so_that_whole_racks_stay_free() -> None:
+    """Guards against gangs that find no rack though half of the targets are idle.
+
+    The tasks do not fit on the target in use, so each of them needs a new one.
+    """
+    targets = [build_target(n, f"r-{n // 2}") for n in range(4)]
+    tables = build_tables(*targets)
+    fill(targets[3], tables, 1, 8)
+    add_job(tables, 2, single_step(1))
+    assert started(decide(tables)) == [(job_id(2), ["target-2"])]
+
+
 def test_gang_starts_whole_or_not_at_all() -> None:
     """Guards against starting only the members of a gang that fit.
 
