Send no more start orders at once than the leader can handle

Ruled out: a longer timeout, which delays the discovery of dead targets for all; a fixed bound, which slows large machines or does not help small ones. A decision places no further step once the window is full, so what waits keeps its place in the queue and no gang is started in part.

--- a/src/egretloft/_internal/fleet/leader.py
+++ b/src/egretloft/_internal/fleet/leader.py
@@ -312,9 +312,12 @@
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(TICK_SECONDS):
                     await self.wake.wait()
-            await asyncio.sleep(max(TICK_DELAY_SECONDS, self.tick_pause))
+            pause = max(TICK_DELAY_SECONDS, self.tick_pause)
+            paused_at = self.clock.boottime()
+            await asyncio.sleep(pause)
             self.wake.clear()
             started = self.clock.boottime()
+            self.orders.window.observe_lateness(started - paused_at - pause)
             self.tick()
             spent = self.clock.boottime() - started
             self.metrics.observe_seconds("tick_seconds", spent)
@@ -369,7 +372,8 @@
     def decide(self, now: float) -> None:
         """Decide what to start and to preempt, and carry it out."""
         self.decision_needed = False
-        context = TickContext(now, self.clock.wall(), self.recovering)
+        window = self.orders.window
+        context = TickContext(now, self.clock.wall(), self.recovering, window.free())
         decisions = self.scheduler.decide(self.operators(), context)
         self.decide_at = now + decisions.review_seconds
         for reclaim in decisions.reclaims:
--- a/src/egretloft/_internal/fleet/orders.py
+++ b/src/egretloft/_internal/fleet/orders.py
@@ -24,6 +24,7 @@
     TargetFailure,
     TargetFailureKind,
 )
+from egretloft._internal.fleet.order_window import create_order_window
 from egretloft._internal.fleet.sessions import TermOwner
 from egretloft._internal.fleet.tables import FleetTables, RunPhase, RunRow, TargetRow
 from egretloft._internal.metrics import Metrics
@@ -53,8 +54,20 @@
         self.targets = targets
         self.clock = clock
         self.metrics = metrics
+        self.window = create_order_window()
 
     async def start(self, target: TargetRow, run: RunRow) -> None:
+        """Send a start and keep its place in the window until the outcome is known."""
+        self.window.in_flight += 1
+        try:
+            await self.send_start(target, run)
+        finally:
+            was_full = not self.window.free()
+            self.window.in_flight -= 1
+            if was_full:
+                self.owner.wake_scheduler()
+
+    async def send_start(self, target: TargetRow, run: RunRow) -> None:
         """Send a start, at most ``START_ATTEMPTS`` times, until it is answered.
 
         Without an answer the run stays in its phase: the session confirms it from the
--- a/src/egretloft/_internal/fleet/scheduler.py
+++ b/src/egretloft/_internal/fleet/scheduler.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import math
+import sys
 from dataclasses import dataclass, field
 
 import structlog
@@ -52,6 +53,8 @@
 # While steps wait, decisions are reviewed at least this often: quarantines end,
 # reservations expire and operators change zones without an event of a run.
 MAX_REVIEW_SECONDS = 0.25
+# Decisions are reviewed after this time if no more starts can be sent now.
+FULL_WINDOW_REVIEW_SECONDS = 0.05
 # Only steps of this priority, the most urgent one, may preempt other runs.
 RECLAIMING_PRIORITY = 0
 MILLISECONDS = 1000.0
@@ -91,6 +94,11 @@
     reclaims: list[ReclaimDecision] = field(default_factory=list)
     review_seconds: float = math.inf
 
+    @property
+    def starts(self) -> int:
+        """The number of tasks to start."""
+        return sum(len(placement.starts) for placement in self.placements)
+
     @property
     def stops(self) -> list[RunRow]:
         """The runs to stop."""
@@ -104,11 +112,13 @@
     ``now`` is in seconds on the boot-time clock, ``wall`` in Unix seconds. While
     ``recovering`` is true, tasks of jobs that were accepted before the leader's term
     may still run on a target that has not been fenced, so those jobs are not scheduled.
+    No further step is placed once ``max_starts`` tasks are.
     """
 
     now: float
     wall: float
     recovering: bool = False
+    max_starts: int = sys.maxsize
 
 
 def usable_targets(
@@ -191,6 +201,11 @@
         services: dict[str, ServiceTick] = {}
         guarantees = create_guarantees(self.tables, operators)
         for waiting in waiting_steps(self.tables, self.run_times, context):
+            if decisions.starts >= context.max_starts:
+                decisions.review_seconds = min(
+                    decisions.review_seconds, FULL_WINDOW_REVIEW_SECONDS
+                )
+                break
             service = waiting.job.accepted.service
             if service not in services:
                 targets = usable_targets(self.tables, operators, service)
