Name no time after the caller's deadline in a Retry-After

Ruled out: 1 s for all, which patient callers use up in an outage of some seconds. Change: a refused submission or cancellation names at most two fifths of the time until the deadline, and at least 1 s. Figures: deadlines of 0.5 to 8 s and outages of 0 to 20 s: each time is 1 s or below half of the time left.

--- a/src/egretloft/_internal/fleet/intake.py
+++ b/src/egretloft/_internal/fleet/intake.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections.abc import Callable
 from dataclasses import dataclass
 from enum import StrEnum
@@ -201,7 +202,7 @@
         if failure.kind is StoreFailureKind.CONFLICT:
             self.log_decision("job known already", job_id, caller)
             return Success(False)
-        refusal = self.write_refusal(failure)
+        refusal = self.write_refusal(failure, deadline)
         self.log_decision("job refused", job_id, caller, why=failure.message)
         return Failure(refusal)
 
@@ -288,7 +289,7 @@
         """Store a cancel request; the leader then stops the job's runs."""
         found = await self.find(job_id)
         if isinstance(found, Failure):
-            return Failure(self.store_unavailable(found.failure().message))
+            return Failure(self.store_unavailable(found.failure().message, deadline))
         job = found.unwrap()
         if job is None:
             return Failure(no_such_job(job_id))
@@ -308,22 +309,25 @@
                     request_id=job_id,
                     why=failure.message,
                 )
-                return Failure(self.write_refusal(failure))
+                return Failure(self.write_refusal(failure, deadline))
         log.info("cancel request stored", request_id=job_id)
         return Success(JobState.CANCELLED)
 
-    def store_unavailable(self, message: str) -> IntakeRefusal:
+    def store_unavailable(
+        self, message: str, deadline: float = math.inf
+    ) -> IntakeRefusal:
         """Return the refusal for a store that certainly applied nothing."""
+        patience = deadline - self.clock.boottime()
         return IntakeRefusal(
             IntakeRefusalKind.STORE_UNAVAILABLE,
             message,
-            retry_after_seconds(self.outage_seconds()),
+            retry_after_seconds(self.outage_seconds(), patience),
         )
 
-    def write_refusal(self, failure: StoreFailure) -> IntakeRefusal:
+    def write_refusal(self, failure: StoreFailure, deadline: float) -> IntakeRefusal:
         """Return the refusal for a failed write: not stored, or outcome unknown."""
         if failure.kind is StoreFailureKind.REFUSED:
-            return self.store_unavailable(failure.message)
+            return self.store_unavailable(failure.message, deadline)
         return IntakeRefusal(IntakeRefusalKind.OUTCOME_UNKNOWN, failure.message)
 
     def log_decision(
--- a/tests/unit/fleet/test_retry_after.py
+++ b/tests/unit/fleet/test_retry_after.py
@@ -1,7 +1,7 @@
 """Callers during an outage of the store: most of them come back in time.
 
-The load: callers arrive all the time and retry up to four times, at the time that each
-refusal names or a little earlier.
+The load: patient callers arrive all the time and retry up to four times, at the time
+that each refusal names or a little earlier.
 """
 
 from __future__ import annotations
@@ -51,13 +51,28 @@
     assert retry_after_seconds(None) == 1
 
 
+@pytest.mark.parametrize("outage", [0.0, 3.0, 20.0])
+@pytest.mark.parametrize("patience", [0.5, 3.0, 5.0, 8.0])
+def test_callers_are_told_a_time_before_their_deadline(
+    outage: float, patience: float
+) -> None:
+    seconds = retry_after_seconds(outage, patience)
+    assert seconds == 1 or seconds < patience / 2
+
+
 def test_refusals_of_an_outage_name_a_longer_time_as_it_goes_on() -> None:
     async def refused_after(seconds: float) -> int | None:
         world = build_world()
         await world.start()
         world.store.mode = StoreMode.REFUSES
         await asyncio.sleep(seconds)
-        result = await world.submit(job_id(1), single_step(), 1.0)
+        intake = next(iter(world.processes.values())).instance.intake
+        result = await intake.submit(
+            world.caller("normal"),
+            job_id(1),
+            single_step(),
+            world.clock.boottime() + 30,
+        )
         assert isinstance(result, Failure)
         await world.stop()
         return result.failure().retry_after_seconds
