Use a target again after a long silence, and let no takeover wait for a dead one

Cause: (1) Once the runs of a silent target had been given up, its session had nothing to renew and never asked again, so the target stayed unused for the rest of the term if it did not leave the platform's list. Ruled out: a shorter recovery, which may run a task twice; remembering dead targets in the heartbeat, which grows with the fleet. Change: an unreachable target is asked at the pace of failed renewals. The leader removes the row of a target that it cannot reach and that certainly runs nothing, and records it again before it gives it work; a new leader waits only for targets that had a row when its term began.

--- a/src/egretloft/_internal/fleet/leader.py
+++ b/src/egretloft/_internal/fleet/leader.py
@@ -188,6 +188,23 @@
         """Wake the session of a target that restarted or moved."""
         self.sessions[target.report.target_id].wake.set()
 
+    def on_target_idle(self, target: TargetRow) -> None:
+        """Remove the row of an unreachable target that certainly runs nothing.
+
+        A later leader then need not wait until it can exclude runs there. The target
+        gets no work before it has been recorded again.
+        """
+        if not target.recorded or (self.recovering and not target.fenced):
+            return
+        target.recorded = False
+        self.recorder.forget_target(target.report.target_id)
+        log.info("unreachable target without runs", target=target.report.target_id)
+
+    def on_target_regained(self, target: TargetRow) -> None:
+        """Record the target again if it is not."""
+        if not target.recorded:
+            self.recorder.wake.set()
+
     def on_fenced(self) -> None:
         """End the term because a target has seen a newer epoch."""
         if self.election.term is self.term:
@@ -384,12 +401,16 @@
     def update_recovery(self, now: float) -> None:
         """End the recovery once no unknown run of an earlier term can be active.
 
-        That is when every target is fenced, or when all leases that an earlier leader
-        may have granted have expired.
+        That is when every target that an earlier leader may have used is fenced, or
+        when all leases that it may have granted have expired.
         """
         if not self.recovering:
             return
-        unfenced = [t for t in self.tables.targets.values() if not t.fenced]
+        unfenced = [
+            target
+            for target in self.tables.targets.values()
+            if target.used_before and not target.fenced
+        ]
         if not unfenced or now >= self.recovery_deadline:
             self.recovering = False
             self.decision_needed = True
--- a/src/egretloft/_internal/fleet/recorder.py
+++ b/src/egretloft/_internal/fleet/recorder.py
@@ -187,10 +187,17 @@
     def next_batch(self) -> Batch:
         """Return as many pending changes as fit into one transaction.
 
-        Targets come first, as steps wait for them to be recorded.
+        Targets come first, as steps wait for them to be recorded. An unreachable one,
+        or one whose former row is yet to be removed, is not recorded now.
         """
         batch = Batch()
-        unrecorded = [t for t in self.tables.targets.values() if not t.recorded]
+        unrecorded = [
+            target
+            for target in self.tables.targets.values()
+            if not target.recorded
+            and target.reachable
+            and target.report.target_id not in self.gone_targets
+        ]
         batch.targets = unrecorded[: batch.free_entries() // CONDITIONAL_WRITE_ENTRIES]
         for job in self.dirty.values():
             if batch.free_entries() < CONDITIONAL_WRITE_ENTRIES:
--- a/src/egretloft/_internal/fleet/sessions.py
+++ b/src/egretloft/_internal/fleet/sessions.py
@@ -84,6 +84,12 @@
         Called before the task is marked as done.
         """
 
+    def on_target_idle(self, target: TargetRow) -> None:
+        """Note that an unreachable target certainly runs nothing."""
+
+    def on_target_regained(self, target: TargetRow) -> None:
+        """Note that a target can be reached again."""
+
     def on_fenced(self) -> None:
         """End the term because a target has seen a newer epoch."""
 
@@ -123,9 +129,12 @@
             await self.renew_once()
 
     def needs_renewal(self) -> bool:
-        """Return whether to fence the target, keep runs or acknowledge ends."""
+        """Return whether to fence the target, keep runs or acknowledge ends.
+
+        An unreachable target is also asked, to notice its return.
+        """
         target = self.target
-        if not target.fenced or target.runs:
+        if not target.fenced or target.runs or not target.reachable:
             return True
         return target.last_applied_end > target.last_acknowledged_end
 
@@ -248,7 +257,8 @@
         target.clock.observe(answer.target_time_ms, now)
         if not target.reachable:
             log.info("target regained", target=target.report.target_id)
-        target.reachable = True
+            target.reachable = True
+            self.owner.on_target_regained(target)
         target.failed_renewals = 0
         target.last_answer = now
         target.last_acknowledged_end = max(
@@ -424,7 +434,10 @@
         Start orders that the target may still carry out count like the lease.
         """
         target = self.target
-        if target.failed_renewals < MAX_FAILED_RENEWALS or not target.runs:
+        if target.failed_renewals < MAX_FAILED_RENEWALS:
+            return
+        if not target.runs:
+            self.owner.on_target_idle(target)
             return
         if target.clock is None:
             return
--- a/src/egretloft/_internal/fleet/state_reader.py
+++ b/src/egretloft/_internal/fleet/state_reader.py
@@ -82,7 +82,9 @@
             draining=True,
             incarnation_ms=0,
         )
-        self.owner.add_target(TargetRow(report, listed=False, recorded=True))
+        self.owner.add_target(
+            TargetRow(report, listed=False, recorded=True, used_before=True)
+        )
 
     def on_target_snapshot(self, rows: tuple[StoredRow, ...]) -> None:
         """Apply the complete list of targets."""
--- a/src/egretloft/_internal/fleet/tables.py
+++ b/src/egretloft/_internal/fleet/tables.py
@@ -228,11 +228,13 @@
 class TargetRow:
     """A target and the runs on it.
 
-    ``listed`` tells whether the platform's list contains it, ``fenced`` whether it has
-    seen this leader's epoch. ``lease_ends_ms`` is the end of the longest lease that was
-    granted, on the target's clock. ``last_applied_end``, ``last_recorded_end`` and
-    ``last_acknowledged_end`` are the highest numbers of the target's ends that were
-    applied to the tables, recorded in the store and acknowledged to the target.
+    ``listed`` tells whether the platform's list contains it, ``recorded`` whether the
+    store holds it as a target that may have runs, ``used_before`` whether it did when
+    the term began, ``fenced`` whether it has seen this leader's epoch.
+    ``lease_ends_ms`` is the end of the longest lease that was granted, on the target's
+    clock. ``last_applied_end``, ``last_recorded_end`` and ``last_acknowledged_end`` are
+    the highest numbers of the target's ends that were applied to the tables, recorded
+    in the store and acknowledged to the target.
     ``failed_renewals`` counts the consecutive lease renewals that have failed.
     ``in_use`` is the sum of the resources of ``runs``, including runs that are being
     stopped; both are changed by ``FleetTables`` only.
@@ -241,6 +243,7 @@
     report: TargetReport
     listed: bool = True
     recorded: bool = False
+    used_before: bool = False
     fenced: bool = False
     reachable: bool = True
     failed_renewals: int = 0
--- a/tests/unit/fleet/test_sessions.py
+++ b/tests/unit/fleet/test_sessions.py
@@ -7,7 +7,7 @@
 import pytest
 
 from egretloft._internal.fleet.sessions import TargetSession, create_target_session
-from egretloft._internal.fleet.tables import JobRow, RunRow
+from egretloft._internal.fleet.tables import JobRow, RunRow, TargetRow
 from egretloft._internal.metrics import create_metrics
 from lib.fleet_builders import build_tables, build_target
 from lib.virtual_time import run_virtual
@@ -33,6 +33,12 @@
     def on_run_done(self, run: RunRow) -> None:
         """Do nothing."""
 
+    def on_target_idle(self, target: TargetRow) -> None:
+        """Do nothing."""
+
+    def on_target_regained(self, target: TargetRow) -> None:
+        """Do nothing."""
+
     def on_fenced(self) -> None:
         """Do nothing."""
 
