--- a/tools/standins/fleet/targets.py
+++ b/tools/standins/fleet/targets.py
@@ -86,6 +86,9 @@
         self.stalls_all = False
         self.draining = False
         self.removed = False
+        # A cold target runs this many times slower until a while after its restart.
+        self.cold_slowness = 1.0
+        self.cold_until = 0.0
 
     def reset_state(self) -> None:
         """Reset all state that a crash loses."""
@@ -128,6 +131,12 @@
         self.incarnation_ms += 1000
         self.reset_state()
 
+    def return_cold(self, slowness: float, seconds: float) -> None:
+        """Restart; for ``seconds``, new runs take ``slowness`` times as long."""
+        self.crash()
+        self.cold_slowness = slowness
+        self.cold_until = self.now() + seconds
+
     # Leases.
 
     def extend(self, expires_ms: float) -> None:
@@ -227,6 +236,8 @@
     def work(self, run: RunTruth) -> None:
         """Start the work of a run and set the timer for its end."""
         run.working_since = self.now()
+        if self.now() < self.cold_until:
+            run.work_left *= self.cold_slowness
         if self.stalls_all:
             return
         truth = self.checker.jobs[run.key.task.step.job_id]
@@ -326,13 +337,15 @@
     ``wait_until_thawed`` blocks while the instance is frozen.
 
     ``late_order_share`` is the share of starts and stops that get no answer and are
-    carried out seconds later.
+    carried out seconds later, ``lost_answer_share`` that of starts that are carried out
+    at once and whose answer is lost.
     """
 
     targets: dict[str, EmulatedTarget]
     generator: random.Random
     wait_until_thawed: Callable[[], Awaitable[None]] = return_at_once
     late_order_share: float = 0.0
+    lost_answer_share: float = 0.0
     cut_from: set[str] = field(default_factory=set)
     late_orders: set[asyncio.Task[None]] = field(default_factory=set)
 
@@ -379,6 +392,9 @@
             await asyncio.sleep(timeout_seconds)
             return no_answer()
         result = reached.start(order)
+        if self.lost_answer_share and self.generator.random() < self.lost_answer_share:
+            await asyncio.sleep(timeout_seconds)
+            return no_answer()
         await asyncio.sleep(ONE_WAY_DELAY_SECONDS)
         await self.wait_until_thawed()
         return result
