Let calls to targets wait for a place before their timeout begins

Cause: a leader of an eighth of a core sent up to 128 start orders at once. The bound shrank only after a burst and grew while nothing was sent. Ruled out: a longer timeout, which delays the discovery of dead targets; one call to a target at a time, which lets a lost answer hold up the others. Change: call_pacer.py grants places to starts and stops, 16 at once and 2 to a target at first. Answers let the limit grow while calls wait, a late event loop halves it. A call without an answer gives up its place after 50 ms, so dead targets hold up nobody. The permission to send is checked after the wait, and a run whose order was never sent is removed, as no order of it can expire.

--- /dev/null
+++ b/src/egretloft/_internal/fleet/call_pacer.py
@@ -0,0 +1,130 @@
+"""Paces calls to targets by what the leader's processor can handle.
+
+Answers the load of many starts or stops at once on a small machine. Sent all at once,
+their answers are handled too late: the calls time out, are repeated on new connections,
+and take the processor from the renewals of leases. A call that waits here has not begun
+its timeout yet.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+from dataclasses import dataclass, field
+
+# A leader does not know how fast its processor is before it has sent calls.
+INITIAL_CALLS = 16
+MIN_CALLS = 4
+MAX_CALLS = 64
+# Calls to one target at once. Each needs a connection of its own.
+MAX_CALLS_PER_TARGET = 2
+# The event loop is late if a timer fires this long after its time. An order times out
+# after a few times as long.
+LATE_SECONDS = 0.06
+# A call without an answer gives its place to the next one after this time, as it costs
+# no processor time while it waits.
+SLOT_SECONDS = 0.05
+# Calls that may wait for a place, as a multiple of those that are sent at once, before
+# no further steps are placed.
+MAX_WAITING_ROUNDS = 4
+
+
+@dataclass(slots=True, eq=False)
+class CallSlot:
+    """The place of one call; ``granted`` is done once the call may be sent."""
+
+    target_id: str
+    granted: asyncio.Future[None] = field(
+        default_factory=lambda: asyncio.get_running_loop().create_future()
+    )
+    timer: asyncio.TimerHandle | None = None
+
+
+class CallPacer:
+    """Grants places to calls in order of arrival, as far as their targets allow."""
+
+    def __init__(self) -> None:
+        self.limit = float(INITIAL_CALLS)
+        self.sending = 0
+        self.sending_to: dict[str, int] = {}
+        self.waiting: deque[CallSlot] = deque()
+
+    def free(self) -> int:
+        """Return how many more calls may be added before the backlog is too long.
+
+        A gang may exceed the limit, as its members have to start together; the result
+        is never negative.
+        """
+        backlog = self.sending + len(self.waiting)
+        return max(0, int(self.limit) * MAX_WAITING_ROUNDS - backlog)
+
+    async def acquire(self, target_id: str) -> CallSlot:
+        """Wait until a call to the target may be sent."""
+        slot = CallSlot(target_id)
+        self.waiting.append(slot)
+        self.grant()
+        try:
+            await slot.granted
+        except asyncio.CancelledError:
+            self.abandon(slot)
+            raise
+        return slot
+
+    def release(self, slot: CallSlot) -> None:
+        """Give the place of a call to the next one; idempotent.
+
+        A call that was answered while others waited lets the limit grow.
+        """
+        if slot.timer is None:
+            return
+        if self.waiting:
+            self.limit = min(MAX_CALLS, self.limit + 1 / self.limit)
+        self.give_up_place(slot)
+
+    def observe_lateness(self, seconds: float) -> None:
+        """Halve the limit if a timer of the event loop has fired late."""
+        if seconds > LATE_SECONDS:
+            self.limit = max(MIN_CALLS, self.limit / 2)
+
+    def grant(self) -> None:
+        """Grant the free places to the waiting calls."""
+        blocked: list[CallSlot] = []
+        while self.waiting and self.sending < int(self.limit):
+            slot = self.waiting.popleft()
+            sending = self.sending_to.get(slot.target_id, 0)
+            if sending >= MAX_CALLS_PER_TARGET:
+                blocked.append(slot)
+                continue
+            self.sending += 1
+            self.sending_to[slot.target_id] = sending + 1
+            loop = asyncio.get_running_loop()
+            slot.timer = loop.call_later(SLOT_SECONDS, self.give_up_place, slot)
+            if not slot.granted.done():
+                slot.granted.set_result(None)
+        self.waiting.extendleft(reversed(blocked))
+
+    def give_up_place(self, slot: CallSlot) -> None:
+        """Free the place of a granted call; idempotent."""
+        if slot.timer is None:
+            return
+        slot.timer.cancel()
+        slot.timer = None
+        self.sending -= 1
+        remaining = self.sending_to[slot.target_id] - 1
+        if remaining:
+            self.sending_to[slot.target_id] = remaining
+        else:
+            del self.sending_to[slot.target_id]
+        self.grant()
+
+    def abandon(self, slot: CallSlot) -> None:
+        """Remove a call that was cancelled before it was sent."""
+        if slot.timer is None:
+            self.waiting.remove(slot)
+        else:
+            self.give_up_place(slot)
+
+
+def create_call_pacer() -> CallPacer:
+    """Return a pacer without calls; its slots need a running event loop."""
+    return CallPacer()
--- a/src/egretloft/_internal/fleet/leader.py
+++ b/src/egretloft/_internal/fleet/leader.py
@@ -334,7 +334,7 @@
             await asyncio.sleep(pause)
             self.wake.clear()
             started = self.clock.boottime()
-            self.orders.window.observe_lateness(started - paused_at - pause)
+            self.orders.pacer.observe_lateness(started - paused_at - pause)
             self.tick()
             spent = self.clock.boottime() - started
             self.metrics.observe_seconds("tick_seconds", spent)
@@ -389,8 +389,8 @@
     def decide(self, now: float) -> None:
         """Decide what to start and to preempt, and carry it out."""
         self.decision_needed = False
-        window = self.orders.window
-        context = TickContext(now, self.clock.wall(), self.recovering, window.free())
+        max_starts = self.orders.pacer.free()
+        context = TickContext(now, self.clock.wall(), self.recovering, max_starts)
         decisions = self.scheduler.decide(self.operators(), context)
         self.decide_at = now + decisions.review_seconds
         for reclaim in decisions.reclaims:
--- a/src/egretloft/_internal/fleet/orders.py
+++ b/src/egretloft/_internal/fleet/orders.py
@@ -12,6 +12,7 @@
 import structlog
 from returns.result import Failure
 
+from egretloft._internal.fleet.call_pacer import create_call_pacer
 from egretloft._internal.fleet.clocks import MILLISECONDS
 from egretloft._internal.fleet.constants import (
     ORDER_TIMEOUT_SECONDS,
@@ -24,7 +25,6 @@
     TargetFailure,
     TargetFailureKind,
 )
-from egretloft._internal.fleet.order_window import create_order_window
 from egretloft._internal.fleet.sessions import TermOwner
 from egretloft._internal.fleet.tables import FleetTables, RunPhase, RunRow, TargetRow
 from egretloft._internal.metrics import Metrics
@@ -54,20 +54,9 @@
         self.targets = targets
         self.clock = clock
         self.metrics = metrics
-        self.window = create_order_window()
+        self.pacer = create_call_pacer()
 
     async def start(self, target: TargetRow, run: RunRow) -> None:
-        """Send a start and keep its place in the window until the outcome is known."""
-        self.window.in_flight += 1
-        try:
-            await self.send_start(target, run)
-        finally:
-            was_full = not self.window.free()
-            self.window.in_flight -= 1
-            if was_full:
-                self.owner.wake_scheduler()
-
-    async def send_start(self, target: TargetRow, run: RunRow) -> None:
         """Send a start, at most ``START_ATTEMPTS`` times, until it is answered.
 
         Without an answer the run stays in its phase: the session confirms it from the
@@ -75,15 +64,18 @@
         """
         may_have_started = False
         for _ in range(START_ATTEMPTS):
-            if run.phase is not RunPhase.STARTING or not self.owner.may_issue_orders():
-                return
-            order = self.start_order(target, run)
-            if order is None:
-                return
-            sent = self.clock.boottime()
-            result = await self.targets.start(
-                target.report, order, ORDER_TIMEOUT_SECONDS
-            )
+            slot = await self.pacer.acquire(run.target_id)
+            try:
+                order = self.start_order(target, run) if self.may_start(run) else None
+                if order is None:
+                    self.remove_unsent(target, run)
+                    return
+                sent = self.clock.boottime()
+                result = await self.targets.start(
+                    target.report, order, ORDER_TIMEOUT_SECONDS
+                )
+            finally:
+                self.pacer.release(slot)
             if not isinstance(result, Failure):
                 self.on_started(target, run, result.unwrap(), sent)
                 return
@@ -102,6 +94,28 @@
             expires_ms=int(run.order_expires_ms),
         )
 
+    def remove_unsent(self, target: TargetRow, run: RunRow) -> None:
+        """Remove a run that waits for its start if no order for it has been sent.
+
+        Nothing else would end it, as no order of it can expire.
+        """
+        if run.phase is not RunPhase.STARTING or run.order_expires_ms:
+            return
+        log.info(
+            "start order not sent",
+            request_id=run.key.task.step.job_id,
+            task=run.key.task.index,
+            attempt=run.key.attempt,
+            target=run.target_id,
+        )
+        self.metrics.count("starts_not_sent")
+        self.tables.remove_run(target, run)
+        self.owner.wake_scheduler()
+
+    def may_start(self, run: RunRow) -> bool:
+        """Return whether the run is still wanted and the leader may send orders."""
+        return run.phase is RunPhase.STARTING and self.owner.may_issue_orders()
+
     def start_order(self, target: TargetRow, run: RunRow) -> StartOrder | None:
         """Return the start order, or ``None`` if the job or the clock is unknown.
 
@@ -183,10 +197,16 @@
 
         Gives up when the leader may no longer send orders.
         """
-        while run.key in target.runs and self.owner.may_issue_orders():
-            result = await self.targets.stop(
-                target.report, run.key, self.owner.epoch, ORDER_TIMEOUT_SECONDS
-            )
+        while run.key in target.runs:
+            slot = await self.pacer.acquire(run.target_id)
+            try:
+                if run.key not in target.runs or not self.owner.may_issue_orders():
+                    return
+                result = await self.targets.stop(
+                    target.report, run.key, self.owner.epoch, ORDER_TIMEOUT_SECONDS
+                )
+            finally:
+                self.pacer.release(slot)
             if not isinstance(result, Failure):
                 run.stop_confirmed_at = self.clock.boottime()
                 return
--- a/tests/lib/fleet_builders.py
+++ b/tests/lib/fleet_builders.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Awaitable, Callable
 
+from egretloft._internal.fleet.interfaces import Targets
 from egretloft._internal.fleet.models import (
     JobSpec,
     Resources,
@@ -53,6 +54,7 @@
     instance_count: int = 3,
     target_count: int = 8,
     processors: dict[str, float] | None = None,
+    wrap_targets: Callable[[Targets], Targets] | None = None,
 ) -> FleetWorld:
     """Return an emulated fleet whose instances can reach each other."""
     return FleetWorld(
@@ -61,6 +63,7 @@
         instance_count,
         target_count,
         processors=processors,
+        wrap_targets=wrap_targets,
     )
 
 
--- /dev/null
+++ b/tests/unit/fleet/test_call_pacer.py
@@ -0,0 +1,162 @@
+"""Calls to targets of a leader whose processor is too small for its load."""
+
+from __future__ import annotations
+
+import asyncio
+
+from egretloft._internal.fleet.call_pacer import (
+    INITIAL_CALLS,
+    LATE_SECONDS,
+    MAX_CALLS,
+    MAX_CALLS_PER_TARGET,
+    MAX_WAITING_ROUNDS,
+    MIN_CALLS,
+    SLOT_SECONDS,
+    CallPacer,
+    CallSlot,
+    create_call_pacer,
+)
+from egretloft._internal.fleet.models import OperatorState
+from egretloft._internal.fleet.scheduler import Scheduler, TickContext
+from lib.fleet_builders import (
+    SMALL,
+    WHOLE,
+    add_job,
+    build_tables,
+    build_target,
+    single_step,
+)
+from lib.virtual_time import run_virtual
+
+
+def placed(max_starts: int, *sizes: int) -> list[int]:
+    """Return the sizes of the gangs that are placed on an empty fleet."""
+    tables = build_tables(*(build_target(number) for number in range(40)))
+    for number, size in enumerate(sizes, start=1):
+        add_job(tables, number, single_step(size, SMALL, gang=True))
+    context = TickContext(100.0, 1_000.0, max_starts=max_starts)
+    decisions = Scheduler(tables).decide(OperatorState(), context)
+    return [len(placement.starts) for placement in decisions.placements]
+
+
+async def granted_calls(pacer: CallPacer, *target_ids: str) -> list[CallSlot]:
+    """Ask for a place for one call to each target; return those granted at once."""
+    tasks = [asyncio.create_task(pacer.acquire(target)) for target in target_ids]
+    await asyncio.sleep(0)
+    await asyncio.sleep(0)
+    return [task.result() for task in tasks if task.done()]
+
+
+async def call_repeatedly(pacer: CallPacer, target_id: str) -> None:
+    """Make calls to one target, each of which is answered soon."""
+    for _ in range(MAX_CALLS):
+        slot = await pacer.acquire(target_id)
+        await asyncio.sleep(SLOT_SECONDS / 10)
+        pacer.release(slot)
+
+
+def numbered(count: int) -> list[str]:
+    """Return the ids of different targets."""
+    return [f"target-{number}" for number in range(count)]
+
+
+def test_calls_beyond_the_limit_wait_for_an_answer() -> None:
+    async def main() -> None:
+        pacer = create_call_pacer()
+        granted = await granted_calls(pacer, *numbered(INITIAL_CALLS + 3))
+        assert len(granted) == INITIAL_CALLS
+        pacer.release(granted[0])
+        assert pacer.sending == INITIAL_CALLS
+        assert len(pacer.waiting) == 2
+
+    run_virtual(main())
+
+
+def test_call_without_an_answer_gives_up_its_place() -> None:
+    """Guards against dead targets that hold up the orders to all others."""
+
+    async def main() -> None:
+        pacer = create_call_pacer()
+        await granted_calls(pacer, *numbered(INITIAL_CALLS))
+        asked = asyncio.get_running_loop().time()
+        slot = await pacer.acquire("another")
+        waited = asyncio.get_running_loop().time() - asked
+        assert waited <= SLOT_SECONDS * 1.01
+        pacer.release(slot)
+        pacer.release(slot)
+        assert pacer.sending == 0
+        assert pacer.sending_to == {}
+
+    run_virtual(main())
+
+
+def test_calls_to_one_target_wait_without_holding_up_others() -> None:
+    async def main() -> None:
+        pacer = create_call_pacer()
+        same = ["target-1"] * (MAX_CALLS_PER_TARGET + 2)
+        granted = await granted_calls(pacer, *same, "target-2")
+        assert [slot.target_id for slot in granted].count("target-2") == 1
+        assert len(granted) == MAX_CALLS_PER_TARGET + 1
+
+    run_virtual(main())
+
+
+def test_cancelled_call_frees_its_place() -> None:
+    async def main() -> None:
+        pacer = create_call_pacer()
+        same = ["target-1"] * MAX_CALLS_PER_TARGET
+        granted = await granted_calls(pacer, *same)
+        waiting = asyncio.create_task(pacer.acquire("target-1"))
+        await asyncio.sleep(0)
+        waiting.cancel()
+        await asyncio.gather(waiting, return_exceptions=True)
+        assert not pacer.waiting
+        for slot in granted:
+            pacer.release(slot)
+        assert pacer.sending == 0
+
+    run_virtual(main())
+
+
+def test_limit_shrinks_while_the_loop_is_late_and_grows_with_answers() -> None:
+    async def main() -> None:
+        pacer = create_call_pacer()
+        for _ in range(10):
+            pacer.observe_lateness(2 * LATE_SECONDS)
+        assert pacer.free() == MIN_CALLS * MAX_WAITING_ROUNDS
+        pacer.observe_lateness(0.0)
+        assert pacer.limit == MIN_CALLS, "only answers let it grow"
+        await asyncio.gather(
+            *(call_repeatedly(pacer, target) for target in numbered(2 * MAX_CALLS))
+        )
+        assert pacer.limit == MAX_CALLS
+
+    run_virtual(main())
+
+
+def test_backlog_larger_than_the_limit_leaves_none_free() -> None:
+    async def main() -> None:
+        pacer = create_call_pacer()
+        await granted_calls(pacer, *numbered(INITIAL_CALLS * MAX_WAITING_ROUNDS + 20))
+        assert pacer.free() == 0
+
+    run_virtual(main())
+
+
+def test_no_further_step_is_placed_once_the_backlog_is_full() -> None:
+    """Guards against placements whose orders expire in the backlog."""
+    assert placed(100, 3, 3, 3) == [3, 3, 3]
+    assert placed(4, 3, 3, 3) == [3, 3]
+    assert placed(0, 3, 3, 3) == []
+
+
+def test_a_gang_that_exceeds_the_backlog_starts_whole() -> None:
+    assert placed(4, 30, 2) == [30]
+
+
+def test_steps_that_wait_for_the_backlog_are_reviewed_soon() -> None:
+    tables = build_tables(build_target(0))
+    add_job(tables, 1, single_step(1, WHOLE))
+    context = TickContext(100.0, 1_000.0, max_starts=0)
+    decisions = Scheduler(tables).decide(OperatorState(), context)
+    assert decisions.review_seconds < 0.1
--- /dev/null
+++ b/tests/unit/fleet/test_small_processor.py
@@ -0,0 +1,87 @@
+"""A leader whose processor needs milliseconds for each call to a target.
+
+On an eighth of a core, one call on a new connection takes about 8 ms with its answer.
+"""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+from returns.result import Success
+
+from egretloft._internal.fleet.models import EndKind, JobState
+from egretloft._internal.fleet.scheduler import Placement
+from lib.busy_targets import BusyTargets, busy_targets_factory
+from lib.fleet_builders import SMALL, build_world, job_id, single_step
+from lib.virtual_time import run_virtual
+
+CALL_SECONDS = 0.008
+TARGETS = 48
+
+
+async def complete_burst(gang: bool, tasks: int) -> tuple[list[BusyTargets], int]:
+    """Submit three jobs at once; return the clients and the unwanted ends."""
+    clients: list[BusyTargets] = []
+    world = build_world(
+        instance_count=1,
+        target_count=TARGETS,
+        wrap_targets=busy_targets_factory(CALL_SECONDS, clients),
+    )
+    await world.start()
+    await asyncio.sleep(5.0)
+    for number in range(3):
+        spec = single_step(tasks, SMALL, gang=gang)
+        result = await world.submit(job_id(number), spec, 4.0)
+        assert isinstance(result, Success)
+    for number in range(3):
+        assert await world.wait_for_state(job_id(number), JobState.COMPLETE, 9.0)
+    unwanted = [
+        kind
+        for process in world.processes.values()
+        for kind in (EndKind.LEASE_EXPIRED, EndKind.GANG_INCOMPLETE)
+        if process.instance.metrics.counter("run_ends", kind=kind.value)
+    ]
+    assert world.checker.violations == []
+    assert world.checker.starts == 3 * tasks
+    await world.stop()
+    return clients, len(unwanted)
+
+
+@pytest.mark.parametrize(("gang", "tasks"), [(False, 100), (True, 100)])
+def test_burst_of_starts_neither_times_out_nor_loses_leases(
+    gang: bool, tasks: int
+) -> None:
+    """Guards against start orders that time out because too many are sent at once."""
+    clients, unwanted = run_virtual(complete_burst(gang, tasks))
+    assert sum(client.timeouts for client in clients) == 0
+    assert unwanted == 0
+
+
+def test_start_that_was_never_sent_does_not_hold_its_task() -> None:
+    """Guards against a run that waits for ever for an order that nobody sends.
+
+    The leader loses its permission between the decision and the order.
+    """
+
+    async def main() -> None:
+        world = build_world(instance_count=1, target_count=4)
+        await world.start()
+        process = next(iter(world.processes.values()))
+        leader = process.instance.leader
+        assert leader is not None
+        start_step = leader.start_step
+
+        def start_without_permission(placement: Placement) -> None:
+            leader.confirmation_needed_since = world.clock.boottime() + 0.5
+            leader.start_step = start_step  # type: ignore[method-assign]
+            start_step(placement)
+
+        leader.start_step = start_without_permission  # type: ignore[method-assign]
+        await world.submit(job_id(1), single_step(3), 1.0)
+        assert await world.wait_for_state(job_id(1), JobState.COMPLETE, 6.0)
+        await world.stop()
+        assert world.checker.violations == []
+        assert world.checker.starts == 3
+
+    run_virtual(main())
--- a/tools/standins/fleet/world.py
+++ b/tools/standins/fleet/world.py
@@ -13,7 +13,7 @@
 from egretloft._internal import codec
 from egretloft._internal.fleet.instance import Identity, Instance, create_instance
 from egretloft._internal.fleet.intake import Caller, IntakeRefusal
-from egretloft._internal.fleet.interfaces import StoredRow
+from egretloft._internal.fleet.interfaces import StoredRow, Targets
 from egretloft._internal.fleet.models import (
     Configuration,
     JobSpec,
@@ -117,7 +117,10 @@
 
 
 class FleetWorld:
-    """A deployment of ``instance_count`` instances and ``target_count`` targets."""
+    """A deployment of ``instance_count`` instances and ``target_count`` targets.
+
+    ``wrap_targets`` returns the client of an instance around the given one.
+    """
 
     def __init__(
         self,
@@ -129,7 +132,9 @@
         processors: dict[str, float] | None = None,
         checker: Checker | None = None,
         targets_per_rack: int = TARGETS_PER_RACK,
+        wrap_targets: Callable[[Targets], Targets] | None = None,
     ) -> None:
+        self.wrap_targets = wrap_targets
         self.generator = random.Random(seed)
         self.peers_of = peers_of
         self.clock = LoopFleetClock()
@@ -226,7 +231,7 @@
                 self.processors.get(name, 1.0),
             ),
             store,
-            targets,
+            targets if self.wrap_targets is None else self.wrap_targets(targets),
             EmulatedDecoder(),
             peers,
             self.clock,
