Keep a stalled run as long as its lost work is worth, and spare its target

Cause: runs that had made no progress for 3 s were stopped, and with them their whole gangs. New tasks were started on such a target until its first run was stopped. Each of six stalled runs of one target doubled its quarantine. Change: a target gets no new work while a run on it has made no progress for 1.5 s. A stalled run is stopped after 1.5 times the time whose work would be lost, at least 3 s and at most 12 s; its target is quarantined once. The emulated target can stand still for a while.

--- a/src/egretloft/_internal/fleet/leader.py
+++ b/src/egretloft/_internal/fleet/leader.py
@@ -60,7 +60,7 @@
     RunRow,
     TargetRow,
 )
-from egretloft._internal.fleet.target_health import quarantine, stalled_runs
+from egretloft._internal.fleet.target_health import quarantine, review_progress
 from egretloft._internal.fleet.watching import create_table_watcher, read_partition
 from egretloft._internal.metrics import Metrics
 
@@ -452,9 +452,10 @@
 
     def stop_stalled_runs(self, now: float) -> None:
         """Stop runs that make no progress, and quarantine their targets."""
-        for run in stalled_runs(self.tables):
-            target = self.tables.targets[run.target_id]
-            quarantine(target, now)
+        stalled = review_progress(self.tables, now)
+        for target_id in {run.target_id for run in stalled}:
+            quarantine(self.tables.targets[target_id], now)
+        for run in stalled:
             task = self.tables.task(run.key.task)
             if task is not None:
                 task.failed_on.add(run.target_id)
--- a/src/egretloft/_internal/fleet/lost_work.py
+++ b/src/egretloft/_internal/fleet/lost_work.py
@@ -22,14 +22,19 @@
     return resources.cpu / MILLICORES + resources.gpus * CORES_PER_GPU
 
 
-def unsaved_work(run: RunRow, now: float) -> float:
-    """Return the core-seconds that a run has worked since its last checkpoint."""
+def unsaved_seconds(run: RunRow, now: float) -> float:
+    """Return the seconds that a run has worked since its last checkpoint."""
     worked = max(0.0, now - run.started_at)
     if run.job is not None:
         spec = run.job.accepted.spec.steps[run.key.task.step.step]
         if spec.checkpoints:
             worked = min(worked, MAX_CHECKPOINT_LOSS_SECONDS)
-    return weighted_cores(run.room) * worked
+    return worked
+
+
+def unsaved_work(run: RunRow, now: float) -> float:
+    """Return the core-seconds that a run has worked since its last checkpoint."""
+    return weighted_cores(run.room) * unsaved_seconds(run, now)
 
 
 def expected_work(step: StepRow) -> float:
--- a/src/egretloft/_internal/fleet/tables.py
+++ b/src/egretloft/_internal/fleet/tables.py
@@ -236,6 +236,7 @@
     the highest numbers of the target's ends that were applied to the tables, recorded
     in the store and acknowledged to the target.
     ``failed_renewals`` counts the consecutive lease renewals that have failed.
+    ``stalling`` tells whether a run on the target makes no progress.
     ``in_use`` is the sum of the resources of ``runs``, including runs that are being
     stopped; both are changed by ``FleetTables`` only.
     """
@@ -259,6 +260,7 @@
     failed_jobs: list[tuple[float, str]] = field(default_factory=list)
     quarantined_until: float = 0.0
     quarantines: int = 0
+    stalling: bool = False
 
 
 @dataclass(slots=True, eq=False)
--- a/tests/unit/fleet/test_target_troubles.py
+++ b/tests/unit/fleet/test_target_troubles.py
@@ -135,3 +135,31 @@
         assert world.checker.violations == []
 
     run_virtual(main())
+
+
+def test_long_run_outlives_the_stall_of_its_target() -> None:
+    """Guards against work that is given up because one target stood still for a while.
+
+    Meanwhile no new task is started on that target.
+    """
+
+    async def main() -> None:
+        world = build_world(target_count=8)
+        await world.start()
+        spec = single_step(1, SMALL, estimate_ms=6000)
+        result = await world.submit(job_id(1), spec, 6.0)
+        assert isinstance(result, Success)
+        await asyncio.sleep(4.0)
+        stalling = next(target for target in world.targets.values() if target.runs)
+        stalling.stall(5.0)
+        await asyncio.sleep(3.0)
+        for number in range(2, 5):
+            await world.submit(job_id(number), single_step(8, SMALL), 0.5)
+        await asyncio.sleep(0.5)
+        assert {run.key.task.step.job_id for run in stalling.runs.values()} == {
+            job_id(1)
+        }
+        await finish(world, [job_id(number) for number in range(1, 5)], 12.0)
+        assert world.checker.starts == 1 + 3 * 8
+
+    run_virtual(main())
--- a/tools/standins/fleet/checker.py
+++ b/tools/standins/fleet/checker.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from dataclasses import dataclass, field
 
 from egretloft._internal.fleet.models import (
@@ -36,6 +37,7 @@
 class RunTruth:
     """Ground truth of a run on a target.
 
+    The run makes no progress between ``stalled_from`` and ``stalled_until``.
     ``work_left`` is in seconds. ``working_since`` is ``None`` until the run starts to
     work; a gang member waits for the other members first.
     """
@@ -46,9 +48,11 @@
     checkpoint: str
     started_at: float
     working_since: float | None = None
+    stalled_from: float = 0.0
+    stalled_until: float = 0.0
     work_left: float = 0.0
     stopping: bool = False
-    handles: list[object] = field(default_factory=list)
+    handles: list[asyncio.TimerHandle] = field(default_factory=list)
 
 
 class Checker:
--- a/tools/standins/fleet/targets.py
+++ b/tools/standins/fleet/targets.py
@@ -131,6 +131,20 @@
         self.incarnation_ms += 1000
         self.reset_state()
 
+    def stall(self, seconds: float) -> None:
+        """Let the runs at work stand still for ``seconds``, after which they go on."""
+        loop = asyncio.get_running_loop()
+        for run in self.runs.values():
+            if run.working_since is None:
+                continue
+            run.stalled_from = self.now()
+            run.stalled_until = self.now() + seconds
+            for handle in run.handles:
+                handle.cancel()
+            left = run.working_since + run.work_left - self.now()
+            timer = loop.call_later(left + seconds, self.end, run, EndKind.DONE)
+            run.handles = [timer]
+
     def return_cold(self, slowness: float, seconds: float) -> None:
         """Restart; for ``seconds``, new runs take ``slowness`` times as long."""
         self.crash()
@@ -323,7 +337,12 @@
     """Return the progress of a run in percent, at most 99 before its end."""
     if run.working_since is None or stalled or not run.work_left:
         return 0
-    return min(99, int(100 * (now - run.working_since) / run.work_left))
+    worked = now - run.working_since
+    if now >= run.stalled_until:
+        worked -= run.stalled_until - run.stalled_from
+    else:
+        worked = run.stalled_from - run.working_since
+    return min(99, int(100 * worked / run.work_left))
 
 
 async def return_at_once() -> None:
