Send stops and urgent starts before a backlog of other calls

Ruled out: a reserve of places for urgent calls, which idles on a calm fleet. Change: the pacer grants places by priority, stops first; a backlog of less urgent calls does not keep an urgent step from being placed.

--- a/src/egretloft/_internal/fleet/call_pacer.py
+++ b/src/egretloft/_internal/fleet/call_pacer.py
@@ -9,7 +9,8 @@
 from __future__ import annotations
 
 import asyncio
-from collections import deque
+import heapq
+import itertools
 from dataclasses import dataclass, field
 
 # A leader does not know how fast its processor is before it has sent calls.
@@ -24,44 +25,57 @@
 # A call without an answer gives its place to the next one after this time, as it costs
 # no processor time while it waits.
 SLOT_SECONDS = 0.05
+# Stops are sent before all starts, as others wait for the room of what they stop.
+STOP_PRIORITY = -1
 # Calls that may wait for a place, as a multiple of those that are sent at once, before
 # no further steps are placed.
 MAX_WAITING_ROUNDS = 4
 
 
-@dataclass(slots=True, eq=False)
+@dataclass(slots=True, order=True)
 class CallSlot:
-    """The place of one call; ``granted`` is done once the call may be sent."""
+    """The place of one call; ``granted`` is done once the call may be sent.
 
+    Slots are sorted by ``priority``, the most urgent one first, then by ``number``.
+    """
+
+    priority: int
+    number: int
     target_id: str
     granted: asyncio.Future[None] = field(
-        default_factory=lambda: asyncio.get_running_loop().create_future()
+        default_factory=lambda: asyncio.get_running_loop().create_future(),
+        compare=False,
     )
-    timer: asyncio.TimerHandle | None = None
+    timer: asyncio.TimerHandle | None = field(default=None, compare=False)
 
 
 class CallPacer:
-    """Grants places to calls in order of arrival, as far as their targets allow."""
+    """Grants places to calls by priority, then in order of arrival.
+
+    A call whose target has enough calls already lets others pass.
+    """
 
     def __init__(self) -> None:
         self.limit = float(INITIAL_CALLS)
         self.sending = 0
         self.sending_to: dict[str, int] = {}
-        self.waiting: deque[CallSlot] = deque()
+        self.waiting: list[CallSlot] = []
+        self.numbers = itertools.count()
 
-    def free(self) -> int:
-        """Return how many more calls may be added before the backlog is too long.
+    def free(self, priority: int) -> int:
+        """Return how many more calls of a priority may be added to the backlog.
 
-        A gang may exceed the limit, as its members have to start together; the result
-        is never negative.
+        Less urgent calls do not count. A gang may exceed the limit, as its members have
+        to start together; the result is never negative.
         """
-        backlog = self.sending + len(self.waiting)
-        return max(0, int(self.limit) * MAX_WAITING_ROUNDS - backlog)
-
-    async def acquire(self, target_id: str) -> CallSlot:
-        """Wait until a call to the target may be sent."""
-        slot = CallSlot(target_id)
-        self.waiting.append(slot)
+        ahead = sum(slot.priority <= priority for slot in self.waiting)
+        limit = int(self.limit) * MAX_WAITING_ROUNDS
+        return max(0, limit - self.sending - ahead)
+
+    async def acquire(self, target_id: str, priority: int = 0) -> CallSlot:
+        """Wait until a call to the target may be sent; 0 is the most urgent start."""
+        slot = CallSlot(priority, next(self.numbers), target_id)
+        heapq.heappush(self.waiting, slot)
         self.grant()
         try:
             await slot.granted
@@ -90,7 +104,7 @@
         """Grant the free places to the waiting calls."""
         blocked: list[CallSlot] = []
         while self.waiting and self.sending < int(self.limit):
-            slot = self.waiting.popleft()
+            slot = heapq.heappop(self.waiting)
             sending = self.sending_to.get(slot.target_id, 0)
             if sending >= MAX_CALLS_PER_TARGET:
                 blocked.append(slot)
@@ -101,7 +115,8 @@
             slot.timer = loop.call_later(SLOT_SECONDS, self.give_up_place, slot)
             if not slot.granted.done():
                 slot.granted.set_result(None)
-        self.waiting.extendleft(reversed(blocked))
+        for slot in blocked:
+            heapq.heappush(self.waiting, slot)
 
     def give_up_place(self, slot: CallSlot) -> None:
         """Free the place of a granted call; idempotent."""
@@ -121,6 +136,7 @@
         """Remove a call that was cancelled before it was sent."""
         if slot.timer is None:
             self.waiting.remove(slot)
+            heapq.heapify(self.waiting)
         else:
             self.give_up_place(slot)
 
--- a/src/egretloft/_internal/fleet/leader.py
+++ b/src/egretloft/_internal/fleet/leader.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import sys
 from collections.abc import Awaitable, Callable, Coroutine
 from typing import Any
 
@@ -44,6 +45,7 @@
 from egretloft._internal.fleet.placing import required_resources
 from egretloft._internal.fleet.recorder import create_recorder
 from egretloft._internal.fleet.scheduler import (
+    RECLAIMING_PRIORITY,
     Placement,
     ReclaimDecision,
     Scheduler,
@@ -66,6 +68,8 @@
 
 log = structlog.get_logger(__name__)
 
+# No queue is less urgent than this.
+LAST_PRIORITY = sys.maxsize
 # Idle time after a tick, as a multiple of the tick's duration: ticks then use at most
 # a quarter of the processor.
 TICK_PAUSE_FACTOR = 3.0
@@ -389,8 +393,14 @@
     def decide(self, now: float) -> None:
         """Decide what to start and to preempt, and carry it out."""
         self.decision_needed = False
-        max_starts = self.orders.pacer.free()
-        context = TickContext(now, self.clock.wall(), self.recovering, max_starts)
+        pacer = self.orders.pacer
+        context = TickContext(
+            now,
+            self.clock.wall(),
+            self.recovering,
+            max_starts=pacer.free(LAST_PRIORITY),
+            max_urgent_starts=pacer.free(RECLAIMING_PRIORITY),
+        )
         decisions = self.scheduler.decide(self.operators(), context)
         self.decide_at = now + decisions.review_seconds
         for reclaim in decisions.reclaims:
--- a/src/egretloft/_internal/fleet/orders.py
+++ b/src/egretloft/_internal/fleet/orders.py
@@ -12,7 +12,7 @@
 import structlog
 from returns.result import Failure
 
-from egretloft._internal.fleet.call_pacer import create_call_pacer
+from egretloft._internal.fleet.call_pacer import STOP_PRIORITY, create_call_pacer
 from egretloft._internal.fleet.clocks import MILLISECONDS
 from egretloft._internal.fleet.constants import (
     ORDER_TIMEOUT_SECONDS,
@@ -64,7 +64,7 @@
         """
         may_have_started = False
         for _ in range(START_ATTEMPTS):
-            slot = await self.pacer.acquire(run.target_id)
+            slot = await self.pacer.acquire(run.target_id, run.priority)
             try:
                 order = self.start_order(target, run) if self.may_start(run) else None
                 if order is None:
@@ -198,7 +198,7 @@
         Gives up when the leader may no longer send orders.
         """
         while run.key in target.runs:
-            slot = await self.pacer.acquire(run.target_id)
+            slot = await self.pacer.acquire(run.target_id, STOP_PRIORITY)
             try:
                 if run.key not in target.runs or not self.owner.may_issue_orders():
                     return
--- a/src/egretloft/_internal/fleet/scheduler.py
+++ b/src/egretloft/_internal/fleet/scheduler.py
@@ -112,13 +112,21 @@
     ``now`` is in seconds on the boot-time clock, ``wall`` in Unix seconds. While
     ``recovering`` is true, tasks of jobs that were accepted before the leader's term
     may still run on a target that has not been fenced, so those jobs are not scheduled.
-    No further step is placed once ``max_starts`` tasks are.
+    No further step is placed once ``max_starts`` tasks are, and no further step of the
+    most urgent priority once ``max_urgent_starts`` are.
     """
 
     now: float
     wall: float
     recovering: bool = False
     max_starts: int = sys.maxsize
+    max_urgent_starts: int = sys.maxsize
+
+    def may_place(self, priority: int, starts: int) -> bool:
+        """Return whether a further step may be placed after this many starts."""
+        if priority <= RECLAIMING_PRIORITY:
+            return starts < self.max_urgent_starts
+        return starts < self.max_starts
 
 
 def usable_targets(
@@ -201,7 +209,8 @@
         services: dict[str, ServiceTick] = {}
         guarantees = create_guarantees(self.tables, operators)
         for waiting in waiting_steps(self.tables, self.run_times, context):
-            if decisions.starts >= context.max_starts:
+            priority = waiting.job.accepted.priority
+            if not context.may_place(priority, decisions.starts):
                 decisions.review_seconds = min(
                     decisions.review_seconds, FULL_WINDOW_REVIEW_SECONDS
                 )
--- a/tests/unit/fleet/test_call_pacer.py
+++ b/tests/unit/fleet/test_call_pacer.py
@@ -12,6 +12,7 @@
     MAX_WAITING_ROUNDS,
     MIN_CALLS,
     SLOT_SECONDS,
+    STOP_PRIORITY,
     CallPacer,
     CallSlot,
     create_call_pacer,
@@ -101,6 +102,30 @@
     run_virtual(main())
 
 
+def test_urgent_calls_are_sent_before_a_backlog_of_others() -> None:
+    """Guards against an urgent gang that waits behind the tasks of patient queues."""
+
+    async def main() -> None:
+        pacer = create_call_pacer()
+        granted = await granted_calls(pacer, *numbered(INITIAL_CALLS))
+        order: list[int] = []
+
+        async def call(priority: int) -> None:
+            slot = await pacer.acquire("target", priority)
+            order.append(priority)
+            pacer.release(slot)
+
+        priorities = (2, 2, 0, 1, STOP_PRIORITY, 0)
+        calls = [asyncio.create_task(call(priority)) for priority in priorities]
+        await asyncio.sleep(0)
+        for slot in granted:
+            pacer.release(slot)
+        await asyncio.gather(*calls)
+        assert order == sorted(priorities)
+
+    run_virtual(main())
+
+
 def test_cancelled_call_frees_its_place() -> None:
     async def main() -> None:
         pacer = create_call_pacer()
@@ -123,7 +148,7 @@
         pacer = create_call_pacer()
         for _ in range(10):
             pacer.observe_lateness(2 * LATE_SECONDS)
-        assert pacer.free() == MIN_CALLS * MAX_WAITING_ROUNDS
+        assert pacer.free(2) == MIN_CALLS * MAX_WAITING_ROUNDS
         pacer.observe_lateness(0.0)
         assert pacer.limit == MIN_CALLS, "only answers let it grow"
         await asyncio.gather(
@@ -137,8 +162,12 @@
 def test_backlog_larger_than_the_limit_leaves_none_free() -> None:
     async def main() -> None:
         pacer = create_call_pacer()
-        await granted_calls(pacer, *numbered(INITIAL_CALLS * MAX_WAITING_ROUNDS + 20))
-        assert pacer.free() == 0
+        targets = numbered(INITIAL_CALLS * MAX_WAITING_ROUNDS + 20)
+        calls = [asyncio.create_task(pacer.acquire(target, 2)) for target in targets]
+        await asyncio.sleep(0)
+        assert len(calls) == pacer.sending + len(pacer.waiting)
+        assert pacer.free(2) == 0
+        assert pacer.free(0) == INITIAL_CALLS * (MAX_WAITING_ROUNDS - 1)
 
     run_virtual(main())
 
@@ -150,6 +179,15 @@
     assert placed(0, 3, 3, 3) == []
 
 
+def test_urgent_step_is_placed_beside_a_full_backlog_of_others() -> None:
+    tables = build_tables(*(build_target(number) for number in range(4)))
+    add_job(tables, 1, single_step(2), priority=1)
+    add_job(tables, 2, single_step(2), priority=0)
+    context = TickContext(100.0, 1_000.0, max_starts=0, max_urgent_starts=4)
+    decisions = Scheduler(tables).decide(OperatorState(), context)
+    assert [placement.priority for placement in decisions.placements] == [0]
+
+
 def test_a_gang_that_exceeds_the_backlog_starts_whole() -> None:
     assert placed(4, 30, 2) == [30]
 
