Start tasks elsewhere when their target announces that it leaves too soon

Ruled out: taking a target as gone once its row is removed, as the row of one that is cut off but runs on lapses as well, and its tasks would run twice; judging by percentages alone, which follow the estimate and not the work.

--- a/src/egretloft/_internal/fleet/leader.py
+++ b/src/egretloft/_internal/fleet/leader.py
@@ -27,6 +27,7 @@
     TICK_DELAY_SECONDS,
     TICK_SECONDS,
 )
+from egretloft._internal.fleet.departures import runs_to_move
 from egretloft._internal.fleet.election import Election, Term
 from egretloft._internal.fleet.interfaces import (
     FleetClock,
@@ -79,8 +80,8 @@
 MAX_REMOVALS_PER_TICK = 20
 # An expired job whose state is not recorded yet is examined again after this time.
 REMOVAL_RETRY_MS = 1000.0
-# Runs are examined for progress this often.
-STALL_CHECK_SECONDS = 0.25
+# Runs are examined for progress, and for targets that leave, this often.
+RUN_REVIEW_SECONDS = 0.25
 # A task that has not ended this long after it was cancelled is cancelled again.
 CANCEL_RETRY_SECONDS = 0.2
 # An attempt number is the epoch shifted by this many bits plus a counter, so the
@@ -132,7 +133,7 @@
         self.tick_pause = 0.0
         self.decision_needed = True
         self.decide_at = 0.0
-        self.stalls_checked_at = 0.0
+        self.runs_reviewed_at = 0.0
 
     @staticmethod
     def max_unrenewed_seconds() -> float:
@@ -192,6 +193,14 @@
         """Wake the session of a target that restarted or moved."""
         self.sessions[target.report.target_id].wake.set()
 
+    def on_target_announced(self, target: TargetRow) -> None:
+        """Note when a target leaves at the earliest, if its report says so."""
+        remaining = target.report.remaining_seconds
+        target.leaves_at = None
+        if target.report.draining and remaining is not None:
+            target.leaves_at = self.clock.boottime() + remaining
+            self.runs_reviewed_at = 0.0
+
     def on_target_idle(self, target: TargetRow) -> None:
         """Remove the row of an unreachable target that certainly runs nothing.
 
@@ -380,9 +389,11 @@
         self.remove_expired_jobs()
         if not self.may_issue_orders():
             return
-        if now - self.stalls_checked_at >= STALL_CHECK_SECONDS:
-            self.stalls_checked_at = now
+        if now - self.runs_reviewed_at >= RUN_REVIEW_SECONDS:
+            self.runs_reviewed_at = now
             self.stop_stalled_runs(now)
+            for run in runs_to_move(self.tables, now):
+                self.stop_run(run, "target leaving")
         for run in runs_to_stop(self.tables, now, self.recovering):
             self.stop_run(run, "not needed")
         if self.draining:
--- a/src/egretloft/_internal/fleet/models.py
+++ b/src/egretloft/_internal/fleet/models.py
@@ -203,7 +203,10 @@
 
 @dataclass(slots=True, frozen=True)
 class TargetReport:
-    """A target's registration in the platform's list; ``room`` is its capacity."""
+    """A target's registration in the platform's list; ``room`` is its capacity.
+
+    ``remaining_seconds`` is how long a draining target stays at least, if it says so.
+    """
 
     target_id: str
     address: str
@@ -214,6 +217,7 @@
     room: Resources
     draining: bool
     incarnation_ms: int
+    remaining_seconds: float | None = None
 
 
 @dataclass(slots=True, frozen=True)
--- a/src/egretloft/_internal/fleet/state_reader.py
+++ b/src/egretloft/_internal/fleet/state_reader.py
@@ -33,6 +33,9 @@
     def on_target_changed(self, target: TargetRow) -> None:
         """Wake the session of a target that restarted or moved."""
 
+    def on_target_announced(self, target: TargetRow) -> None:
+        """Note when a target leaves, if its report says so."""
+
     def on_job_changed(self, job: JobRow) -> None:
         """Schedule a write of the job's progress and wake the scheduling loop."""
 
@@ -128,17 +131,25 @@
         target = self.tables.targets.get(report.target_id)
         if target is None:
             log.info("target listed", target=report.target_id, zone=report.zone)
-            self.owner.add_target(TargetRow(report))
+            target = TargetRow(report)
+            self.owner.add_target(target)
+            self.owner.on_target_announced(target)
             self.owner.wake_scheduler()
             return
         restarted = 0 < target.incarnation_ms < report.incarnation_ms
         if target.listed and target.report == report and not restarted:
             return
         if report.draining and not target.report.draining:
-            log.info("target draining", target=report.target_id, runs=len(target.runs))
+            log.info(
+                "target draining",
+                target=report.target_id,
+                runs=len(target.runs),
+                remaining=report.remaining_seconds,
+            )
         moved = target.report.address != report.address
         target.report = report
         target.listed = True
+        self.owner.on_target_announced(target)
         if moved or restarted:
             target.fenced = False
             self.owner.on_target_changed(target)
--- a/src/egretloft/_internal/fleet/tables.py
+++ b/src/egretloft/_internal/fleet/tables.py
@@ -236,7 +236,8 @@
     the highest numbers of the target's ends that were applied to the tables, recorded
     in the store and acknowledged to the target.
     ``failed_renewals`` counts the consecutive lease renewals that have failed.
-    ``stalling`` tells whether a run on the target makes no progress.
+    ``stalling`` tells whether a run on the target makes no progress. ``leaves_at`` is
+    the boot time at which a draining target leaves at the earliest, if it has said so.
     ``in_use`` is the sum of the resources of ``runs``, including runs that are being
     stopped; both are changed by ``FleetTables`` only.
     """
@@ -261,6 +262,7 @@
     quarantined_until: float = 0.0
     quarantines: int = 0
     stalling: bool = False
+    leaves_at: float | None = None
 
 
 @dataclass(slots=True, eq=False)
--- a/src/egretloft/platform/decoding.py
+++ b/src/egretloft/platform/decoding.py
@@ -35,6 +35,7 @@
 # A job's tasks and their progress have to fit into the leader's memory and into one
 # row of the store.
 MAX_JOB_TASKS = 10_000
+MILLISECONDS = 1000.0
 # What a malformed value raises; the last one is raised for invalid UTF-8.
 UNREADABLE = (msgspec.MsgspecError, UnicodeDecodeError)
 
@@ -91,10 +92,16 @@
                 room=resources_from_wire(wire.free_resources),
                 draining=wire.state == "draining",
                 incarnation_ms=wire.born,
+                remaining_seconds=seconds_from_ms(wire.remaining_ms),
             )
         )
 
 
+def seconds_from_ms(milliseconds: float | None) -> float | None:
+    """Return a duration in seconds, or ``None`` if it is not given."""
+    return None if milliseconds is None else milliseconds / MILLISECONDS
+
+
 def resources_from_wire(wire: WireRoom) -> Resources:
     """Return the resources in a platform message."""
     return Resources(wire.cpu, wire.mem_mb, wire.gpus)
--- a/src/egretloft/platform/wire.py
+++ b/src/egretloft/platform/wire.py
@@ -82,8 +82,9 @@
     """An entry of the table ``servers``: a runner's report about itself.
 
     ``backend`` is its service, ``labels`` starts with its kind and its rack, and
-    ``born`` tells its incarnations apart. ``free_resources`` is read as its whole
-    capacity: what runs take is not subtracted from it.
+    ``born`` tells its incarnations apart; ``remaining_ms`` is how long a draining one
+    stays at least. ``free_resources`` is read as its whole capacity: what runs take is
+    not subtracted from it.
     """
 
     backend: str
@@ -93,6 +94,7 @@
     free_resources: WireRoom
     labels: list[str]
     born: Count = 0
+    remaining_ms: Milliseconds | None = None
 
 
 class WireRoute(msgspec.Struct):
--- a/tests/unit/adapter/test_decoding.py
+++ b/tests/unit/adapter/test_decoding.py
@@ -64,6 +64,14 @@
     assert report.room == Resources(16000, 32768, 2)
     assert report.incarnation_ms == 1700
     assert not report.draining
+    assert report.remaining_seconds is None
+
+
+def test_draining_target_says_how_long_it_stays() -> None:
+    leaving = {**SERVER, "state": "draining", "remaining_ms": 2500}
+    report = DECODER.target(row("servers", "i-1", leaving)).unwrap()
+    assert report.draining
+    assert report.remaining_seconds == 2.5
 
 
 @pytest.mark.parametrize(
@@ -75,6 +83,7 @@
         {"address": 5},
         {"free_resources": None},
         {"born": "today"},
+        {"remaining_ms": "soon"},
     ],
 )
 def test_malformed_target_row_is_refused(change: dict[str, object]) -> None:
--- a/tools/standins/fleet/http.py
+++ b/tools/standins/fleet/http.py
@@ -42,6 +42,7 @@
 from standins.fleet.store import EmulatedStore, StoreClient, StoreMode
 from standins.fleet.targets import EmulatedTarget, TargetsClient
 
+MILLISECONDS = 1000.0
 CALL_TIMEOUT_SECONDS = 5.0
 REASONS = {refusal: reason for reason, refusal in REFUSAL_REASONS.items()}
 Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
@@ -251,6 +252,11 @@
         free_resources=room,
         labels=["a", report.rack],
         born=report.incarnation_ms,
+        remaining_ms=(
+            None
+            if report.remaining_seconds is None
+            else report.remaining_seconds * MILLISECONDS
+        ),
     )
 
 
--- a/tools/standins/fleet/targets.py
+++ b/tools/standins/fleet/targets.py
@@ -85,6 +85,7 @@
         self.fails_all = False
         self.stalls_all = False
         self.draining = False
+        self.leaves_at: float | None = None
         self.removed = False
         # A cold target runs this many times slower until a while after its restart.
         self.cold_slowness = 1.0
@@ -121,6 +122,7 @@
             self.room,
             self.draining,
             self.incarnation_ms,
+            None if self.leaves_at is None else max(0.0, self.leaves_at - self.now()),
         )
 
     def crash(self) -> None:
--- a/tools/standins/fleet/world.py
+++ b/tools/standins/fleet/world.py
@@ -188,6 +188,16 @@
         value = b"{}" if out else None
         self.store.put(OPERATOR_TABLE, EVACUATE_PREFIX + zone, value)
 
+    async def drain(self, target: EmulatedTarget, seconds: float) -> None:
+        """Announce that a target leaves, and let it leave after ``seconds``."""
+        target.draining = True
+        target.leaves_at = self.clock.boottime() + seconds
+        self.store.put(TARGET_TABLE, target.target_id, codec.encode(target.report()))
+        await asyncio.sleep(seconds)
+        target.crash()
+        target.cut = True
+        target.removed = True
+
     def spawn_registration(self, target: EmulatedTarget) -> None:
         """Start the periodic registration of a target."""
         self.tasks.append(asyncio.create_task(self.register_periodically(target)))
