--- a/src/egretloft/_internal/fleet/leader.py
+++ b/src/egretloft/_internal/fleet/leader.py
@@ -27,28 +27,20 @@
     TICK_DELAY_SECONDS,
     TICK_SECONDS,
 )
-from egretloft._internal.fleet.departures import runs_to_move
 from egretloft._internal.fleet.election import Election, Term
 from egretloft._internal.fleet.interfaces import (
     FleetClock,
     RowDecoder,
     Targets,
 )
-from egretloft._internal.fleet.lifecycle import (
-    runs_to_stop,
-)
 from egretloft._internal.fleet.models import (
-    JobState,
     OperatorState,
-    RunKey,
 )
 from egretloft._internal.fleet.orders import create_orders
-from egretloft._internal.fleet.placing import required_resources
 from egretloft._internal.fleet.recorder import create_recorder
+from egretloft._internal.fleet.run_control import create_run_control
 from egretloft._internal.fleet.scheduler import (
     RECLAIMING_PRIORITY,
-    Placement,
-    ReclaimDecision,
     Scheduler,
     TickContext,
 )
@@ -59,11 +51,9 @@
 from egretloft._internal.fleet.tables import (
     FleetTables,
     JobRow,
-    RunPhase,
     RunRow,
     TargetRow,
 )
-from egretloft._internal.fleet.target_health import quarantine, review_progress
 from egretloft._internal.fleet.watching import create_table_watcher, read_partition
 from egretloft._internal.metrics import Metrics
 
@@ -84,9 +74,6 @@
 RUN_REVIEW_SECONDS = 0.25
 # A task that has not ended this long after it was cancelled is cancelled again.
 CANCEL_RETRY_SECONDS = 0.2
-# An attempt number is the epoch shifted by this many bits plus a counter, so the
-# numbers of a term are above those of all earlier terms.
-ATTEMPTS_PER_TERM_BITS = 20
 
 
 class Leader:
@@ -116,6 +103,7 @@
         self.scheduler = Scheduler(self.tables)
         self.recorder = create_recorder(store, election, self.tables, metrics)
         self.orders = create_orders(self, self.tables, targets, clock, metrics)
+        self.runs = create_run_control(self, self.tables, self.orders, clock, metrics)
         self.reader = create_state_reader(
             self, self.tables, self.recorder, decoder, metrics
         )
@@ -123,7 +111,6 @@
         self.session_tasks: dict[str, asyncio.Task[Any]] = {}
         self.tasks: set[asyncio.Task[Any]] = set()
         self.wake = asyncio.Event()
-        self.attempts = 0
         self.recovery_deadline = clock.boottime() + self.max_unrenewed_seconds()
         self.recovering = True
         self.last_tick = clock.boottime()
@@ -170,6 +157,10 @@
             self.tables.close_job(job)
         self.recorder.mark_dirty(job)
 
+    def wake_session(self, target_id: str) -> None:
+        """Let the session of a target look at its runs at once."""
+        self.sessions[target_id].wake.set()
+
     def wake_scheduler(self) -> None:
         """Start the next tick, with new decisions, without waiting for its period."""
         self.decision_needed = True
@@ -191,7 +182,7 @@
 
     def on_target_changed(self, target: TargetRow) -> None:
         """Wake the session of a target that restarted or moved."""
-        self.sessions[target.report.target_id].wake.set()
+        self.wake_session(target.report.target_id)
 
     def on_target_announced(self, target: TargetRow) -> None:
         """Note when a target leaves at the earliest, if its report says so."""
@@ -391,11 +382,9 @@
             return
         if now - self.runs_reviewed_at >= RUN_REVIEW_SECONDS:
             self.runs_reviewed_at = now
-            self.stop_stalled_runs(now)
-            for run in runs_to_move(self.tables, now):
-                self.stop_run(run, "target leaving")
-        for run in runs_to_stop(self.tables, now, self.recovering):
-            self.stop_run(run, "not needed")
+            self.runs.stop_stalled(now)
+            self.runs.stop_departing(now)
+        self.runs.stop_unneeded(now, self.recovering)
         if self.draining:
             return
         if self.decision_needed or now >= self.decide_at:
@@ -415,9 +404,9 @@
         decisions = self.scheduler.decide(self.operators(), context)
         self.decide_at = now + decisions.review_seconds
         for reclaim in decisions.reclaims:
-            self.preempt(reclaim, now)
+            self.runs.preempt(reclaim, now)
         for placement in decisions.placements:
-            self.start_step(placement)
+            self.runs.start_step(placement)
 
     def update_recovery(self, now: float) -> None:
         """End the recovery once no unknown run of an earlier term can be active.
@@ -471,107 +460,6 @@
             self.tables.remove_job(job)
             self.recorder.forget_job(job.accepted.job_id, job.cancelled)
 
-    def stop_stalled_runs(self, now: float) -> None:
-        """Stop runs that make no progress, and quarantine their targets."""
-        stalled = review_progress(self.tables, now)
-        for target_id in {run.target_id for run in stalled}:
-            quarantine(self.tables.targets[target_id], now)
-        for run in stalled:
-            task = self.tables.task(run.key.task)
-            if task is not None:
-                task.failed_on.add(run.target_id)
-            self.stop_run(run, "no progress")
-
-    def stop_run(self, run: RunRow, why: str) -> None:
-        """Stop a run; its resources stay in use until the target lists its end."""
-        run.phase = RunPhase.STOPPING
-        run.stop_reason = why
-        if run.job is not None:
-            self.tables.touch(run.job)
-        target = self.tables.targets[run.target_id]
-        log.info(
-            "run stopping",
-            request_id=run.key.task.step.job_id,
-            task=run.key.task.index,
-            attempt=run.key.attempt,
-            target=run.target_id,
-            percent=run.percent,
-            ran=round(self.clock.boottime() - run.started_at, 2),
-            why=why,
-        )
-        self.metrics.count("stops", why=why)
-        self.sessions[run.target_id].wake.set()
-        self.spawn(self.orders.stop(target, run))
-
-    def preempt(self, reclaim: ReclaimDecision, now: float) -> None:
-        """Preempt the runs whose resources a waiting step needs."""
-        step = reclaim.step
-        log.info(
-            "room reclaimed",
-            request_id=step.key.job_id,
-            step=step.key.step,
-            tasks=len(step.tasks),
-            waited=round(now - step.ready_at, 3),
-            entitled=reclaim.entitled,
-            lost_work=round(reclaim.lost_work, 1),
-            stops=len(reclaim.victims),
-            targets=sorted(step.pinned_target_ids)[:8],
-        )
-        for run in reclaim.victims:
-            self.stop_run(run, "room reclaimed")
-
-    def start_step(self, placement: Placement) -> None:
-        """Start the placed tasks of a step under one new attempt number."""
-        now = self.clock.boottime()
-        step = placement.step
-        job = self.tables.jobs[step.key.job_id]
-        self.attempts += 1
-        attempt = (self.epoch << ATTEMPTS_PER_TERM_BITS) + self.attempts
-        # The members of a gang all resume from the same checkpoint.
-        gang_checkpoint = placement.starts[0][0].checkpoint if step.spec.gang else None
-        for task, target in placement.starts:
-            run = RunRow(
-                key=RunKey(task.key, attempt),
-                target_id=target.report.target_id,
-                room=required_resources(step.spec),
-                priority=placement.priority,
-                phase=RunPhase.STARTING,
-                started_at=now,
-                percent_changed_at=now,
-                checkpoint=(
-                    task.checkpoint if gang_checkpoint is None else gang_checkpoint
-                ),
-                lasting=step.spec.lasting,
-                gang=step.spec.gang,
-                job=job,
-                task=task,
-            )
-            task.run = run
-            self.tables.add_run(target, run)
-            self.sessions[run.target_id].wake.set()
-            self.spawn(self.orders.start(target, run))
-        step.started = True
-        racks = {target.report.rack for _, target in placement.starts}
-        step.spread = step.spec.same_rack and len(racks) > 1
-        self.metrics.count("starts", len(placement.starts))
-        log.info(
-            "step started",
-            request_id=step.key.job_id,
-            step=step.key.step,
-            occurrence=step.key.occurrence,
-            attempt=attempt,
-            epoch=self.epoch,
-            targets=[target.report.target_id for _, target in placement.starts][:8],
-            waited=round(now - step.ready_at, 3),
-            expected=round(step.expected_seconds, 2),
-            spread=step.spread,
-        )
-        if not job.started:
-            job.started = True
-            if job.state is JobState.QUEUED:
-                job.state = JobState.ACTIVE
-            self.on_job_changed(job)
-
     def waiting_counts(self) -> dict[str, int]:
         """Return the number of jobs per queue that have not started."""
         counts: dict[str, int] = {}
--- a/tests/unit/fleet/test_small_processor.py
+++ b/tests/unit/fleet/test_small_processor.py
@@ -70,14 +70,14 @@
         process = next(iter(world.processes.values()))
         leader = process.instance.leader
         assert leader is not None
-        start_step = leader.start_step
+        start_step = leader.runs.start_step
 
         def start_without_permission(placement: Placement) -> None:
             leader.confirmation_needed_since = world.clock.boottime() + 0.5
-            leader.start_step = start_step  # type: ignore[method-assign]
+            leader.runs.start_step = start_step  # type: ignore[method-assign]
             start_step(placement)
 
-        leader.start_step = start_without_permission  # type: ignore[method-assign]
+        leader.runs.start_step = start_without_permission  # type: ignore[method-assign]
         await world.submit(job_id(1), single_step(3), 1.0)
         assert await world.wait_for_state(job_id(1), JobState.COMPLETE, 6.0)
         await world.stop()
