Extend the timeouts of calls by the delay of the event loop

Cause: on an eighth of a core the event loop is busy for 0.2 s and more at a time. Ruled out: longer timeouts for all, which delay the discovery of dead targets; a measure of the pause alone, which misses delays while the loop waits for events. Change: loop_delay.py remembers the longest recent delay. Starts, stops and renewals wait up to twice that longer, at most 0.6 s. A drained target of the random faults announces its departure, so that departures are played there as well.

--- a/src/egretloft/_internal/fleet/leader.py
+++ b/src/egretloft/_internal/fleet/leader.py
@@ -33,6 +33,7 @@
     RowDecoder,
     Targets,
 )
+from egretloft._internal.fleet.loop_delay import create_loop_delay
 from egretloft._internal.fleet.models import (
     OperatorState,
 )
@@ -121,6 +122,7 @@
         self.decision_needed = True
         self.decide_at = 0.0
         self.runs_reviewed_at = 0.0
+        self.loop_delay = create_loop_delay()
 
     @staticmethod
     def max_unrenewed_seconds() -> float:
@@ -214,6 +216,10 @@
         if self.election.term is self.term:
             self.election.step_down("a target has seen a newer epoch")
 
+    def extend_timeout(self, timeout_seconds: float) -> float:
+        """Return the timeout of a call, extended if the event loop is late."""
+        return self.loop_delay.extend(timeout_seconds)
+
     async def wait_for_flush(self) -> None:
         """Wait until pending changes have been written to the store once more."""
         await self.recorder.flushed.wait()
@@ -330,17 +336,22 @@
             self.spawn(keep_running(name, work, self.metrics))
         self.last_tick = self.clock.boottime()
         while self.is_current():
+            waits_from = self.clock.boottime()
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(TICK_SECONDS):
                     await self.wake.wait()
             pause = max(TICK_DELAY_SECONDS, self.tick_pause)
-            paused_at = self.clock.boottime()
+            pauses_from = self.clock.boottime()
             await asyncio.sleep(pause)
             self.wake.clear()
             started = self.clock.boottime()
-            self.orders.pacer.observe_lateness(started - paused_at - pause)
+            late = max(
+                pauses_from - waits_from - TICK_SECONDS, started - pauses_from - pause
+            )
+            self.orders.pacer.observe_lateness(late)
             self.tick()
             spent = self.clock.boottime() - started
+            self.loop_delay.observe(max(late, spent))
             self.metrics.observe_seconds("tick_seconds", spent)
             # Pause after a long tick so that renewals and callers are not starved.
             self.tick_pause = min(MAX_TICK_PAUSE_SECONDS, TICK_PAUSE_FACTOR * spent)
--- a/src/egretloft/_internal/fleet/orders.py
+++ b/src/egretloft/_internal/fleet/orders.py
@@ -71,9 +71,8 @@
                     self.remove_unsent(target, run)
                     return
                 sent = self.clock.boottime()
-                result = await self.targets.start(
-                    target.report, order, ORDER_TIMEOUT_SECONDS
-                )
+                timeout = self.owner.extend_timeout(ORDER_TIMEOUT_SECONDS)
+                result = await self.targets.start(target.report, order, timeout)
             finally:
                 self.pacer.release(slot)
             if not isinstance(result, Failure):
@@ -202,8 +201,9 @@
             try:
                 if run.key not in target.runs or not self.owner.may_issue_orders():
                     return
+                timeout = self.owner.extend_timeout(ORDER_TIMEOUT_SECONDS)
                 result = await self.targets.stop(
-                    target.report, run.key, self.owner.epoch, ORDER_TIMEOUT_SECONDS
+                    target.report, run.key, self.owner.epoch, timeout
                 )
             finally:
                 self.pacer.release(slot)
--- a/src/egretloft/_internal/fleet/sessions.py
+++ b/src/egretloft/_internal/fleet/sessions.py
@@ -96,6 +96,9 @@
     async def wait_for_flush(self) -> None:
         """Wait until pending changes have been written to the store once more."""
 
+    def extend_timeout(self, timeout_seconds: float) -> float:
+        """Return the timeout of a call, extended if the event loop is late."""
+
 
 class TargetSession:
     """Renews the lease of one target and applies its answers to the tables."""
@@ -188,7 +191,7 @@
             last_recorded_end,
             expires_at_ms,
             wait,
-            wait + RENEWAL_TIMEOUT_SECONDS,
+            wait + self.owner.extend_timeout(RENEWAL_TIMEOUT_SECONDS),
         )
         if isinstance(result, Failure):
             await self.on_failure(result.failure())
--- a/tests/lib/fleet_faults.py
+++ b/tests/lib/fleet_faults.py
@@ -311,6 +311,8 @@
             return
         target = self.world.targets[name]
         target.draining = True
+        # It stays for longer than it announces.
+        target.leaves_at = asyncio.get_running_loop().time() + seconds
         # Until the next registration; a store without answers delays it.
         await asyncio.sleep(1.0)
         while self.world.store.mode is not StoreMode.WORKS:
--- a/tests/unit/fleet/test_sessions.py
+++ b/tests/unit/fleet/test_sessions.py
@@ -42,6 +42,9 @@
     def on_fenced(self) -> None:
         """Do nothing."""
 
+    def extend_timeout(self, timeout_seconds: float) -> float:
+        return timeout_seconds
+
     async def wait_for_flush(self) -> None:
         """Wait for ever, as nothing is written."""
         await asyncio.Event().wait()
--- a/tests/unit/fleet/test_small_processor.py
+++ b/tests/unit/fleet/test_small_processor.py
@@ -10,9 +10,14 @@
 import pytest
 from returns.result import Success
 
+from egretloft._internal.fleet.loop_delay import create_loop_delay
 from egretloft._internal.fleet.models import EndKind, JobState
 from egretloft._internal.fleet.scheduler import Placement
-from lib.busy_targets import BusyTargets, busy_targets_factory
+from lib.busy_targets import (
+    BusyTargets,
+    busy_targets_factory,
+    spend_processor_time,
+)
 from lib.fleet_builders import SMALL, build_world, job_id, single_step
 from lib.virtual_time import run_virtual
 
@@ -58,6 +63,55 @@
     assert unwanted == 0
 
 
+async def block_repeatedly(seconds: float) -> None:
+    """Block the event loop most of the time."""
+    while True:
+        spend_processor_time(seconds)
+        await asyncio.sleep(seconds / 3)
+
+
+def test_late_event_loop_does_not_time_out_calls_that_were_answered() -> None:
+    """Guards against calls that are repeated although their answers have arrived.
+
+    The event loop is blocked for longer than the timeout of an order.
+    """
+
+    async def main() -> None:
+        clients: list[BusyTargets] = []
+        world = build_world(
+            instance_count=1,
+            target_count=8,
+            wrap_targets=busy_targets_factory(0.001, clients),
+        )
+        await world.start()
+        blocker = asyncio.create_task(block_repeatedly(0.32))
+        await asyncio.sleep(1.0)
+        before = sum(client.timeouts for client in clients)
+        for number in range(12):
+            spec = single_step(4, SMALL, gang=bool(number % 2))
+            await world.submit(job_id(number), spec, 0.7)
+        for number in range(12):
+            assert await world.wait_for_state(job_id(number), JobState.COMPLETE, 20.0)
+        assert sum(client.timeouts for client in clients) == before
+        blocker.cancel()
+        await world.stop()
+        assert world.checker.violations == []
+
+    run_virtual(main())
+
+
+def test_timeouts_are_extended_while_the_loop_is_late() -> None:
+    delay = create_loop_delay()
+    assert delay.extend(0.3) == 0.3
+    delay.observe(0.2)
+    assert delay.extend(0.3) >= 0.6
+    for _ in range(100):
+        delay.observe(0.001)
+    assert delay.extend(0.3) < 0.31
+    delay.observe(30.0)
+    assert delay.extend(0.3) <= 0.9
+
+
 def test_start_that_was_never_sent_does_not_hold_its_task() -> None:
     """Guards against a run that waits for ever for an order that nobody sends.
 
