--- a/src/egretloft/_internal/fleet/intake.py
+++ b/src/egretloft/_internal/fleet/intake.py
@@ -203,7 +203,15 @@
             self.log_decision("job known already", job_id, caller)
             return Success(False)
         refusal = self.write_refusal(failure, deadline)
-        self.log_decision("job refused", job_id, caller, why=failure.message)
+        outage = self.outage_seconds()
+        self.log_decision(
+            "job refused",
+            job_id,
+            caller,
+            why=failure.message,
+            retry_after=refusal.retry_after_seconds,
+            outage=None if outage is None else round(outage, 2),
+        )
         return Failure(refusal)
 
     async def write(
@@ -337,8 +345,9 @@
         caller: Caller,
         version: int | None = None,
         why: str = "",
+        **details: float | None,
     ) -> None:
-        """Log and count the outcome of a submission.
+        """Log and count the outcome of a submission, with further ``details``.
 
         The event text is also the value of the metric label ``outcome``.
         """
@@ -351,6 +360,7 @@
             configuration=caller.configuration_version,
             version=version,
             why=why,
+            **details,
         )
 
 
--- a/tests/unit/fleet/test_retry_after.py
+++ b/tests/unit/fleet/test_retry_after.py
@@ -11,6 +11,7 @@
 
 import pytest
 from returns.result import Failure
+from structlog.testing import capture_logs
 
 from egretloft._internal.fleet.retry_after import retry_after_seconds
 from lib.fleet_builders import build_world, job_id, single_step
@@ -79,3 +80,20 @@
 
     assert run_virtual(refused_after(1.5)) == 2
     assert run_virtual(refused_after(10.5)) == 5
+
+
+def test_log_of_a_refusal_says_what_the_caller_was_told() -> None:
+    async def main() -> None:
+        world = build_world()
+        await world.start()
+        world.store.mode = StoreMode.REFUSES
+        await asyncio.sleep(2.0)
+        with capture_logs() as logs:
+            result = await world.submit(job_id(1), single_step(), 1.0)
+        await world.stop()
+        refusal = result.failure()
+        entry = next(entry for entry in logs if entry["event"] == "job refused")
+        assert entry["retry_after"] == refusal.retry_after_seconds
+        assert 1.0 < entry["outage"] < 2.5
+
+    run_virtual(main())
