Send no start whose decision no longer holds after its wait

A start that waits for a place was sent as long as its run was in its first phase. A start could also be sent to a target that drained meanwhile, or in a zone that had been taken out since. Ruled out: removing waiting orders with the run, which has to find them at each of the places where runs are given up. Change: before each order the leader checks that the run is still on its target, that the target is listed and not draining, and that the decision is at most 1.5 s old; otherwise the run is removed if no order was sent, and its task is placed again.

--- a/src/egretloft/_internal/fleet/orders.py
+++ b/src/egretloft/_internal/fleet/orders.py
@@ -32,6 +32,9 @@
 log = structlog.get_logger(__name__)
 
 START_ATTEMPTS = 3
+# A start is not sent later than this after it was decided. Its task is placed again, by
+# what is known of targets and zones then.
+MAX_DECISION_AGE_SECONDS = 1.5
 # Pause between retries of a stop.
 STOP_RETRY_SECONDS = 0.2
 # A target that refuses a start is in quarantine for this long.
@@ -66,7 +69,8 @@
         for _ in range(START_ATTEMPTS):
             slot = await self.pacer.acquire(run.target_id, run.priority)
             try:
-                order = self.start_order(target, run) if self.may_start(run) else None
+                allowed = self.may_start(target, run)
+                order = self.start_order(target, run) if allowed else None
                 if order is None:
                     self.remove_unsent(target, run)
                     return
@@ -111,9 +115,19 @@
         self.tables.remove_run(target, run)
         self.owner.wake_scheduler()
 
-    def may_start(self, run: RunRow) -> bool:
-        """Return whether the run is still wanted and the leader may send orders."""
-        return run.phase is RunPhase.STARTING and self.owner.may_issue_orders()
+    def may_start(self, target: TargetRow, run: RunRow) -> bool:
+        """Return whether the decision to start the run still holds.
+
+        While the order waited, the run may have been given up with its target, and its
+        task started elsewhere; the target or its zone may have been taken out of use.
+        """
+        if run.key not in target.runs or run.phase is not RunPhase.STARTING:
+            return False
+        if not target.listed or target.report.draining:
+            return False
+        if self.clock.boottime() - run.started_at > MAX_DECISION_AGE_SECONDS:
+            return False
+        return self.owner.may_issue_orders()
 
     def start_order(self, target: TargetRow, run: RunRow) -> StartOrder | None:
         """Return the start order, or ``None`` if the job or the clock is unknown.
--- a/tests/unit/fleet/test_small_processor.py
+++ b/tests/unit/fleet/test_small_processor.py
@@ -10,8 +10,10 @@
 import pytest
 from returns.result import Success
 
+from egretloft._internal.fleet.call_pacer import MAX_CALLS_PER_TARGET
 from egretloft._internal.fleet.loop_delay import create_loop_delay
 from egretloft._internal.fleet.models import EndKind, JobState
+from egretloft._internal.fleet.orders import MAX_DECISION_AGE_SECONDS
 from egretloft._internal.fleet.scheduler import Placement
 from lib.busy_targets import (
     BusyTargets,
@@ -20,6 +22,7 @@
 )
 from lib.fleet_builders import SMALL, build_world, job_id, single_step
 from lib.virtual_time import run_virtual
+from standins.fleet.world import REGISTRATION_PERIOD_SECONDS
 
 CALL_SECONDS = 0.008
 TARGETS = 48
@@ -112,6 +115,63 @@
     assert delay.extend(0.3) <= 0.9
 
 
+def test_run_that_was_given_up_while_its_order_waited_is_not_started() -> None:
+    """Guards against a task that runs twice, as its first order was only delayed.
+
+    The run is lost with its target while the order waits for a place. The target
+    returns, and the task has been placed again meanwhile.
+    """
+
+    async def main() -> None:
+        world = build_world(instance_count=1, target_count=1)
+        await world.start()
+        leader = next(iter(world.processes.values())).instance.leader
+        assert leader is not None
+        pacer = leader.orders.pacer
+        slots = [await pacer.acquire("target-0") for _ in range(MAX_CALLS_PER_TARGET)]
+        await world.submit(job_id(1), single_step(), 1.0)
+        await asyncio.sleep(0.2)
+        leader.sessions["target-0"].lose_all_runs("lease expired")
+        await asyncio.sleep(0.1)
+        for slot in slots:
+            pacer.release(slot)
+        assert await world.wait_for_state(job_id(1), JobState.COMPLETE, 6.0)
+        await world.stop()
+        assert world.checker.violations == []
+        assert world.checker.starts == 1
+
+    run_virtual(main())
+
+
+@pytest.mark.parametrize("drains", [True, False])
+def test_start_that_waited_for_long_is_decided_again(drains: bool) -> None:
+    """Guards against starts on targets or in zones that are out of use by now."""
+
+    async def main() -> None:
+        world = build_world(instance_count=1, target_count=1)
+        await world.start()
+        leader = next(iter(world.processes.values())).instance.leader
+        assert leader is not None
+        pacer = leader.orders.pacer
+        slots = [await pacer.acquire("target-0") for _ in range(MAX_CALLS_PER_TARGET)]
+        await world.submit(job_id(1), single_step(), 1.0)
+        await asyncio.sleep(0.2)
+        if drains:
+            world.targets["target-0"].draining = True
+            await asyncio.sleep(REGISTRATION_PERIOD_SECONDS + 0.3)
+        else:
+            world.evacuate("zone-a")
+            await asyncio.sleep(MAX_DECISION_AGE_SECONDS)
+        for slot in slots:
+            pacer.release(slot)
+        await asyncio.sleep(1.0)
+        await world.stop()
+        assert world.checker.violations == []
+        assert world.checker.starts == 0
+
+    run_virtual(main())
+
+
 def test_start_that_was_never_sent_does_not_hold_its_task() -> None:
     """Guards against a run that waits for ever for an order that nobody sends.
 
