Send calls that were set aside after those before them are cancelled

Cause: a call that is set aside waits until another one to its target ends. If all of these were cancelled while they waited for a place, nothing ended any more. Change: a cancelled call lets the next one wait again. A property test plays random calls, priorities, durations and cancellations and asks that each call is sent or cancelled and that nothing is left.

--- a/src/egretloft/_internal/fleet/call_pacer.py
+++ b/src/egretloft/_internal/fleet/call_pacer.py
@@ -107,13 +107,17 @@
             self.sending_to[slot.target_id] = remaining
         else:
             del self.sending_to[slot.target_id]
-        aside = self.set_aside.get(slot.target_id)
+        self.resume_one(slot.target_id)
+        self.give_up_place(slot)
+        self.grant()
+
+    def resume_one(self, target_id: str) -> None:
+        """Let one of the calls to a target that were set aside wait again."""
+        aside = self.set_aside.get(target_id)
         if aside:
             heapq.heappush(self.waiting, heapq.heappop(aside))
         if not aside:
-            self.set_aside.pop(slot.target_id, None)
-        self.give_up_place(slot)
-        self.grant()
+            self.set_aside.pop(target_id, None)
 
     def observe_lateness(self, seconds: float) -> None:
         """Halve the limit if a timer of the event loop has fired late."""
@@ -155,6 +159,8 @@
             if slot in queue:
                 queue.remove(slot)
                 heapq.heapify(queue)
+        self.resume_one(slot.target_id)
+        self.grant()
 
 
 def create_call_pacer() -> CallPacer:
--- a/tests/unit/fleet/test_call_pacer.py
+++ b/tests/unit/fleet/test_call_pacer.py
@@ -4,6 +4,9 @@
 
 import asyncio
 
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
 from egretloft._internal.fleet.call_pacer import (
     INITIAL_CALLS,
     LATE_SECONDS,
@@ -164,6 +167,91 @@
     run_virtual(main())
 
 
+@settings(max_examples=200, deadline=None, derandomize=True)
+@given(
+    calls=st.lists(
+        st.tuples(
+            st.integers(0, 2),
+            st.integers(-1, 2),
+            st.sampled_from((0.001, 0.01, 0.06, 0.3)),
+            st.sampled_from((0.0, 0.0, 0.005, 0.03, 0.2)),
+        ),
+        min_size=1,
+        max_size=60,
+    )
+)
+def test_every_call_is_sent_or_cancelled_and_leaves_nothing(
+    calls: list[tuple[int, int, float, float]],
+) -> None:
+    """Each call has a target, a priority, a duration and a time of its cancellation.
+
+    A time of 0 means that the call is not cancelled.
+    """
+
+    async def main() -> None:
+        pacer = create_call_pacer()
+        pacer.limit = float(MIN_CALLS)
+
+        async def call(target: int, priority: int, seconds: float) -> None:
+            slot = await pacer.acquire(f"target-{target}", priority)
+            try:
+                assert pacer.sending <= pacer.limit
+                in_flight = pacer.sending_to[f"target-{target}"]
+                assert in_flight <= MAX_CALLS_PER_TARGET
+                await asyncio.sleep(seconds)
+            finally:
+                pacer.release(slot)
+
+        loop = asyncio.get_running_loop()
+        tasks = []
+        for target, priority, seconds, cancel_after in calls:
+            task = asyncio.create_task(call(target, priority, seconds))
+            tasks.append((task, cancel_after))
+            if cancel_after:
+                loop.call_later(cancel_after, task.cancel)
+        async with asyncio.timeout(60.0):
+            results = await asyncio.gather(
+                *(task for task, _ in tasks), return_exceptions=True
+            )
+        for result, (_, cancel_after) in zip(results, tasks, strict=True):
+            cancelled = isinstance(result, asyncio.CancelledError)
+            assert result is None or (cancelled and cancel_after)
+        assert pacer.sending == 0
+        assert pacer.sending_to == {}
+        assert not pacer.waiting
+        assert not any(pacer.set_aside.values())
+
+    run_virtual(main())
+
+
+def test_calls_that_were_set_aside_are_sent_after_others_are_cancelled() -> None:
+    """Guards against calls that wait for ever for cancelled ones before them."""
+
+    async def main() -> None:
+        pacer = create_call_pacer()
+        same = ["target-1"] * MAX_CALLS_PER_TARGET
+        active = await granted_calls(pacer, *same)
+        await asyncio.sleep(2 * SLOT_SECONDS)
+        aside = [
+            asyncio.create_task(pacer.acquire("target-1"))
+            for _ in range(MAX_CALLS_PER_TARGET + 2)
+        ]
+        await asyncio.sleep(0)
+        others = await granted_calls(pacer, *(f"other-{n}" for n in range(99)))
+        for slot in active:
+            pacer.release(slot)
+        for task in aside[:MAX_CALLS_PER_TARGET]:
+            task.cancel()
+        await asyncio.sleep(0)
+        for slot in others:
+            pacer.release(slot)
+        async with asyncio.timeout(5.0):
+            for task in aside[MAX_CALLS_PER_TARGET:]:
+                pacer.release(await task)
+
+    run_virtual(main())
+
+
 def test_cancelled_call_frees_its_place() -> None:
     async def main() -> None:
         pacer = create_call_pacer()
