Compute the time of one percent of a run in one place

Cause: found on reading the whole change again. Three modules computed what one percent of a run takes by its estimate; a constant still had the name of the window that the call pacer replaced; two tests built the same waiting order. Ruled out: one base for BusyTargets and the other clients of targets, whose signatures are the protocol's, and fewer calls of CallPacer.grant, which end at once. Change: lifecycle and departures call target_health.percent_seconds; the constant is FULL_BACKLOG_REVIEW_SECONDS; the tests share start_with_waiting_order. No behaviour, bound or assertion changes.

--- a/src/egretloft/_internal/fleet/departures.py
+++ b/src/egretloft/_internal/fleet/departures.py
@@ -15,9 +15,8 @@
     RunRow,
     TargetRow,
 )
+from egretloft._internal.fleet.target_health import percent_seconds
 
-MILLISECONDS = 1000.0
-FULL_PERCENT = 100.0
 # A target may stay for longer than it announced. A run is kept if it is expected to end
 # within this time after the announced one.
 TOLERANCE_SECONDS = 0.5
@@ -64,6 +63,5 @@
     if run.job is None:
         return 0.0
     step = run.job.step(run.key.task.step)
-    estimate = step.spec.estimate_ms / MILLISECONDS
-    worked = max(now - run.started_at, estimate * run.percent / FULL_PERCENT)
+    worked = max(now - run.started_at, run.percent * percent_seconds(run))
     return max(0.0, step.expected_seconds - worked)
--- a/src/egretloft/_internal/fleet/lifecycle.py
+++ b/src/egretloft/_internal/fleet/lifecycle.py
@@ -21,6 +21,7 @@
     TargetRow,
     TaskRow,
 )
+from egretloft._internal.fleet.target_health import FULL_PERCENT, percent_seconds
 
 # A gang is stopped if not all its members have confirmed their start within this time.
 # It is shorter than the time after which the targets themselves end members that wait
@@ -30,8 +31,6 @@
 # long, and for this many times the time that one percent takes by its estimate.
 IDLE_GANG_SECONDS = 0.4
 IDLE_GANG_PERCENTS = 3.0
-FULL_PERCENT = 100.0
-MILLISECONDS = 1000.0
 # The members of a gang end together; their targets list all ends within this time.
 GANG_END_TIMEOUT_SECONDS = 1.0
 
@@ -227,9 +226,7 @@
         if member.key.task.step == run.key.task.step
         and member.key.attempt == run.key.attempt
     ]
-    spec = job.accepted.spec.steps[run.key.task.step.step]
-    per_percent = spec.estimate_ms / MILLISECONDS / FULL_PERCENT
-    timeout = max(IDLE_GANG_SECONDS, IDLE_GANG_PERCENTS * per_percent)
+    timeout = max(IDLE_GANG_SECONDS, IDLE_GANG_PERCENTS * percent_seconds(run))
     return all(
         may_be_waiting(member)
         and member.reported_at - member.percent_changed_at >= timeout
--- a/src/egretloft/_internal/fleet/scheduler.py
+++ b/src/egretloft/_internal/fleet/scheduler.py
@@ -54,7 +54,7 @@
 # reservations expire and operators change zones without an event of a run.
 MAX_REVIEW_SECONDS = 0.25
 # Decisions are reviewed after this time if no more starts can be sent now.
-FULL_WINDOW_REVIEW_SECONDS = 0.05
+FULL_BACKLOG_REVIEW_SECONDS = 0.05
 # Only steps of this priority, the most urgent one, may preempt other runs.
 RECLAIMING_PRIORITY = 0
 MILLISECONDS = 1000.0
@@ -212,7 +212,7 @@
             priority = waiting.job.accepted.priority
             if not context.may_place(priority, decisions.starts):
                 decisions.review_seconds = min(
-                    decisions.review_seconds, FULL_WINDOW_REVIEW_SECONDS
+                    decisions.review_seconds, FULL_BACKLOG_REVIEW_SECONDS
                 )
                 break
             service = waiting.job.accepted.service
--- a/tests/unit/fleet/test_small_processor.py
+++ b/tests/unit/fleet/test_small_processor.py
@@ -10,7 +10,8 @@
 import pytest
 from returns.result import Success
 
-from egretloft._internal.fleet.call_pacer import MAX_CALLS_PER_TARGET
+from egretloft._internal.fleet.call_pacer import MAX_CALLS_PER_TARGET, CallSlot
+from egretloft._internal.fleet.leader import Leader
 from egretloft._internal.fleet.loop_delay import create_loop_delay
 from egretloft._internal.fleet.models import EndKind, JobState
 from egretloft._internal.fleet.orders import MAX_DECISION_AGE_SECONDS
@@ -22,7 +23,7 @@
 )
 from lib.fleet_builders import SMALL, build_world, job_id, single_step
 from lib.virtual_time import run_virtual
-from standins.fleet.world import REGISTRATION_PERIOD_SECONDS
+from standins.fleet.world import REGISTRATION_PERIOD_SECONDS, FleetWorld
 
 CALL_SECONDS = 0.008
 TARGETS = 48
@@ -115,6 +116,22 @@
     assert delay.extend(0.3) <= 0.9
 
 
+async def start_with_waiting_order() -> tuple[FleetWorld, Leader, list[CallSlot]]:
+    """Start a world whose only target has all its calls taken, and submit a job.
+
+    The start order of the job waits until one of the returned slots is released.
+    """
+    world = build_world(instance_count=1, target_count=1)
+    await world.start()
+    leader = next(iter(world.processes.values())).instance.leader
+    assert leader is not None
+    pacer = leader.orders.pacer
+    slots = [await pacer.acquire("target-0") for _ in range(MAX_CALLS_PER_TARGET)]
+    await world.submit(job_id(1), single_step(), 1.0)
+    await asyncio.sleep(0.2)
+    return world, leader, slots
+
+
 def test_run_that_was_given_up_while_its_order_waited_is_not_started() -> None:
     """Guards against a task that runs twice, as its first order was only delayed.
 
@@ -123,18 +140,11 @@
     """
 
     async def main() -> None:
-        world = build_world(instance_count=1, target_count=1)
-        await world.start()
-        leader = next(iter(world.processes.values())).instance.leader
-        assert leader is not None
-        pacer = leader.orders.pacer
-        slots = [await pacer.acquire("target-0") for _ in range(MAX_CALLS_PER_TARGET)]
-        await world.submit(job_id(1), single_step(), 1.0)
-        await asyncio.sleep(0.2)
+        world, leader, slots = await start_with_waiting_order()
         leader.sessions["target-0"].lose_all_runs("lease expired")
         await asyncio.sleep(0.1)
         for slot in slots:
-            pacer.release(slot)
+            leader.orders.pacer.release(slot)
         assert await world.wait_for_state(job_id(1), JobState.COMPLETE, 6.0)
         await world.stop()
         assert world.checker.violations == []
@@ -148,14 +158,7 @@
     """Guards against starts on targets or in zones that are out of use by now."""
 
     async def main() -> None:
-        world = build_world(instance_count=1, target_count=1)
-        await world.start()
-        leader = next(iter(world.processes.values())).instance.leader
-        assert leader is not None
-        pacer = leader.orders.pacer
-        slots = [await pacer.acquire("target-0") for _ in range(MAX_CALLS_PER_TARGET)]
-        await world.submit(job_id(1), single_step(), 1.0)
-        await asyncio.sleep(0.2)
+        world, leader, slots = await start_with_waiting_order()
         if drains:
             world.targets["target-0"].draining = True
             await asyncio.sleep(REGISTRATION_PERIOD_SECONDS + 0.3)
@@ -163,7 +166,7 @@
             world.evacuate("zone-a")
             await asyncio.sleep(MAX_DECISION_AGE_SECONDS)
         for slot in slots:
-            pacer.release(slot)
+            leader.orders.pacer.release(slot)
         await asyncio.sleep(1.0)
         await world.stop()
         assert world.checker.violations == []
