--- a/tools/capacity/page.py
+++ b/tools/capacity/page.py
@@ -169,6 +169,9 @@
 daemon; traffic counts both directions of the loopback interface with TCP headers, so a stream
 between two instances counts at both. Small stand-ins, one machine, four points a slope.
 
+This page is about `egretloftd`. The roles of `egretloft-platformd` and its slopes, from `fleetbench
+sweep`, are in [capacity-fleet.md](capacity-fleet.md).
+
 ## Slopes, for one entry instance
 | size (points) | resource | slope | intercept | residual (rms) |
 |---|---|---|---|---|
