Log how far an answer had come when its call ended

It now names the error, the bytes that had arrived and the time; 'configuration in force' has the size of the row and 'feed lost' the version from which the feed was asked. No logic changes.

--- a/src/egretloft/_internal/fleet/operators.py
+++ b/src/egretloft/_internal/fleet/operators.py
@@ -80,6 +80,7 @@
             "configuration in force",
             version=configuration.version,
             row_version=row.version,
+            bytes=len(row.value),
             queues=len(configuration.queues),
             organisations=len(configuration.organisations),
         )
--- a/src/egretloft/_internal/fleet/watching.py
+++ b/src/egretloft/_internal/fleet/watching.py
@@ -165,7 +165,12 @@
         elif not self.failing:
             self.failing = True
             self.failing_since = asked_at
-            log.warning("feed lost", table=self.table, error=failure.message)
+            log.warning(
+                "feed lost",
+                table=self.table,
+                version=self.version,
+                error=failure.message,
+            )
 
 
 def create_table_watcher(
--- a/src/egretloft/_internal/platform/http_call.py
+++ b/src/egretloft/_internal/platform/http_call.py
@@ -53,6 +53,9 @@
     timeout = aiohttp.ClientTimeout(
         total=timeout_seconds, connect=timeout_seconds * CONNECT_TIMEOUT_SHARE
     )
+    loop = asyncio.get_running_loop()
+    started = loop.time()
+    size = 0
     try:
         async with session.request(
             method,
@@ -63,7 +66,6 @@
             allow_redirects=False,
         ) as response:
             chunks: list[bytes] = []
-            size = 0
             async for chunk in response.content.iter_any():
                 chunks.append(chunk)
                 size += len(chunk)
@@ -78,9 +80,16 @@
         aiohttp.ConnectionTimeoutError,
         aiohttp.InvalidURL,
     ) as error:
-        return Failure(HttpFailure(False, f"{url}: {error or type(error).__name__}"))
+        return Failure(HttpFailure(False, f"{url}: {describe(error)}"))
     except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
-        return Failure(HttpFailure(True, f"{url}: {error or type(error).__name__}"))
+        seconds = loop.time() - started
+        progress = f"{size} bytes of the answer after {seconds:.2f} s"
+        return Failure(HttpFailure(True, f"{url}: {describe(error)}, {progress}"))
+
+
+def describe(error: Exception) -> str:
+    """Return the error's text, or its type if it has none, as for a timeout."""
+    return str(error) or type(error).__name__
 
 
 def create_http_session(connections_per_target: int = 0) -> aiohttp.ClientSession:
