--- a/tests/unit/platform/test_http_call.py
+++ b/tests/unit/platform/test_http_call.py
@@ -11,7 +11,6 @@
 
 async def test_timeout_says_how_far_the_answer_had_come():
     """Guards against a slow transfer that looks like a silent connection in logs."""
-
     closed = asyncio.Event()
 
     async def answer_half(reader, writer):
--- a/tools/standins/fleet/http.py
+++ b/tools/standins/fleet/http.py
@@ -44,6 +44,7 @@
 
 MILLISECONDS = 1000.0
 CALL_TIMEOUT_SECONDS = 5.0
+LINK_CHUNK_BYTES = 16 * 1024
 REASONS = {refusal: reason for reason, refusal in REFUSAL_REASONS.items()}
 Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 
@@ -55,6 +56,34 @@
     )
 
 
+class Link:
+    """The caller's network link, whose capacity all its answers share."""
+
+    def __init__(self, bytes_per_second: float) -> None:
+        self.bytes_per_second = bytes_per_second
+        self.busy_until = 0.0
+
+    async def carry(self, size: int) -> None:
+        """Wait until ``size`` more bytes have passed."""
+        now = asyncio.get_running_loop().time()
+        begins = max(now, self.busy_until)
+        self.busy_until = begins + size / self.bytes_per_second
+        await asyncio.sleep(self.busy_until - now)
+
+    async def answer(self, request: web.BaseRequest, body: bytes) -> web.StreamResponse:
+        """Send a JSON body as fast as the link carries it."""
+        response = web.StreamResponse()
+        response.content_type = "application/json"
+        response.content_length = len(body)
+        await response.prepare(request)
+        for start in range(0, len(body), LINK_CHUNK_BYTES):
+            chunk = body[start : start + LINK_CHUNK_BYTES]
+            await self.carry(len(chunk))
+            await response.write(chunk)
+        await response.write_eof()
+        return response
+
+
 def reset_connection(request: web.BaseRequest) -> web.StreamResponse:
     """Reset the caller's connection.
 
@@ -74,10 +103,14 @@
 
 
 class StoreServer:
-    """Serves the emulated store, with a client (and its faults) per caller address."""
+    """Serves the emulated store, with a client (and its faults) per caller address.
+
+    With a ``link``, reads and feeds are answered as fast as it carries them.
+    """
 
     def __init__(self, store: EmulatedStore) -> None:
         self.store = store
+        self.link: Link | None = None
         self.clients: dict[str, StoreClient] = {}
 
     def client(self, address: str) -> StoreClient:
@@ -109,7 +142,10 @@
             return self.failure(request, page.failure())
         found = page.unwrap()
         rows = [wire_row(row) for row in found.rows]
-        return json_answer(200, WireRows(rows, found.version, found.has_more))
+        answer = WireRows(rows, found.version, found.has_more)
+        if self.link is not None:
+            return await self.link.answer(request, msgspec.json.encode(answer))
+        return json_answer(200, answer)
 
     def failure(
         self, request: web.BaseRequest, failure: StoreFailure
@@ -278,17 +314,23 @@
     listeners: list[Listener] = field(default_factory=list)
     registrations: list[asyncio.Task[None]] = field(default_factory=list)
     store_address: str = ""
+    store_server: StoreServer | None = None
     registration_period_seconds: float = 0.5
 
     async def start(self) -> None:
         """Start all servers, and register all targets periodically."""
-        server = StoreServer(self.store)
-        self.store_address = await self.listen(server.handle)
+        self.store_server = StoreServer(self.store)
+        self.store_address = await self.listen(self.store_server.handle)
         for target in self.targets.values():
             address = await self.listen(TargetServer(target, self.generator).handle)
             task = asyncio.create_task(self.register_periodically(target, address))
             self.registrations.append(task)
 
+    def limit_link(self, bytes_per_second: float) -> None:
+        """Limit the speed at which the store's answers reach the callers."""
+        assert self.store_server is not None, "the platform has not been started"
+        self.store_server.link = Link(bytes_per_second)
+
     async def listen(self, handler: Handler) -> str:
         """Serve a handler on a free port and return its address."""
         runner = web.ServerRunner(web.Server(handler), shutdown_timeout=0.1)
--- a/tools/standins/fleet/store.py
+++ b/tools/standins/fleet/store.py
@@ -279,12 +279,11 @@
                     await changed.wait()
 
     def changes(self, table: str, after_version: int) -> tuple[StoredRow, ...]:
-        """Return the newest change of each row after a version, in version order."""
+        """Return all changes after a version in order, also several of one row."""
         if self.store.feeds_stalled:
             return ()
-        newest = {
-            row.key: row
+        return tuple(
+            row
             for row in self.store.history
             if row.key.table == table and row.version > after_version
-        }
-        return tuple(sorted(newest.values(), key=lambda row: row.version))
+        )
