Let the time of a call grow with the size of its answer

Cause: a call had to end within a fixed time, 1.7 s for a feed and 1.0 s for a read, whatever it brought. A configuration of 4,245 queues is 1,187 KB on the wire, 1.9 s at 5 Mbit/s. The call was given up while its answer was arriving and began again from the same version. Class of fault: a timeout that limits work of unbounded size.

Evidence: the 21 instances that failed are those with the small link; their links were full from 65 s to 71 s, their processors at 1 to 2 percent; 'after' in the URLs did not move. Ruled out: decoding takes 29 ms here for 4,245 queues (processor); no refusal and no moving cursor was logged (a skipped change).

Change: the answer has to begin within the timeout, and no gap may be longer than it; beyond that a call may take one second for each 125 KB, at most 10 s. Targets' and peers' calls have small answers, so their timeouts stay what they were.

Tests: a change and a start over a slow link failed before (no version in force in 4 s) and pass now; an answer that stops arriving is still given up.

--- a/src/egretloft/_internal/platform/http_call.py
+++ b/src/egretloft/_internal/platform/http_call.py
@@ -14,6 +14,12 @@
 CONNECT_TIMEOUT_SHARE = 0.5
 # Reading stops at a larger answer, so that a faulty target cannot exhaust the memory.
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
+# An answer may take this much longer to arrive than a call may otherwise take, by its
+# size: a slow link needs seconds for the largest answers, and a call that was given up
+# meanwhile would have to begin again. The rate is a fifth of the slowest link, as calls
+# share it.
+MIN_BYTES_PER_SECOND = 125_000.0
+MAX_TRANSFER_SECONDS = 10.0
 # Idle connections are closed well before servers close them, so that few requests are
 # sent on a connection that the server is closing.
 KEEPALIVE_SECONDS = 10.0
@@ -30,10 +36,14 @@
 
 @dataclass(slots=True, frozen=True)
 class HttpFailure:
-    """A call without a complete answer; ``sent`` is false only if nothing was sent."""
+    """A call without a complete answer; ``sent`` is false only if nothing was sent.
+
+    ``too_large`` tells that the answer was not read because of its size.
+    """
 
     sent: bool
     message: str
+    too_large: bool = False
 
 
 async def send_request(
@@ -43,35 +53,49 @@
     timeout_seconds: float,
     body: bytes | None = None,
     headers: Mapping[str, str] | None = None,
+    max_answer_bytes: int = MAX_ANSWER_BYTES,
 ) -> Result[HttpResponse, HttpFailure]:
     """Send one request and read the whole answer.
 
-    A connection whose answer did not arrive completely is closed, never reused.
+    The answer has to begin within ``timeout_seconds``; a large one may take longer to
+    arrive, as long as no gap is longer than that. A connection whose answer did not
+    arrive completely is closed, never reused.
     """
     if timeout_seconds <= 0:
         return Failure(HttpFailure(False, "no time left to send the request"))
     timeout = aiohttp.ClientTimeout(
-        total=timeout_seconds, connect=timeout_seconds * CONNECT_TIMEOUT_SHARE
+        total=None,
+        connect=timeout_seconds * CONNECT_TIMEOUT_SHARE,
+        sock_read=timeout_seconds,
     )
     loop = asyncio.get_running_loop()
     started = loop.time()
+    chunks: list[bytes] = []
     size = 0
     try:
-        async with session.request(
-            method,
-            url,
-            data=body,
-            headers=headers,
-            timeout=timeout,
-            allow_redirects=False,
-        ) as response:
-            chunks: list[bytes] = []
-            async for chunk in response.content.iter_any():
-                chunks.append(chunk)
-                size += len(chunk)
-                if size > MAX_ANSWER_BYTES:
-                    response.close()
-                    return Failure(HttpFailure(True, f"{url}: answer too large"))
+        async with (
+            asyncio.timeout(timeout_seconds) as limit,
+            session.request(
+                method,
+                url,
+                data=body,
+                headers=headers,
+                timeout=timeout,
+                allow_redirects=False,
+            ) as response,
+        ):
+            length = response.content_length
+            limit.reschedule(started + timeout_seconds + transfer_seconds(length))
+            if length is None or length <= max_answer_bytes:
+                async for chunk in response.content.iter_any():
+                    chunks.append(chunk)
+                    size += len(chunk)
+                    if size > max_answer_bytes:
+                        break
+            if max(size, length or 0) > max_answer_bytes:
+                response.close()
+                message = f"{url}: answer too large"
+                return Failure(HttpFailure(True, message, too_large=True))
             return Success(
                 HttpResponse(response.status, response.headers, b"".join(chunks))
             )
@@ -87,6 +111,13 @@
         return Failure(HttpFailure(True, f"{url}: {describe(error)}, {progress}"))
 
 
+def transfer_seconds(length: int | None) -> float:
+    """Return how long an answer of ``length`` bytes, if that is known, may arrive."""
+    if length is None:
+        return MAX_TRANSFER_SECONDS
+    return min(MAX_TRANSFER_SECONDS, length / MIN_BYTES_PER_SECOND)
+
+
 def describe(error: Exception) -> str:
     """Return the error's text, or its type if it has none, as for a timeout."""
     return str(error) or type(error).__name__
@@ -133,11 +164,12 @@
         timeout_seconds: float,
         body: bytes | None = None,
         headers: Mapping[str, str] | None = None,
+        max_answer_bytes: int = MAX_ANSWER_BYTES,
     ) -> Result[HttpResponse, HttpFailure]:
         """Send one request and read the whole answer."""
         session = self.session
         result = await send_request(
-            session, method, url, timeout_seconds, body, headers
+            session, method, url, timeout_seconds, body, headers, max_answer_bytes
         )
         if isinstance(result, Failure) and session is self.session:
             self.replace()
