Read a table anew when a feed would bring a long backlog

Cause: a read brings each row once, but a feed brings every version since the given one. Six versions of 1.2 MB are 7 MB, 11 s at 5 Mbit/s.

Change: a feed's answer of more than 2 MB is not read; the table is read instead. The log line 'feed history lost' becomes 'table read anew' with its reason.

--- a/src/egretloft/_internal/fleet/interfaces.py
+++ b/src/egretloft/_internal/fleet/interfaces.py
@@ -62,12 +62,24 @@
 
 
 class StoreFailureKind(StrEnum):
-    """Why a store call failed, or whether its outcome is unknown."""
+    """Why a store call failed, or whether its outcome is unknown.
+
+    After ``HISTORY_LOST`` and ``BACKLOG_TOO_LARGE``, a feed cannot go on from its
+    version: the changes since then are no longer kept, or are too many to be worth
+    reading one by one. The table has to be read anew.
+    """
 
     CONFLICT = "conflict"
     REFUSED = "refused"
     UNKNOWN = "unknown"
     HISTORY_LOST = "history_lost"
+    BACKLOG_TOO_LARGE = "backlog_too_large"
+
+
+# Failures of a feed after which its table has to be read anew.
+REREAD_FAILURES = frozenset(
+    {StoreFailureKind.HISTORY_LOST, StoreFailureKind.BACKLOG_TOO_LARGE}
+)
 
 
 @dataclass(slots=True, frozen=True)
--- a/src/egretloft/_internal/fleet/store_access.py
+++ b/src/egretloft/_internal/fleet/store_access.py
@@ -22,6 +22,7 @@
     STORE_CALL_TIMEOUT_SECONDS,
 )
 from egretloft._internal.fleet.interfaces import (
+    REREAD_FAILURES,
     FleetClock,
     RowPage,
     RowStore,
@@ -221,7 +222,7 @@
     def record_result(self, result: Result[Any, StoreFailure]) -> bool:
         """Record whether direct calls work; return whether this one failed.
 
-        Conflicts and a lost history are answers of a store that works.
+        Conflicts and ``REREAD_FAILURES`` are answers of a store that works.
         """
         failed = isinstance(result, Failure) and result.failure().kind in (
             StoreFailureKind.REFUSED,
@@ -280,7 +281,7 @@
                 self.reached_at = self.clock.boottime()
                 return last
             kind = last.failure.kind
-            if kind in (StoreFailureKind.CONFLICT, StoreFailureKind.HISTORY_LOST):
+            if kind is StoreFailureKind.CONFLICT or kind in REREAD_FAILURES:
                 return last
             if is_write and kind is StoreFailureKind.UNKNOWN:
                 return last
--- a/src/egretloft/_internal/fleet/watching.py
+++ b/src/egretloft/_internal/fleet/watching.py
@@ -14,12 +14,12 @@
     STORE_CALL_TIMEOUT_SECONDS,
 )
 from egretloft._internal.fleet.interfaces import (
+    REREAD_FAILURES,
     FleetClock,
     RowPage,
     RowStore,
     StoredRow,
     StoreFailure,
-    StoreFailureKind,
 )
 
 log = structlog.get_logger(__name__)
@@ -155,12 +155,17 @@
         return True
 
     def on_failure(self, failure: StoreFailure, asked_at: float) -> None:
-        """Read a new snapshot if the history was lost; otherwise keep the version.
+        """Read a new snapshot if the feed cannot go on; otherwise keep the version.
 
         ``asked_at`` is when the failed call was made.
         """
-        if failure.kind is StoreFailureKind.HISTORY_LOST:
-            log.info("feed history lost", table=self.table, version=self.version)
+        if failure.kind in REREAD_FAILURES:
+            log.info(
+                "table read anew",
+                table=self.table,
+                version=self.version,
+                why=failure.kind.value,
+            )
             self.version = None
         elif not self.failing:
             self.failing = True
--- a/src/egretloft/platform/rows.py
+++ b/src/egretloft/platform/rows.py
@@ -39,6 +39,9 @@
 CONDITION_FAILED = 412
 # With any other failure status, a transaction may have been applied.
 NOT_APPLIED_STATUSES = frozenset({400, 403, 404, 429, 503})
+# A read brings each row once, at most 1 MB of them, but a feed brings every version
+# that was missed. Of a longer answer, most is out of date.
+MAX_FEED_BYTES = 2 * 1024 * 1024
 
 encoder = msgspec.json.Encoder()
 rows_decoder = msgspec.json.Decoder(WireRows)
@@ -88,7 +91,8 @@
     ) -> Result[RowPage, StoreFailure]:
         """Return the rows of ``table`` changed since ``after_version``.
 
-        The store answers at the first change, or empty after ``wait_seconds``.
+        The store answers at the first change, or empty after ``wait_seconds``. Fails
+        with ``BACKLOG_TOO_LARGE`` if the changes are more than ``MAX_FEED_BYTES``.
         """
         query = {
             "table_name": table,
@@ -97,7 +101,13 @@
         }
         url = f"{self.base}/rows-feed?{urlencode(query)}"
         timeout = wait_seconds + FEED_TIMEOUT_SECONDS
-        return decode_page(await self.session.send_request("GET", url, timeout))
+        result = await self.session.send_request(
+            "GET", url, timeout, max_answer_bytes=MAX_FEED_BYTES
+        )
+        if isinstance(result, Failure) and result.failure().too_large:
+            message = result.failure().message
+            return Failure(StoreFailure(StoreFailureKind.BACKLOG_TOO_LARGE, message))
+        return decode_page(result)
 
 
 def wire_transaction(transaction: RowTransaction) -> WireTransaction:
