Refuse calls while the configuration may be outdated

Cause: an instance knows since when it has not been able to read the operators' table, but decided nothing on it. It served by what it had read last for any length of time: after a transfer that takes too long, an outage of the store, or a pause of the process. Class of fault: acting on a permission that has run out.

Change: Admission refuses with 503 and a Retry-After once the configuration has not been confirmed for as long as the platform allows a change to take (config_apply_ms of the settings), less 0.1 s. An empty answer of a feed now confirms the rows up to the end of its wait, so a calm instance is 0 s to 1 s old, not 1 s to 2 s; after 1.5 s the feed is asked to answer at once. Jobs could not be accepted without the store before either.

The emulated feed times out as the real client does.

--- a/src/egretloft/_internal/fleet/instance.py
+++ b/src/egretloft/_internal/fleet/instance.py
@@ -12,6 +12,7 @@
 from returns.result import Failure
 
 from egretloft._internal import codec
+from egretloft._internal.fleet.admission import Admission, create_admission
 from egretloft._internal.fleet.constants import (
     DISTANT_FEED_PAUSE_SECONDS,
     FEED_RETRY_SECONDS,
@@ -211,6 +212,15 @@
         # If no instance reaches the store, callers gain nothing from another one.
         return self.store.peers_lack_store()
 
+    def create_admission(self, in_force_seconds: float) -> Admission:
+        """Return an admission by the configuration that this instance follows."""
+        return create_admission(
+            lambda: self.operators.current().configuration,
+            self.operator_watcher.staleness_seconds,
+            self.store.outage_seconds,
+            in_force_seconds,
+        )
+
     # Peers.
 
     def peer_ids(self) -> list[str]:
--- a/src/egretloft/_internal/fleet/intake.py
+++ b/src/egretloft/_internal/fleet/intake.py
@@ -37,10 +37,8 @@
 )
 from egretloft._internal.fleet.models import (
     TERMINAL_STATES,
-    Configuration,
     JobSpec,
     JobState,
-    Organisation,
     Queue,
 )
 from egretloft._internal.fleet.records import (
@@ -66,6 +64,7 @@
     """Why a call was not served."""
 
     NO_CONFIGURATION = "no_configuration"
+    OUTDATED_CONFIGURATION = "outdated_configuration"
     UNKNOWN_QUEUE = "unknown_queue"
     UNKNOWN_KEY = "unknown_key"
     MALFORMED = "malformed"
@@ -119,33 +118,6 @@
         return self.progress.state if self.progress else JobState.QUEUED
 
 
-def admit(
-    configuration: Configuration | None, host: str, path: str, key: str
-) -> Result[Caller, IntakeRefusal]:
-    """Find the queue and the organisation of a call in the configuration."""
-    if configuration is None:
-        return Failure(
-            IntakeRefusal(
-                IntakeRefusalKind.NO_CONFIGURATION,
-                "this instance has not read a configuration yet",
-                retry_after_seconds(None),
-            )
-        )
-    queue = configuration.find_queue(host, path)
-    if queue is None:
-        return Failure(
-            IntakeRefusal(
-                IntakeRefusalKind.UNKNOWN_QUEUE,
-                f"no queue is configured for host {host!r} and path {path!r}",
-            )
-        )
-    organisation: Organisation | None = configuration.organisation_of_key(key)
-    if organisation is None and not queue.public:
-        return Failure(IntakeRefusal(IntakeRefusalKind.UNKNOWN_KEY, "unknown API key"))
-    name = organisation.name if organisation else ""
-    return Success(Caller(queue, name, configuration.version))
-
-
 class Intake:
     """Serves submissions, state queries and cancellations from the store."""
 
--- a/src/egretloft/_internal/fleet/watching.py
+++ b/src/egretloft/_internal/fleet/watching.py
@@ -27,6 +27,9 @@
 # Appended to a key, gives the first key that sorts after it.
 NEXT_KEY = "\0"
 
+# Rows that were not confirmed for longer than this are to be confirmed at once.
+PROMPT_AFTER_SECONDS = 1.5 * FEED_WAIT_SECONDS
+
 SnapshotHandler = Callable[[tuple[StoredRow, ...]], None]
 ChangeHandler = Callable[[tuple[StoredRow, ...]], None]
 
@@ -115,6 +118,15 @@
             return float("inf")
         return self.clock.boottime() - self.confirmed_at
 
+    def wait_seconds(self) -> float:
+        """Return how long the store may wait for a change before it answers.
+
+        It answers at once if the rows have not been confirmed lately, as after a pause
+        of the process or an outage of the store.
+        """
+        late = self.staleness_seconds() > PROMPT_AFTER_SECONDS
+        return 0.0 if late else FEED_WAIT_SECONDS
+
     async def run(self) -> None:
         """Follow the table until cancelled."""
         while True:
@@ -127,11 +139,13 @@
     async def step(self) -> bool:
         """Read a snapshot or wait for changes once; return whether that succeeded."""
         asked_at = self.clock.boottime()
+        wait = 0.0
         if self.version is None:
             result = await read_partitions(self.store, self.table, self.parts)
             handler = self.on_snapshot
         else:
-            result = await self.store.feed(self.table, self.version, FEED_WAIT_SECONDS)
+            wait = self.wait_seconds()
+            result = await self.store.feed(self.table, self.version, wait)
             handler = self.on_change
         if isinstance(result, Failure):
             self.on_failure(result.failure(), asked_at)
@@ -148,6 +162,9 @@
             )
             self.on_regained(unreadable_for)
         self.confirmed_at = asked_at
+        if not page.rows and self.clock.boottime() >= asked_at + wait:
+            # The store saw no change for all the time that it waited.
+            self.confirmed_at += wait
         rows = tuple(row for row in page.rows if row.key.part in self.parts)
         if self.version is None or rows:
             handler(rows)
--- a/src/egretloft/platform/ingress.py
+++ b/src/egretloft/platform/ingress.py
@@ -11,12 +11,12 @@
 from aiohttp import web
 from returns.result import Failure, Result
 
+from egretloft._internal.fleet.admission import Admission
 from egretloft._internal.fleet.instance import Instance
 from egretloft._internal.fleet.intake import (
     Caller,
     IntakeRefusal,
     IntakeRefusalKind,
-    admit,
 )
 from egretloft._internal.fleet.models import JobState
 from egretloft.platform.decoding import decode_job
@@ -31,6 +31,7 @@
 READINESS_PATH = "/readyz"
 REFUSAL_STATUSES = {
     IntakeRefusalKind.NO_CONFIGURATION: 503,
+    IntakeRefusalKind.OUTDATED_CONFIGURATION: 503,
     IntakeRefusalKind.UNKNOWN_QUEUE: 404,
     IntakeRefusalKind.UNKNOWN_KEY: 401,
     IntakeRefusalKind.MALFORMED: 400,
@@ -85,8 +86,9 @@
 class Ingress:
     """Serves clients' calls to one instance."""
 
-    def __init__(self, instance: Instance) -> None:
+    def __init__(self, instance: Instance, admission: Admission) -> None:
         self.instance = instance
+        self.admission = admission
         self.in_flight = 0
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
@@ -121,10 +123,10 @@
                 return answer(413, RefusalAnswer("too_large", "the body is too large"))
         host = request.headers.get("Host", "").partition(":")[0]
         key = request.headers.get("Authorization", "").removeprefix(BEARER)
-        configuration = self.instance.operators.current().configuration
-        admitted = admit(configuration, host, request.path, key)
+        admitted = self.admission.admit(host, request.path, key)
         if isinstance(admitted, Failure):
             refusal = admitted.failure()
+            configuration = self.instance.operators.current().configuration
             log.info(
                 "call refused",
                 path=request.path,
@@ -205,6 +207,9 @@
     return handle
 
 
-def create_ingress(instance: Instance) -> Ingress:
-    """Return the ingress of an instance."""
-    return Ingress(instance)
+def create_ingress(instance: Instance, in_force_seconds: float) -> Ingress:
+    """Return the ingress of an instance.
+
+    Changes of the configuration have to be in force after ``in_force_seconds``.
+    """
+    return Ingress(instance, instance.create_admission(in_force_seconds))
--- a/src/egretloft/platform/program.py
+++ b/src/egretloft/platform/program.py
@@ -106,7 +106,7 @@
     metrics = create_metrics()
     peers = create_platform_peers(settings, metrics)
     instance = create_platform_instance(settings, peers, metrics)
-    ingress = create_ingress(instance)
+    ingress = create_ingress(instance, settings.in_force_seconds)
     readiness = create_readiness_handler(instance.is_ready)
 
     async def check(request: web.BaseRequest) -> web.StreamResponse:
--- a/src/egretloft/platform/settings.py
+++ b/src/egretloft/platform/settings.py
@@ -8,6 +8,7 @@
 from returns.result import Failure, Result, Success
 
 SETTINGS_VARIABLE = "EGRETLOFT_SETTINGS"
+MILLISECONDS = 1000.0
 DEFAULT_SETTINGS_PATH = "/etc/egretloft/node.conf"
 
 
@@ -17,7 +18,8 @@
 
     Addresses are ``IP:PORT``. ``first_peer_port`` is the first port of the range for
     connections between instances. ``processors`` is the processor capacity of the
-    machine, in cores.
+    machine, in cores. ``in_force_seconds`` is the time after which a change of the
+    configuration has to be in force on every instance.
     """
 
     instance_id: str
@@ -30,6 +32,7 @@
     store_address: str
     grace_seconds: float
     processors: float
+    in_force_seconds: float
 
 
 REQUIRED_SETTINGS = (
@@ -75,6 +78,8 @@
             # standard core.
             processors=float(fields.get("limits.cpu_quota", "1"))
             * float(fields.get("limits.cpu_cores", "1")),
+            in_force_seconds=float(fields.get("parameters.config_apply_ms", "4000"))
+            / MILLISECONDS,
         )
     except ValueError as error:
         return Failure(f"a setting is not a number: {error}")
--- a/tests/unit/adapter/test_settings.py
+++ b/tests/unit/adapter/test_settings.py
@@ -19,6 +19,7 @@
 port_range=7000,7015
 platform.address=10.200.1.7:8524
 parameters.grace_s=6
+parameters.config_apply_ms=2000
 limits.cpu_quota=0.5
 limits.cpu_cores=3
 some.new_field=what=ever
@@ -31,6 +32,7 @@
     assert settings.first_peer_port == 7000
     assert settings.grace_seconds == 6.0
     assert settings.processors == 1.5
+    assert settings.in_force_seconds == 2.0
 
 
 def test_missing_setting_is_named() -> None:
--- a/tools/standins/fleet/store.py
+++ b/tools/standins/fleet/store.py
@@ -11,6 +11,7 @@
 
 from returns.result import Failure, Result, Success
 
+from egretloft._internal.fleet.constants import FEED_TIMEOUT_SECONDS
 from egretloft._internal.fleet.interfaces import (
     RowKey,
     RowPage,
@@ -254,7 +255,7 @@
         self, table: str, after_version: int, wait_seconds: float
     ) -> Result[RowPage, StoreFailure]:
         """Return the changes after a version; wait up to ``wait_seconds`` for one."""
-        failure = await self.begin(wait_seconds)
+        failure = await self.begin(wait_seconds + FEED_TIMEOUT_SECONDS)
         if failure is not None:
             return Failure(failure)
         store = self.store
