Keep a replaced session open until its large answers have arrived

When any call on a session fails, the session is replaced and the old one closed after 5 s, which would cut off a transfer that the call itself still allows (up to 10 s longer). Found by reading; the delay is now derived from both limits, so they cannot drift apart. No test of its own: it would play the two constants.

--- a/src/egretloft/_internal/platform/http_call.py
+++ b/src/egretloft/_internal/platform/http_call.py
@@ -143,8 +143,9 @@
     return session
 
 
-# Calls in progress on a replaced session have this long to finish before it is closed.
-SESSION_CLOSE_DELAY_SECONDS = 5.0
+# Calls in progress on a replaced session have this long to finish before it is closed:
+# the longest timeout of a call, and the time in which a large answer may arrive.
+SESSION_CLOSE_DELAY_SECONDS = 5.0 + MAX_TRANSFER_SECONDS
 
 
 class ReconnectingSession:
