Relay large pages of the store through peers

What callers would see: an instance that the store refuses, in a deployment with a configuration of more than 1 MB, answers by an old one until the store serves it again (in the incident: 'feed lost ... instance edge-akr-d-1 did not answer in 1.7 s').

A relayed answer had to fit into a frame of 1 MiB, and had to be there 1.7 s (feed) or 1.0 s (read) after the call, although the peer first has to receive it itself. An answer that could not be decoded raised in the caller's task.

Change: answers of more than 16 KB are compressed if the caller says that it can read that (7,000 routes: 1.5 MB; the frame holds them now); relayed reads may take 10 s longer, as a peer that dies is noticed by its silence within about 1 s; an unreadable answer is a failure with an unknown outcome.

--- a/src/egretloft/_internal/fleet/store_access.py
+++ b/src/egretloft/_internal/fleet/store_access.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import itertools
+import zlib
 from collections import deque
 from collections.abc import Awaitable, Callable
 from typing import Any, TypeVar
@@ -48,6 +49,18 @@
 DELAY_WINDOW_SECONDS = 2.0
 # A call is relayed to at most this many peers, one after the other.
 RELAYS_PER_CALL = 2
+# A relayed answer to a read may take this much longer than the call, as the peer has to
+# receive a large page first. A peer that dies meanwhile is noticed by its silence.
+RELAY_TRANSFER_SECONDS = 10.0
+# Larger answers are compressed: a frame and a slow link hold only so much.
+COMPRESS_FROM_BYTES = 16 * 1024
+COMPRESSION_LEVEL = 1
+MAX_ANSWER_BYTES = 16 * 1024 * 1024
+# Keys of the bodies of relayed calls and of their answers.
+KEY_REQUEST = "request"
+KEY_ACCEPTS_COMPRESSED = "accepts_compressed"
+KEY_ANSWER = "answer"
+KEY_COMPRESSED_ANSWER = "compressed_answer"
 
 
 class RelayAnswer(msgspec.Struct, array_like=True):
@@ -194,7 +207,8 @@
             if not self.record_result(result) or not self.relay_peers():
                 return result
         request = RelayRead(table, part, from_key, to_key)
-        return page_of(await self.relay(CALL_READ, request, timeout_seconds))
+        timeout = timeout_seconds + RELAY_TRANSFER_SECONDS
+        return page_of(await self.relay(CALL_READ, request, timeout))
 
     async def feed(
         self, table: str, after_version: int, wait_seconds: float
@@ -207,7 +221,7 @@
             if not self.record_result(result) or not self.relay_peers():
                 return result
         request = RelayFeed(table, after_version, wait_seconds)
-        timeout = wait_seconds + FEED_TIMEOUT_SECONDS
+        timeout = wait_seconds + FEED_TIMEOUT_SECONDS + RELAY_TRANSFER_SECONDS
         return page_of(await self.relay(CALL_FEED, request, timeout))
 
     def relay_peers(self) -> list[str]:
@@ -263,7 +277,10 @@
 
         A write is relayed again only if the last attempt certainly had no effect.
         """
-        body = {"request": msgspec.msgpack.encode(request)}
+        body = {
+            KEY_REQUEST: msgspec.msgpack.encode(request),
+            KEY_ACCEPTS_COMPRESSED: True,
+        }
         last = RelayAnswer(failure=refused("no peer reaches the store"))
         for peer in self.relay_peers()[:RELAYS_PER_CALL]:
             self.metrics.count("store_relays", call=call)
@@ -274,9 +291,7 @@
                 kind = StoreFailureKind.REFUSED if unsent else StoreFailureKind.UNKNOWN
                 last = RelayAnswer(failure=StoreFailure(kind, failure.message))
             else:
-                last = msgspec.msgpack.decode(
-                    result.unwrap()["answer"], type=RelayAnswer
-                )
+                last = decode_answer(result.unwrap())
             if last.failure is None:
                 self.reached_at = self.clock.boottime()
                 return last
@@ -289,16 +304,16 @@
 
     async def serve_commit(self, peer: str, body: dict[str, Any]) -> dict[str, Any]:
         """Apply a peer's transaction directly."""
-        request = msgspec.msgpack.decode(body["request"], type=RowTransaction)
+        request = msgspec.msgpack.decode(body[KEY_REQUEST], type=RowTransaction)
         result = await self.direct.commit(request, STORE_CALL_TIMEOUT_SECONDS)
         self.record_result(result)
         if isinstance(result, Failure):
-            return encode_answer(RelayAnswer(failure=result.failure()))
-        return encode_answer(RelayAnswer(version=result.unwrap()))
+            return encode_answer(RelayAnswer(failure=result.failure()), body)
+        return encode_answer(RelayAnswer(version=result.unwrap()), body)
 
     async def serve_read(self, peer: str, body: dict[str, Any]) -> dict[str, Any]:
         """Read directly for a peer."""
-        request = msgspec.msgpack.decode(body["request"], type=RelayRead)
+        request = msgspec.msgpack.decode(body[KEY_REQUEST], type=RelayRead)
         result = await self.direct.read(
             request.table,
             request.part,
@@ -306,27 +321,57 @@
             request.from_key,
             request.to_key,
         )
-        return self.encode_page(result)
+        return self.encode_page(result, body)
 
     async def serve_feed(self, peer: str, body: dict[str, Any]) -> dict[str, Any]:
         """Wait directly for changes for a peer."""
-        request = msgspec.msgpack.decode(body["request"], type=RelayFeed)
+        request = msgspec.msgpack.decode(body[KEY_REQUEST], type=RelayFeed)
         result = await self.direct.feed(
             request.table, request.after_version, request.wait_seconds
         )
-        return self.encode_page(result)
+        return self.encode_page(result, body)
 
-    def encode_page(self, result: Result[RowPage, StoreFailure]) -> dict[str, Any]:
-        """Record the result of a direct read and encode it for a peer."""
+    def encode_page(
+        self, result: Result[RowPage, StoreFailure], call: dict[str, Any]
+    ) -> dict[str, Any]:
+        """Record the result of a direct read and encode it for a peer's ``call``."""
         self.record_result(result)
         if isinstance(result, Failure):
-            return encode_answer(RelayAnswer(failure=result.failure()))
-        return encode_answer(RelayAnswer(page=result.unwrap()))
+            return encode_answer(RelayAnswer(failure=result.failure()), call)
+        return encode_answer(RelayAnswer(page=result.unwrap()), call)
 
 
-def encode_answer(answer: RelayAnswer) -> dict[str, Any]:
-    """Return the body of the answer to a peer call."""
-    return {"answer": msgspec.msgpack.encode(answer)}
+def encode_answer(answer: RelayAnswer, call: dict[str, Any]) -> dict[str, Any]:
+    """Return the body of the answer to a peer's ``call``.
+
+    A large answer is compressed if the caller can read that; an instance of an earlier
+    release cannot.
+    """
+    data = msgspec.msgpack.encode(answer)
+    if len(data) < COMPRESS_FROM_BYTES or not call.get(KEY_ACCEPTS_COMPRESSED):
+        return {KEY_ANSWER: data}
+    return {KEY_COMPRESSED_ANSWER: zlib.compress(data, COMPRESSION_LEVEL)}
+
+
+def decode_answer(body: dict[str, Any]) -> RelayAnswer:
+    """Return a peer's answer; one that cannot be read has an unknown outcome."""
+    try:
+        data = body.get(KEY_ANSWER)
+        if data is None:
+            data = decompress(body[KEY_COMPRESSED_ANSWER])
+        return msgspec.msgpack.decode(data, type=RelayAnswer)
+    except (zlib.error, LookupError, TypeError, ValueError) as error:
+        message = f"the peer's answer is unreadable: {error}"
+        return RelayAnswer(failure=StoreFailure(StoreFailureKind.UNKNOWN, message))
+
+
+def decompress(data: bytes) -> bytes:
+    """Return decompressed data; raises ``zlib.error`` beyond ``MAX_ANSWER_BYTES``."""
+    decompressor = zlib.decompressobj()
+    decompressed = decompressor.decompress(data, MAX_ANSWER_BYTES)
+    if not decompressor.eof:
+        raise zlib.error("incomplete or too large")
+    return decompressed
 
 
 def page_of(answer: RelayAnswer) -> Result[RowPage, StoreFailure]:
