Start nothing while evacuations of zones cannot be read

What callers would see: tasks that start in a zone more than 5 s after operators have taken it out of service (EVAC).

It follows evacuations by the same table as the configuration, so whatever keeps it from reading that table hides both, but it kept deciding by the zones it had read last.

Change: a leader whose heartbeats are confirmed starts nothing once it has not known for 3.5 s whether the operators' rows still hold; a start may be carried out 1 s later. While nobody reaches the store it goes on, as operators cannot change anything then.

--- a/src/egretloft/_internal/fleet/constants.py
+++ b/src/egretloft/_internal/fleet/constants.py
@@ -47,6 +47,10 @@
 # deployment.
 MAX_PROMPT_CANDIDATES = 4
 DISTANT_FEED_PAUSE_SECONDS = 0.8
+# A leader starts nothing by what operators asked for if it has not known for this long
+# whether that still holds. A start may be carried out START_EXPIRY_SECONDS later, and
+# an evacuation has to hold within 5 s.
+MAX_OPERATOR_AGE_SECONDS = 3.5
 # Timeout of one read or commit of the store.
 STORE_CALL_TIMEOUT_SECONDS = 1.0
 FEED_RETRY_SECONDS = 0.2
--- a/src/egretloft/_internal/fleet/instance.py
+++ b/src/egretloft/_internal/fleet/instance.py
@@ -394,6 +394,7 @@
                     self.targets,
                     self.decoder,
                     self.operators.current,
+                    self.operator_watcher.staleness_seconds,
                     self.clock,
                     self.metrics,
                 )
--- a/src/egretloft/_internal/fleet/leader.py
+++ b/src/egretloft/_internal/fleet/leader.py
@@ -17,6 +17,7 @@
     FEED_RETRY_SECONDS,
     JOB_PARTITIONS,
     LEASE_SECONDS,
+    MAX_OPERATOR_AGE_SECONDS,
     PARTITION,
     RETENTION_SECONDS,
     START_EXPIRY_SECONDS,
@@ -88,6 +89,7 @@
         targets: Targets,
         decoder: RowDecoder,
         operators: Callable[[], OperatorState],
+        operators_age: Callable[[], float],
         clock: FleetClock,
         metrics: Metrics,
     ) -> None:
@@ -98,6 +100,8 @@
         self.targets = targets
         self.decoder = decoder
         self.operators = operators
+        self.operators_age = operators_age
+        self.starts_withheld = False
         self.clock = clock
         self.metrics = metrics
         self.tables = FleetTables()
@@ -150,6 +154,18 @@
             return True
         return self.store.peers_lack_store()
 
+    def may_start_runs(self) -> bool:
+        """Return whether the leader may also start runs.
+
+        It has to know what operators ask for, unless they cannot ask for anything, as
+        nobody reaches the store.
+        """
+        if not self.may_issue_orders():
+            return False
+        if self.operators_age() <= MAX_OPERATOR_AGE_SECONDS:
+            return True
+        return not self.election.is_confirmed()
+
     def on_job_changed(self, job: JobRow) -> None:
         """Schedule a write of the job's progress and wake the scheduling loop."""
         self.wake_scheduler()
@@ -398,9 +414,24 @@
         self.runs.stop_unneeded(now, self.recovering)
         if self.draining:
             return
+        self.note_withheld(not self.may_start_runs())
+        if self.starts_withheld:
+            return
         if self.decision_needed or now >= self.decide_at:
             self.decide(now)
 
+    def note_withheld(self, withheld: bool) -> None:
+        """Log when starts begin to be withheld, or no longer are."""
+        if withheld == self.starts_withheld:
+            return
+        self.starts_withheld = withheld
+        self.decision_needed = True
+        log.warning(
+            "starts withheld" if withheld else "starts resumed",
+            epoch=self.epoch,
+            operators_age=round(self.operators_age(), 3),
+        )
+
     def decide(self, now: float) -> None:
         """Decide what to start and to preempt, and carry it out."""
         self.decision_needed = False
--- a/src/egretloft/_internal/fleet/orders.py
+++ b/src/egretloft/_internal/fleet/orders.py
@@ -127,7 +127,7 @@
             return False
         if self.clock.boottime() - run.started_at > MAX_DECISION_AGE_SECONDS:
             return False
-        return self.owner.may_issue_orders()
+        return self.owner.may_start_runs()
 
     def start_order(self, target: TargetRow, run: RunRow) -> StartOrder | None:
         """Return the start order, or ``None`` if the job or the clock is unknown.
--- a/src/egretloft/_internal/fleet/sessions.py
+++ b/src/egretloft/_internal/fleet/sessions.py
@@ -72,6 +72,9 @@
     def may_issue_orders(self) -> bool:
         """Return whether the leader may send orders and renew leases."""
 
+    def may_start_runs(self) -> bool:
+        """Return whether it also knows what operators ask for, and may start runs."""
+
     def on_job_changed(self, job: JobRow) -> None:
         """Schedule a write of the job's progress and wake the scheduling loop."""
 
--- a/tests/unit/fleet/test_sessions.py
+++ b/tests/unit/fleet/test_sessions.py
@@ -24,6 +24,9 @@
     def may_issue_orders(self) -> bool:
         return False
 
+    def may_start_runs(self) -> bool:
+        return False
+
     def on_job_changed(self, job: JobRow) -> None:
         """Do nothing."""
 
--- a/tools/standins/fleet/store.py
+++ b/tools/standins/fleet/store.py
@@ -143,11 +143,13 @@
 class StoreClient:
     """Store client of one instance.
 
-    ``wait_until_thawed`` blocks while the instance is frozen.
+    ``wait_until_thawed`` blocks while the instance is frozen. Feeds of
+    ``silent_tables`` get no answer.
     """
 
     store: EmulatedStore
     mode: StoreMode = StoreMode.WORKS
+    silent_tables: set[str] = field(default_factory=set)
     wait_until_thawed: Callable[[], Awaitable[None]] = return_at_once
     late_writes: set[asyncio.Task[None]] = field(default_factory=set)
 
@@ -255,9 +257,13 @@
         self, table: str, after_version: int, wait_seconds: float
     ) -> Result[RowPage, StoreFailure]:
         """Return the changes after a version; wait up to ``wait_seconds`` for one."""
-        failure = await self.begin(wait_seconds + FEED_TIMEOUT_SECONDS)
+        timeout_seconds = wait_seconds + FEED_TIMEOUT_SECONDS
+        failure = await self.begin(timeout_seconds)
         if failure is not None:
             return Failure(failure)
+        if table in self.silent_tables:
+            await asyncio.sleep(timeout_seconds)
+            return Failure(unknown("no answer"))
         store = self.store
         until = asyncio.get_running_loop().time() + wait_seconds
         while True:
