--- a/tools/standins/fleet/checker.py
+++ b/tools/standins/fleet/checker.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections import Counter
 from dataclasses import dataclass, field
 
 from egretloft._internal.fleet.models import (
@@ -20,7 +21,8 @@
     """Ground truth of a job: how long its tasks really run, and how they fail.
 
     ``work_seconds`` is how long each task runs on a healthy target, and
-    ``failing_attempts`` is how many runs of each task fail. ``cancelled_at`` is when
+    ``failing_attempts`` is how many runs of each task fail. The tasks with an index in
+    ``crashing_tasks`` crash every target that starts them. ``cancelled_at`` is when
     the cancellation was acknowledged.
     """
 
@@ -31,6 +33,7 @@
     cancelled_at: float | None = None
     cancel_sent: bool = False
     refused: bool = False
+    crashing_tasks: frozenset[int] = frozenset()
 
 
 @dataclass(slots=True, eq=False)
@@ -55,6 +58,10 @@
     handles: list[asyncio.TimerHandle] = field(default_factory=list)
 
 
+# A task that has crashed this many targets may be started fewer times more than this.
+CRASHES_LIMIT = 3
+
+
 class Checker:
     """Records violations of the scheduler's guarantees."""
 
@@ -68,6 +75,8 @@
         self.acknowledged_failures: dict[TaskKey, int] = {}
         self.step_done: set[StepKey] = set()
         self.starts = 0
+        self.crashes: Counter[TaskKey] = Counter()
+        self.starts_after_crashes: Counter[TaskKey] = Counter()
 
     def report(self, rule: str, what: str, at: float) -> None:
         """Record a violation of a rule."""
@@ -96,6 +105,11 @@
             self.report("TWICE", f"{task} started after its end was acknowledged", at)
         if self.acknowledged_failures.get(task, 0) >= truth.attempts:
             self.report("BUDGET", f"{task}", at)
+        if self.crashes[task] >= CRASHES_LIMIT:
+            self.starts_after_crashes[task] += 1
+        if self.starts_after_crashes[task] >= CRASHES_LIMIT:
+            crashes = self.crashes[task]
+            self.report("BUDGET", f"{task} started after {crashes} crashes", at)
         for number in truth.spec.steps[task.step.step].after:
             before = StepKey(task.step.job_id, task.step.occurrence, number)
             if not self.is_step_done(before, truth):
--- a/tools/standins/fleet/targets.py
+++ b/tools/standins/fleet/targets.py
@@ -35,6 +35,10 @@
 # Slowdown of a gang that asked for a single rack but was placed on several.
 CROSS_RACK_SLOWDOWN = 3.0
 LATE_ORDER_DELAY_SECONDS = (2.0, 12.0)
+# A task that crashes its target does so this long after its start; the target is back
+# after some seconds.
+CRASH_DELAY_SECONDS = 0.1
+CRASHED_SECONDS = 3.0
 
 
 @dataclass(slots=True)
@@ -133,6 +137,22 @@
         self.incarnation_ms += 1000
         self.reset_state()
 
+    def crash_for(self, seconds: float) -> None:
+        """Crash, and return as a new incarnation after ``seconds``."""
+        self.crash()
+        self.cut = True
+        asyncio.get_running_loop().call_later(seconds, self.come_back)
+
+    def come_back(self) -> None:
+        """Answer and register again."""
+        self.cut = False
+
+    def crash_by(self, run: RunTruth) -> None:
+        """Crash because of a run, if it has not ended."""
+        if run.key in self.runs:
+            self.checker.crashes[run.key.task] += 1
+            self.crash_for(CRASHED_SECONDS)
+
     def stall(self, seconds: float) -> None:
         """Let the runs at work stand still for ``seconds``, after which they go on."""
         loop = asyncio.get_running_loop()
@@ -209,6 +229,9 @@
             self.checker.report("LIMIT", self.target_id, self.now())
         if truth is not None and spec is not None:
             run.work_left = truth.work_seconds
+            if order.run.task.index in truth.crashing_tasks:
+                loop = asyncio.get_running_loop()
+                loop.call_later(CRASH_DELAY_SECONDS, self.crash_by, run)
             if spec.gang:
                 self.join_gang(run, spec)
             else:
--- a/tools/standins/fleet/world.py
+++ b/tools/standins/fleet/world.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import random
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Collection
 from dataclasses import dataclass, field
 from typing import Protocol
 
@@ -310,14 +310,21 @@
         queue: str = "normal",
         at: str | None = None,
         failing_attempts: int = 0,
+        crashing_tasks: Collection[int] = (),
     ) -> Result[bool, IntakeRefusal]:
         """Submit a job at an instance, by default the first that runs.
 
-        ``work_seconds`` and ``failing_attempts`` are those of ``JobTruth``.
+        ``work_seconds``, ``failing_attempts`` and ``crashing_tasks`` are those of
+        ``JobTruth``.
         """
         self.checker.jobs.setdefault(
             job_id,
-            JobTruth(spec, work_seconds, failing_attempts=failing_attempts),
+            JobTruth(
+                spec,
+                work_seconds,
+                failing_attempts=failing_attempts,
+                crashing_tasks=frozenset(crashing_tasks),
+            ),
         )
         name = at or next(iter(self.processes))
         deadline = self.clock.boottime() + 3.0
