Give up tasks that crash the targets on which they start

Cause: only ends that a target lists as failed count against a task. A run that ends with its target is lost, not failed, and was started again without limit. Class of fault: a retry without a budget.

Change: a run that had started at most 1.5 s before its target was last heard from makes its task a suspect. A suspect is started alone, on a target that has not come back lately, and nothing else is started there until it has survived; up to three targets nearby are watched meanwhile. Two more crashes of this kind, and the job is failed; a crash does not count if a watched target falls too without a start of its own to explain it. A run that survives its start clears its task. Counts and trials are in the job's progress row, so they outlive the leader.

--- a/src/egretloft/_internal/fleet/leader.py
+++ b/src/egretloft/_internal/fleet/leader.py
@@ -28,6 +28,7 @@
     TICK_DELAY_SECONDS,
     TICK_SECONDS,
 )
+from egretloft._internal.fleet.crash_trials import create_crash_trials
 from egretloft._internal.fleet.election import Election, Term
 from egretloft._internal.fleet.interfaces import (
     FleetClock,
@@ -109,6 +110,9 @@
         self.recorder = create_recorder(store, election, self.tables, metrics)
         self.orders = create_orders(self, self.tables, targets, clock, metrics)
         self.runs = create_run_control(self, self.tables, self.orders, clock, metrics)
+        self.crash_trials = create_crash_trials(
+            self.tables, metrics, self.on_job_changed, self.wake_session
+        )
         self.reader = create_state_reader(
             self, self.tables, self.recorder, decoder, metrics
         )
@@ -198,6 +202,14 @@
         now = self.clock.boottime()
         self.scheduler.run_times.observe(job, step, run, now)
 
+    def on_trial_started(self, run: RunRow) -> None:
+        """Note that a task suspected of a crash is started."""
+        self.crash_trials.begin(run, self.clock.boottime())
+
+    def on_crash_suspected(self, run: RunRow) -> None:
+        """Note that the target of a run may have crashed because of its start."""
+        self.crash_trials.on_lost(run, self.clock.boottime())
+
     def on_target_changed(self, target: TargetRow) -> None:
         """Wake the session of a target that restarted or moved."""
         self.wake_session(target.report.target_id)
@@ -381,6 +393,7 @@
         )
         self.sessions[target_id] = session
         if self.state_loaded:
+            target.returned_at = self.clock.boottime()
             self.start_session(target_id, session)
         if not target.recorded:
             self.recorder.wake.set()
@@ -411,6 +424,7 @@
             self.runs_reviewed_at = now
             self.runs.stop_stalled(now)
             self.runs.stop_departing(now)
+            self.crash_trials.review(now)
         self.runs.stop_unneeded(now, self.recovering)
         if self.draining:
             return
--- a/src/egretloft/_internal/fleet/lifecycle.py
+++ b/src/egretloft/_internal/fleet/lifecycle.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Iterator
 
+from egretloft._internal.fleet.crash_suspects import is_given_up
 from egretloft._internal.fleet.models import (
     EndKind,
     JobState,
@@ -52,6 +53,8 @@
     step = job.step(end.run.task.step)
     step.started = True
     job.started = True
+    if end.kind in (EndKind.DONE, EndKind.FAILED):
+        tables.clear_suspicion(task)
     if end.checkpoint and not task.done:
         save_checkpoint(step, task, end.checkpoint)
     if end.kind is EndKind.DONE and not step.spec.lasting:
@@ -85,7 +88,7 @@
     """Set the job's final state once it is determined."""
     if job.is_final():
         return
-    if any_task_exhausted(job):
+    if any_task_exhausted(job) or any_task_crashes_targets(job):
         job.state = JobState.FAILED
         return
     if job.cancelled:
@@ -111,6 +114,11 @@
     return False
 
 
+def any_task_crashes_targets(job: JobRow) -> bool:
+    """Return whether a task has crashed so many targets that it is given up."""
+    return any(is_given_up(task) for step in job.steps.values() for task in step.tasks)
+
+
 def open_steps(job: JobRow, wall_ms: float, now: float) -> Iterator[StepRow]:
     """Yield the unfinished steps that are due and whose predecessors are done.
 
--- a/src/egretloft/_internal/fleet/records.py
+++ b/src/egretloft/_internal/fleet/records.py
@@ -39,7 +39,8 @@
     """Progress of one step of one occurrence.
 
     ``done`` holds the indexes of completed tasks. ``failed`` maps a task's index to the
-    attempts that failed, ``saved`` to its newest checkpoint.
+    attempts that failed, ``saved`` to its newest checkpoint, ``crashed`` to the
+    attempts at whose start the target crashed.
     """
 
     occurrence: int
@@ -47,6 +48,7 @@
     done: list[int] = field(default_factory=list)
     failed: dict[int, list[int]] = field(default_factory=dict)
     saved: dict[int, str] = field(default_factory=dict)
+    crashed: dict[int, list[int]] = field(default_factory=dict)
 
 
 @dataclass(slots=True)
--- a/src/egretloft/_internal/fleet/run_control.py
+++ b/src/egretloft/_internal/fleet/run_control.py
@@ -37,6 +37,9 @@
     def wake_session(self, target_id: str) -> None:
         """Let the session of a target look at its runs at once."""
 
+    def on_trial_started(self, run: RunRow) -> None:
+        """Note that a task suspected of a crash is started."""
+
     def on_job_changed(self, job: JobRow) -> None:
         """Schedule a write of the job's progress and wake the scheduling loop."""
 
@@ -146,6 +149,8 @@
             )
             task.run = run
             self.tables.add_run(target, run)
+            if task.crashed:
+                self.owner.on_trial_started(run)
             self.owner.wake_session(run.target_id)
             self.owner.spawn(self.orders.start(target, run))
         step.started = True
--- a/src/egretloft/_internal/fleet/scheduler.py
+++ b/src/egretloft/_internal/fleet/scheduler.py
@@ -12,6 +12,11 @@
 
 import structlog
 
+from egretloft._internal.fleet.crash_suspects import (
+    is_steady,
+    suspects,
+    targets_on_trial,
+)
 from egretloft._internal.fleet.demands import UnplaceableDemands, demand_of
 from egretloft._internal.fleet.guarantees import Guarantees, create_guarantees
 from egretloft._internal.fleet.lifecycle import open_steps
@@ -58,6 +63,8 @@
 # Only steps of this priority, the most urgent one, may preempt other runs.
 RECLAIMING_PRIORITY = 0
 MILLISECONDS = 1000.0
+# Free capacity of a target that nothing fits on, not even a task that needs none.
+NOTHING_FREE = -1
 
 
 @dataclass(slots=True, frozen=True)
@@ -135,8 +142,10 @@
     """Return the targets of a service that may get new work.
 
     Targets in quarantine are included: they are the fallback of steps that have waited
-    longer than ``QUARANTINE_FALLBACK_SECONDS``.
+    longer than ``QUARANTINE_FALLBACK_SECONDS``. Targets on which a task suspected of a
+    crash has just started are not.
     """
+    on_trial = targets_on_trial(tables)
     return [
         target
         for target in tables.targets.values()
@@ -147,6 +156,7 @@
         and target.reachable
         and not target.report.draining
         and target.report.zone not in operators.evacuated_zones
+        and target.report.target_id not in on_trial
     ]
 
 
@@ -298,10 +308,13 @@
         step = waiting.step
         priority = waiting.job.accepted.priority
         spread = self.spread_policy.may_spread(step)
+        suspected = suspects(step)
+        if suspected and self.schedule_alone(waiting, spread, suspected, decisions):
+            return
         demand = demand_of(step, spread, self.requires_healthy_targets(step))
         plan: Plan | None = None
         if not self.unplaceable.rules_out(demand):
-            plan = self.place(step, spread)
+            plan = self.place(step, step.waiting(), spread)
             if add_placement(step, priority, plan, decisions) and plan is not None:
                 self.note_taken(plan)
             if plan is not None and len(plan.entries) == len(step.waiting()):
@@ -310,20 +323,71 @@
         if plan is None or not plan.entries:
             self.reclaim_or_reserve(waiting, priority, spread, decisions)
 
+    def schedule_alone(
+        self,
+        waiting: WaitingStep,
+        spread: bool,
+        suspected: list[TaskRow],
+        decisions: Decisions,
+    ) -> bool:
+        """Start tasks that are suspected of a crash on targets of their own.
+
+        If there are none for a while, other targets will do, but none that runs another
+        suspect. Nothing else is started there in this tick. Returns false if none of
+        the tasks could be started and their patience has ended; otherwise the other
+        tasks of the step get their turn in a later tick.
+        """
+        step = waiting.step
+        if any(self.context.now < task.verdict_at for task in suspected):
+            return True
+        healthy = self.healthy_capacities
+        alone = [free for free in healthy if self.is_idle_and_steady(free.target)]
+        plan = self.place_on(step, suspected, alone, spread)
+        impatient = self.context.now > step.alone_until
+        if impatient and (plan is None or not plan.entries):
+            plan = self.place_on(step, suspected, healthy, spread)
+        priority = waiting.job.accepted.priority
+        if add_placement(step, priority, plan, decisions) and plan is not None:
+            self.withhold(plan)
+            return True
+        return not impatient
+
+    def is_idle_and_steady(self, target: TargetRow) -> bool:
+        """Return whether nothing runs on a target, which has not come back lately."""
+        is_taken = target.report.target_id in self.reserved
+        return not target.runs and not is_taken and is_steady(target, self.context.now)
+
+    def withhold(self, plan: Plan) -> None:
+        """Keep all steps later in the order from the targets of a plan."""
+        for _, planned in plan.entries:
+            target = planned.target
+            planned.cpu = planned.memory_mb = planned.gpus = NOTHING_FREE
+            self.reserved[target.report.target_id] = target.report.room
+
     def requires_healthy_targets(self, step: StepRow) -> bool:
         """Return whether the step may not use targets in quarantine yet."""
         return self.context.now - step.ready_at <= QUARANTINE_FALLBACK_SECONDS
 
-    def place(self, step: StepRow, spread: bool) -> Plan | None:
+    def place(self, step: StepRow, tasks: list[TaskRow], spread: bool) -> Plan | None:
         """Place all members of a gang, or as many single tasks as fit."""
         capacities = (
             self.healthy_capacities
             if self.requires_healthy_targets(step)
             else self.capacities
         )
+        return self.place_on(step, tasks, capacities, spread)
+
+    def place_on(
+        self,
+        step: StepRow,
+        tasks: list[TaskRow],
+        capacities: list[FreeCapacity],
+        spread: bool,
+    ) -> Plan | None:
+        """Place all members of a gang, or as many of ``tasks`` as fit, on targets."""
         if step.spec.gang:
             return place_gang(step, capacities, spread)
-        return place_tasks(step, step.waiting(), capacities)
+        return place_tasks(step, tasks, capacities)
 
     def reclaim_or_reserve(
         self,
--- a/src/egretloft/_internal/fleet/sessions.py
+++ b/src/egretloft/_internal/fleet/sessions.py
@@ -19,6 +19,11 @@
     RENEWAL_TIMEOUT_SECONDS,
     RENEWAL_WAIT_SECONDS,
 )
+from egretloft._internal.fleet.crash_suspects import (
+    has_survived,
+    is_suspect_of_crash,
+    note_fall,
+)
 from egretloft._internal.fleet.interfaces import FleetClock, Targets
 from egretloft._internal.fleet.lifecycle import (
     adopt_run,
@@ -87,6 +92,9 @@
         Called before the task is marked as done.
         """
 
+    def on_crash_suspected(self, run: RunRow) -> None:
+        """Note that the target of a run may have crashed because of its start."""
+
     def on_target_idle(self, target: TargetRow) -> None:
         """Note that an unreachable target certainly runs nothing."""
 
@@ -137,13 +145,19 @@
     def needs_renewal(self) -> bool:
         """Return whether to fence the target, keep runs or acknowledge ends.
 
-        An unreachable target is also asked, to notice its return.
+        An unreachable target is also asked, to notice its return, and a watched one.
         """
         target = self.target
         if not target.fenced or target.runs or not target.reachable:
             return True
+        if self.is_watched():
+            return True
         return target.last_applied_end > target.last_acknowledged_end
 
+    def is_watched(self) -> bool:
+        """Return whether the target is asked although nothing may run there."""
+        return self.target.watched_until > self.clock.boottime()
+
     async def idle(self) -> None:
         """Wait until the session is woken, at most ``IDLE_WAIT_SECONDS``."""
         self.wake.clear()
@@ -182,7 +196,8 @@
             await self.wait_for_recorder()
         renews = target.fenced and expires_at_ms is not None
         wait = 0.0
-        if renews and target.last_applied_end <= target.last_recorded_end:
+        may_wait = renews or (target.fenced and self.is_watched())
+        if may_wait and target.last_applied_end <= target.last_recorded_end:
             wait = self.renewal_wait_seconds()
         if expires_at_ms is not None:
             target.lease_ends_ms = max(target.lease_ends_ms, expires_at_ms)
@@ -230,6 +245,8 @@
             await asyncio.sleep(RETRY_SECONDS)
             return
         target.failed_renewals += 1
+        if target.failed_renewals == 1:
+            note_fall(target, self.clock.boottime())
         self.metrics.count("renewal_failures")
         if target.failed_renewals == MAX_FAILED_RENEWALS:
             target.reachable = False
@@ -264,6 +281,7 @@
         if not target.reachable:
             log.info("target regained", target=target.report.target_id)
             target.reachable = True
+            target.returned_at = now
             self.owner.on_target_regained(target)
         target.failed_renewals = 0
         target.last_answer = now
@@ -291,6 +309,9 @@
                 target=target.report.target_id,
                 born=answer.incarnation_ms,
             )
+            target.returned_at = self.clock.boottime()
+            if not target.failed_renewals:
+                note_fall(target, target.returned_at)
         target.incarnation_ms = answer.incarnation_ms
         target.clock = None
         target.lease_ends_ms = 0.0
@@ -300,16 +321,23 @@
         listed_runs = {active.run for active in answer.active}
         for run in list(target.runs.values()):
             unconfirmed_start = run.phase is RunPhase.STARTING and not run.confirmed
-            if run.key not in listed_runs and not unconfirmed_start:
-                self.lose_run(run, "target restarted")
+            if run.key in listed_runs:
+                continue
+            if unconfirmed_start:
+                run.crash_suspected = True
+            else:
+                self.lose_run(run, "target restarted", crashed=True)
 
     def lose_all_runs(self, why: str) -> None:
-        """Remove all runs of the target as lost."""
+        """Remove all runs of the target, which has crashed or is cut off, as lost."""
         for run in list(self.target.runs.values()):
-            self.lose_run(run, why)
+            self.lose_run(run, why, crashed=True)
+
+    def lose_run(self, run: RunRow, why: str, crashed: bool = False) -> None:
+        """Remove a run that cannot be active any more and whose end was not listed.
 
-    def lose_run(self, run: RunRow, why: str) -> None:
-        """Remove a run that cannot be active any more and whose end was not listed."""
+        ``crashed`` tells that the target may have crashed.
+        """
         log.info(
             "run lost",
             request_id=run.key.task.step.job_id,
@@ -320,8 +348,18 @@
         )
         self.metrics.count("runs_lost")
         self.tables.remove_run(self.target, run)
+        if crashed and is_suspect_of_crash(self.target, run):
+            self.owner.on_crash_suspected(run)
         self.owner.wake_scheduler()
 
+    def clear_suspicion(self, run: RunRow, now: float) -> None:
+        """Clear the task of a run that has survived its start."""
+        if run.task is None or not run.task.crashed or not has_survived(run, now):
+            return
+        self.tables.clear_suspicion(run.task)
+        if run.job is not None:
+            self.owner.on_job_changed(run.job)
+
     def apply_ends(self, answer: RenewalAnswer) -> None:
         """Apply the ends with a higher number than the last one applied."""
         for end in answer.ends:
@@ -394,6 +432,7 @@
             run.confirmed = True
             run.times_missing = 0
             run.reported_at = now
+            self.clear_suspicion(run, now)
             if active.percent != run.percent:
                 run.percent = active.percent
                 run.percent_changed_at = now
@@ -425,7 +464,7 @@
                 if run.times_missing >= MAX_TIMES_MISSING:
                     self.lose_run(run, "missing from the target's list")
             elif not run.confirmed and self.start_has_expired(run, now):
-                self.lose_run(run, "start order expired")
+                self.lose_run(run, "start order expired", run.crash_suspected)
 
     def start_has_expired(self, run: RunRow, now: float) -> bool:
         """Return whether the target would refuse every copy of the start order now."""
--- a/src/egretloft/_internal/fleet/tables.py
+++ b/src/egretloft/_internal/fleet/tables.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import heapq
+import math
 from dataclasses import dataclass, field
 from enum import StrEnum
 
@@ -40,9 +41,11 @@
     ``lasting`` run serves until its job is cancelled and is never preempted. An
     ``adopted`` run was started by an earlier leader. A ``gang`` run works only together
     with the others of its step and attempt; ``finishing_since`` is when another of them
-    was first seen to be done. ``times_missing`` counts the target's consecutive answers
-    that do not list the run. ``stop_reason`` is why the leader stops it. ``job`` and
-    ``task`` are ``None`` for a run of an unknown task.
+    was first seen to be done. ``crash_suspected`` marks a start without an answer whose
+    target has restarted since. ``trial`` marks the start of a suspect, during which the
+    ``watched_targets`` are watched. ``times_missing`` counts the target's consecutive
+    answers that do not list the run. ``stop_reason`` is why the leader stops it.
+    ``job`` and ``task`` are ``None`` for a run of an unknown task.
     """
 
     key: RunKey
@@ -56,6 +59,9 @@
     adopted: bool = False
     gang: bool = False
     finishing_since: float = 0.0
+    crash_suspected: bool = False
+    trial: bool = False
+    watched_targets: tuple[TargetRow, ...] = ()
     percent: int = 0
     percent_changed_at: float = 0.0
     reported_at: float = 0.0
@@ -73,6 +79,9 @@
     """One task of a step.
 
     ``failed`` holds the attempts that failed, ``failed_on`` the targets to avoid.
+    ``crashed`` holds the attempts at whose start the target crashed, ``on_trial`` those
+    of a suspect that have not survived yet; until ``verdict_at`` it is not known
+    whether the last one counts.
     ``run`` is the newest run that may still be present on a target.
     """
 
@@ -80,6 +89,9 @@
     done: bool = False
     failed: set[int] = field(default_factory=set)
     failed_on: set[str] = field(default_factory=set)
+    crashed: set[int] = field(default_factory=set)
+    on_trial: set[int] = field(default_factory=set)
+    verdict_at: float = -math.inf
     checkpoint: str = ""
     run: RunRow | None = None
 
@@ -93,7 +105,8 @@
     passed, capacity is reclaimed or reserved for the step only on the targets in
     ``pinned_target_ids``.
     ``reclaimed_work`` is the work, in core-seconds, that preemptions of the step have
-    lost so far.
+    lost so far. Until ``alone_until``, its tasks that are suspected of a crash wait for
+    targets without other runs.
     """
 
     key: StepKey
@@ -107,6 +120,7 @@
     pinned_until: float = 0.0
     reclaimed_until: float = 0.0
     reclaimed_work: float = 0.0
+    alone_until: float = 0.0
 
     def is_done(self) -> bool:
         """Return whether all tasks are done."""
@@ -202,7 +216,11 @@
                     entry.failed[task.key.index] = sorted(task.failed)
                 if task.checkpoint:
                     entry.saved[task.key.index] = task.checkpoint
-            if entry.done or entry.failed or entry.saved:
+                if task.crashed:
+                    # If the leader fails, a trial counts unless its run is found alive.
+                    attempts = task.crashed | task.on_trial
+                    entry.crashed[task.key.index] = sorted(attempts)
+            if entry.done or entry.failed or entry.saved or entry.crashed:
                 steps.append(entry)
         return JobProgress(self.state, self.started, self.finished_at_ms, steps)
 
@@ -222,6 +240,8 @@
                 row.tasks[index].failed = set(attempts)
             for index, saved in entry.saved.items():
                 row.tasks[index].checkpoint = saved
+            for index, attempts in entry.crashed.items():
+                row.tasks[index].crashed = set(attempts)
 
 
 @dataclass(slots=True, eq=False)
@@ -238,6 +258,11 @@
     ``failed_renewals`` counts the consecutive lease renewals that have failed.
     ``stalling`` tells whether a run on the target makes no progress. ``leaves_at`` is
     the boot time at which a draining target leaves at the earliest, if it has said so.
+    ``returned_at`` is the boot time at which a target that is new, or was lost, was
+    first heard of; minus infinity for one that was there when the term began.
+    ``fell_at`` is when it last failed to answer, or restarted; the fall is explained if
+    a run that had just started may have caused it. Until ``watched_until`` the target
+    is asked even if it has no runs.
     ``in_use`` is the sum of the resources of ``runs``, including runs that are being
     stopped; both are changed by ``FleetTables`` only.
     """
@@ -263,6 +288,10 @@
     quarantines: int = 0
     stalling: bool = False
     leaves_at: float | None = None
+    returned_at: float = -math.inf
+    fell_at: float = -math.inf
+    fall_explained: bool = False
+    watched_until: float = -math.inf
 
 
 @dataclass(slots=True, eq=False)
@@ -273,8 +302,8 @@
     that may have tasks to start, and ``unreviewed_jobs`` every job of which a run may
     have become unnecessary. Whoever changes a job, its tasks or its runs calls
     ``touch``; the methods for runs do so themselves. ``orphans`` are runs of unknown
-    tasks. ``closed_jobs`` is a heap of the times at which jobs ended, in Unix
-    milliseconds.
+    tasks, ``trials`` those of tasks that are suspected of a crash. ``closed_jobs`` is a
+    heap of the times at which jobs ended, in Unix milliseconds.
     """
 
     jobs: dict[str, JobRow] = field(default_factory=dict)
@@ -282,6 +311,7 @@
     startable_jobs: dict[str, JobRow] = field(default_factory=dict)
     unreviewed_jobs: dict[str, JobRow] = field(default_factory=dict)
     orphans: dict[RunKey, RunRow] = field(default_factory=dict)
+    trials: dict[RunKey, RunRow] = field(default_factory=dict)
     closed_jobs: list[tuple[int, str]] = field(default_factory=list)
     targets: dict[str, TargetRow] = field(default_factory=dict)
 
@@ -343,6 +373,8 @@
             self.orphans[run.key] = run
             return
         run.job.runs[run.key] = run
+        if run.task is not None and run.task.crashed:
+            self.trials[run.key] = run
         self.touch(run.job)
 
     def remove_run(self, target: TargetRow, run: RunRow) -> None:
@@ -350,6 +382,9 @@
         if target.runs.pop(run.key, None) is None:
             return
         target.in_use = target.in_use.minus(run.room)
+        self.trials.pop(run.key, None)
+        if run.task is not None:
+            run.task.on_trial.discard(run.key.attempt)
         if run.task is not None and run.task.run is run:
             run.task.run = None
         if run.job is None:
@@ -358,6 +393,13 @@
         run.job.runs.pop(run.key, None)
         self.touch(run.job)
 
+    def clear_suspicion(self, task: TaskRow) -> None:
+        """Forget the crashes of a task, a run of which has survived its start."""
+        task.crashed.clear()
+        task.on_trial.clear()
+        if task.run is not None:
+            self.trials.pop(task.run.key, None)
+
     def task(self, key: TaskKey) -> TaskRow | None:
         """Return the task, or ``None`` if its job is unknown or the key is invalid."""
         job = self.jobs.get(key.step.job_id)
--- a/tests/unit/fleet/test_sessions.py
+++ b/tests/unit/fleet/test_sessions.py
@@ -36,6 +36,9 @@
     def on_run_done(self, run: RunRow) -> None:
         """Do nothing."""
 
+    def on_crash_suspected(self, run: RunRow) -> None:
+        """Do nothing."""
+
     def on_target_idle(self, target: TargetRow) -> None:
         """Do nothing."""
 
