Refuse input that is nested too deeply in every decoder

Report of other operators: one odd row among those of the targets ended the instances that read the list. Tried here: a row of a target, nested 200,000 deep in a field that is not used, made the decoder raise RecursionError. The instance went on, as rows are applied one by one ('row cannot be applied', with a traceback each time), but the target that the row names was not taken out of use. The same input in a job's body, in a configuration, or in an answer of a target or of the store raised as well.

Cause: the adapter's lists of what a decoder may raise lacked RecursionError, which those of egretloftd had. There is one list now, in codec.

Numbers that are too large were refused before and stay so.

--- a/src/egretloft/_internal/client.py
+++ b/src/egretloft/_internal/client.py
@@ -11,6 +11,8 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
+from egretloft._internal.codec import UNREADABLE
+
 
 @dataclass(slots=True, frozen=True)
 class ClientFailure:
@@ -102,7 +104,7 @@
         return Failure(ClientFailure("unknown", "http", text[:200], "", status))
     try:
         body = msgspec.json.decode(data)
-    except msgspec.DecodeError as error:
+    except UNREADABLE as error:
         return Failure(ClientFailure("unknown", "http", str(error), "", status))
     if status < 400:
         return Success(body)
--- a/src/egretloft/_internal/fleet/store_access.py
+++ b/src/egretloft/_internal/fleet/store_access.py
@@ -18,6 +18,7 @@
 import structlog
 from returns.result import Failure, Result, Success
 
+from egretloft._internal.codec import UNREADABLE
 from egretloft._internal.fleet.constants import (
     FEED_TIMEOUT_SECONDS,
     STORE_CALL_TIMEOUT_SECONDS,
@@ -360,7 +361,7 @@
         if data is None:
             data = decompress(body[KEY_COMPRESSED_ANSWER])
         return msgspec.msgpack.decode(data, type=RelayAnswer)
-    except (zlib.error, LookupError, TypeError, ValueError) as error:
+    except (*UNREADABLE, zlib.error, LookupError, TypeError) as error:
         message = f"the peer's answer is unreadable: {error}"
         return RelayAnswer(failure=StoreFailure(StoreFailureKind.UNKNOWN, message))
 
--- a/src/egretloft/platform/decoding.py
+++ b/src/egretloft/platform/decoding.py
@@ -5,6 +5,7 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
+from egretloft._internal.codec import UNREADABLE
 from egretloft._internal.fleet.interfaces import StoredRow
 from egretloft._internal.fleet.models import (
     Configuration,
@@ -36,8 +37,6 @@
 # row of the store.
 MAX_JOB_TASKS = 10_000
 MILLISECONDS = 1000.0
-# What a malformed value raises; the last one is raised for invalid UTF-8.
-UNREADABLE = (msgspec.MsgspecError, UnicodeDecodeError)
 
 config_decoder = msgspec.json.Decoder(WireConfig, strict=False)
 server_decoder = msgspec.json.Decoder(WireServer)
--- a/src/egretloft/platform/rows.py
+++ b/src/egretloft/platform/rows.py
@@ -8,6 +8,7 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
+from egretloft._internal.codec import UNREADABLE
 from egretloft._internal.fleet.constants import FEED_TIMEOUT_SECONDS
 from egretloft._internal.fleet.interfaces import (
     RowKey,
@@ -152,7 +153,7 @@
     try:
         page = rows_decoder.decode(answer.body)
         rows = tuple(stored_row(row) for row in page.rows)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+    except UNREADABLE as error:
         message = f"answer of the store unreadable: {error}"
         return Failure(StoreFailure(StoreFailureKind.UNKNOWN, message))
     if answer.status == CONDITION_FAILED:
--- a/src/egretloft/platform/targets.py
+++ b/src/egretloft/platform/targets.py
@@ -10,6 +10,7 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
+from egretloft._internal.codec import UNREADABLE
 from egretloft._internal.fleet.models import (
     ActiveRun,
     EndKind,
@@ -48,8 +49,6 @@
     "ticket": StartRefusal.TICKET,
 }
 
-# What a malformed body raises; the last one is raised for invalid UTF-8.
-UNREADABLE_BODY = (msgspec.MsgspecError, UnicodeDecodeError)
 # What a row with missing or malformed columns raises.
 ROW_ERRORS = (ValueError, TypeError, LookupError, OverflowError)
 
@@ -205,7 +204,7 @@
     """Return the runner's clock in an answer, in milliseconds."""
     try:
         return Success(math.floor(answer_decoder.decode(body).server_time_ms))
-    except UNREADABLE_BODY as error:
+    except UNREADABLE as error:
         return unreadable_answer(error)
 
 
@@ -213,7 +212,7 @@
     """Return the active and the ended runs of a runner."""
     try:
         wire = hold_decoder.decode(body)
-    except UNREADABLE_BODY as error:
+    except UNREADABLE as error:
         return unreadable_answer(error)
     active = parse_rows(wire.active, parse_active_run)
     ends = parse_rows(wire.finished, parse_end)
@@ -236,7 +235,7 @@
     """
     try:
         wire = answer_decoder.decode(body) if body else WireRunnerAnswer()
-    except UNREADABLE_BODY:
+    except UNREADABLE:
         wire = WireRunnerAnswer()
     message = f"the target answered {status} {wire.reason}".rstrip()
     refusal: StartRefusal | None = None
--- a/tests/unit/adapter/test_malformed_input.py
+++ b/tests/unit/adapter/test_malformed_input.py
@@ -91,6 +91,14 @@
 # Numbers that are valid JSON and too large for a float.
 HUGE = b"1e999"
 
+DEPTH = 200_000
+DEEP = b"[" * DEPTH + b"]" * DEPTH
+
+
+def deeply_nested(document: dict[str, Any]) -> bytes:
+    """Return a valid message with one more field, which is nested very deeply."""
+    return json.dumps({**document, "more": "DEEP"}).encode().replace(b'"DEEP"', DEEP)
+
 
 @st.composite
 def mutated(draw: st.DrawFn, valid: dict[str, Any]) -> bytes:
@@ -234,3 +242,19 @@
 def test_any_deadline_is_bounded(text: str) -> None:
     """Guards against a call that waits for ever, as any comparison with NaN fails."""
     assert 0 <= seconds_to_deadline(text) <= MAX_DEADLINE_SECONDS
+
+
+def test_deeply_nested_input_is_refused_by_every_decoder() -> None:
+    """Guards against an exception that ends whoever reads the input."""
+    decoder = create_platform_row_decoder()
+    page = Success(HttpResponse(200, {}, deeply_nested(PAGE)))
+    results: list[Result[Any, Any] | None] = [
+        decoder.target(row("i-1", deeply_nested(SERVER))),
+        decoder.configuration(row("config", deeply_nested(CONFIG))),
+        decode_job(deeply_nested(JOB)),
+        decode_renewal_answer(deeply_nested(HOLD_ANSWER)),
+        decode_target_time(deeply_nested(HOLD_ANSWER)),
+        decode_page(page),
+    ]
+    assert all(isinstance(result, Failure) for result in results)
+    assert classify_failure(409, deeply_nested({"reason": "fence"})).refusal is None
