Take no target whose address cannot be called

Tried here: ports of 70000, 0, -1, twenty digits, a word, none, further text, a user name before the host. Each row named a target like another, which was recorded and could be given work once it was reachable; calls to it failed as values and raised nothing (tried for thirteen such addresses), so no process ended. 'user@10.0.0.1:80' and '10.0.0.1@10.0.0.2:80' would have called another host than the text seems to say.

Change: an address is an IP address and a port from 1 to 65535, as the platform writes them; other rows name no target, and one that it named before gets no new work.

--- a/src/egretloft/platform/decoding.py
+++ b/src/egretloft/platform/decoding.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import ipaddress
+import re
+
 import msgspec
 from returns.result import Failure, Result, Success
 
@@ -37,6 +40,10 @@
 # row of the store.
 MAX_JOB_TASKS = 10_000
 MILLISECONDS = 1000.0
+PORT = re.compile(r"[1-9][0-9]{0,4}")
+MAX_PORT = 65_535
+# Characters of an unreadable value that a message shows.
+MAX_SHOWN = 80
 
 config_decoder = msgspec.json.Decoder(WireConfig, strict=False)
 server_decoder = msgspec.json.Decoder(WireServer)
@@ -78,8 +85,10 @@
             return Failure(str(error))
         if wire.state not in TARGET_STATES:
             return Failure(f"unknown state {wire.state!r}")
-        if len(wire.labels) < MIN_LABELS or ":" not in wire.address:
-            return Failure("labels or address missing")
+        if len(wire.labels) < MIN_LABELS:
+            return Failure("labels missing")
+        if not is_callable_address(wire.address):
+            return Failure(f"no IP address and port: {wire.address[:MAX_SHOWN]!r}")
         return Success(
             TargetReport(
                 target_id=row.key.key,
@@ -96,6 +105,21 @@
         )
 
 
+def is_callable_address(address: str) -> bool:
+    """Return whether the text is an IP address and a port, and nothing else."""
+    host, separator, port = address.rpartition(":")
+    if not separator or not PORT.fullmatch(port) or int(port) > MAX_PORT:
+        return False
+    try:
+        if host.startswith("[") and host.endswith("]"):
+            ipaddress.IPv6Address(host[1:-1])
+        else:
+            ipaddress.IPv4Address(host)
+    except ValueError:
+        return False
+    return True
+
+
 def seconds_from_ms(milliseconds: float | None) -> float | None:
     """Return a duration in seconds, or ``None`` if it is not given."""
     return None if milliseconds is None else milliseconds / MILLISECONDS
