Test that no start exceeds a room that has shrunk

Looked for in decisions, reclaims, reservations and at takeovers: all of them take a target's room from its newest report, and what is being stopped stays in use until its end is listed. No fault was found, so nothing changes.

--- a/tools/standins/fleet/targets.py
+++ b/tools/standins/fleet/targets.py
@@ -39,6 +39,9 @@
 # after some seconds.
 CRASH_DELAY_SECONDS = 0.1
 CRASHED_SECONDS = 3.0
+# A room that has shrunk counts after the time in which an instance may be out of touch,
+# and one period of registration.
+SHRINK_NOTICE_SECONDS = 4.5
 
 
 @dataclass(slots=True)
@@ -77,6 +80,9 @@
         self.zone = zone
         self.rack = rack
         self.room = room
+        # Until ``shrinks_at``, starts are still judged by ``room_before``.
+        self.room_before = room
+        self.shrinks_at = 0.0
         self.checker = checker
         self.gangs = gangs
         self.all_targets = all_targets
@@ -153,6 +159,22 @@
             self.checker.crashes[run.key.task] += 1
             self.crash_for(CRASHED_SECONDS)
 
+    def resize(self, room: Resources) -> None:
+        """Change the room; starts are judged by a smaller one only after a while."""
+        self.room_before = self.limit()
+        self.shrinks_at = self.now() + SHRINK_NOTICE_SECONDS
+        self.room = room
+
+    def limit(self) -> Resources:
+        """Return the room that starts must not exceed."""
+        if self.now() >= self.shrinks_at:
+            return self.room
+        return Resources(
+            max(self.room.cpu, self.room_before.cpu),
+            max(self.room.memory_mb, self.room_before.memory_mb),
+            max(self.room.gpus, self.room_before.gpus),
+        )
+
     def stall(self, seconds: float) -> None:
         """Let the runs at work stand still for ``seconds``, after which they go on."""
         loop = asyncio.get_running_loop()
@@ -225,7 +247,7 @@
         run = RunTruth(order.run, self.target_id, room, order.checkpoint, self.now())
         self.checker.on_start(run, order.payload, self.now())
         self.runs[order.run] = run
-        if not self.room.holds(self.used()):
+        if not self.limit().holds(self.used()):
             self.checker.report("LIMIT", self.target_id, self.now())
         if truth is not None and spec is not None:
             run.work_left = truth.work_seconds
