Start nothing while what targets say cannot be read

What callers would see: starts beyond a room that has shrunk (LIMIT), or on a target that drains, for as long as the leader cannot read the list of targets.

Cause: the same as for evacuations of zones (acting on what may be out of date), in the second feed that starts depend on. The feed of the jobs only brings work later, and that of the leader's rows has had its own timeouts.

Change: the leader's check takes the age of the targets' rows as well; 3.5 s fit the 4.5 s after which a smaller room counts, less the time for which a start is valid.

--- a/src/egretloft/_internal/fleet/constants.py
+++ b/src/egretloft/_internal/fleet/constants.py
@@ -47,10 +47,11 @@
 # deployment.
 MAX_PROMPT_CANDIDATES = 4
 DISTANT_FEED_PAUSE_SECONDS = 0.8
-# A leader starts nothing by what operators asked for if it has not known for this long
-# whether that still holds. A start may be carried out START_EXPIRY_SECONDS later, and
-# an evacuation has to hold within 5 s.
-MAX_OPERATOR_AGE_SECONDS = 3.5
+# A leader starts nothing if it has not known for this long whether what operators ask
+# for, and what targets say of themselves, still holds. A start may be carried out
+# START_EXPIRY_SECONDS later; an evacuation has to hold within 5 s, and a room that has
+# shrunk within 4.5 s.
+MAX_KNOWLEDGE_AGE_SECONDS = 3.5
 # Timeout of one read or commit of the store.
 STORE_CALL_TIMEOUT_SECONDS = 1.0
 FEED_RETRY_SECONDS = 0.2
--- a/src/egretloft/_internal/fleet/leader.py
+++ b/src/egretloft/_internal/fleet/leader.py
@@ -17,7 +17,7 @@
     FEED_RETRY_SECONDS,
     JOB_PARTITIONS,
     LEASE_SECONDS,
-    MAX_OPERATOR_AGE_SECONDS,
+    MAX_KNOWLEDGE_AGE_SECONDS,
     PARTITION,
     RETENTION_SECONDS,
     START_EXPIRY_SECONDS,
@@ -161,15 +161,19 @@
     def may_start_runs(self) -> bool:
         """Return whether the leader may also start runs.
 
-        It has to know what operators ask for, unless they cannot ask for anything, as
-        nobody reaches the store.
+        It has to know what operators ask for and what targets say of themselves, unless
+        nobody reaches the store, as neither can change then.
         """
         if not self.may_issue_orders():
             return False
-        if self.operators_age() <= MAX_OPERATOR_AGE_SECONDS:
+        if self.knowledge_age() <= MAX_KNOWLEDGE_AGE_SECONDS:
             return True
         return not self.election.is_confirmed()
 
+    def knowledge_age(self) -> float:
+        """Return how long ago the rows of operators and targets were known to hold."""
+        return max(self.operators_age(), self.targets_watcher.staleness_seconds())
+
     def on_job_changed(self, job: JobRow) -> None:
         """Schedule a write of the job's progress and wake the scheduling loop."""
         self.wake_scheduler()
@@ -444,6 +448,7 @@
             "starts withheld" if withheld else "starts resumed",
             epoch=self.epoch,
             operators_age=round(self.operators_age(), 3),
+            targets_age=round(self.targets_watcher.staleness_seconds(), 3),
         )
 
     def decide(self, now: float) -> None:
--- a/tests/unit/fleet/test_resized_targets.py
+++ b/tests/unit/fleet/test_resized_targets.py
@@ -10,7 +10,7 @@
 from lib.fleet_builders import WHOLE, build_world, job_id, single_step
 from lib.virtual_time import run_virtual
 from standins.fleet.targets import SHRINK_NOTICE_SECONDS
-from standins.fleet.world import WHOLE_TARGET, FleetWorld
+from standins.fleet.world import TARGET_TABLE, WHOLE_TARGET, FleetWorld
 
 SEEDS = range(10)
 SHARES = (0.0, 0.25, 0.5, 1.0)
@@ -63,6 +63,33 @@
         run_virtual(main(seed))
 
 
+def test_nothing_starts_while_rooms_cannot_be_read() -> None:
+    """Guards against a leader that acts for ever on what targets said before."""
+
+    async def main() -> None:
+        world = build_world()
+        await world.start()
+        for process in world.processes.values():
+            process.store.silent_tables.add(TARGET_TABLE)
+        await asyncio.sleep(2.0)
+        for target in world.targets.values():
+            target.resize(Resources())
+        for number in range(1, 21):
+            spec = single_step(8)
+            assert isinstance(await world.submit(job_id(number), spec, 0.2), Success)
+            await asyncio.sleep(0.5)
+        for target in world.targets.values():
+            target.resize(WHOLE_TARGET)
+        for process in world.processes.values():
+            process.store.silent_tables.clear()
+        for number in range(1, 21):
+            assert await world.wait_for_state(job_id(number), JobState.COMPLETE, 20.0)
+        await world.stop()
+        assert world.checker.violations == []
+
+    run_virtual(main())
+
+
 def test_room_that_has_grown_again_is_used() -> None:
     """Guards against a target that is taken for small for ever."""
 
