Name the trials of crash suspects in usual terms

A step knows whether a task of it was ever suspected, so ticks look at the tasks of no other step for it.

--- a/src/egretloft/_internal/fleet/crash_suspects.py
+++ b/src/egretloft/_internal/fleet/crash_suspects.py
@@ -5,7 +5,7 @@
 rack may have lost power. What sets such a task apart is that the target crashes at its
 start, and that this happens again elsewhere. So only runs that have just started are
 suspected, and a suspect is then started alone on a steady target, as a trial. Some
-targets nearby are watched meanwhile: if they fall too, the trial proves nothing. A run
+targets nearby are watched meanwhile: if they fail too, the trial is inconclusive. A run
 that survives its start clears its task.
 
 Answers crashes of single targets, racks and zones while jobs start all the time.
@@ -30,7 +30,7 @@
 # A target that came back less than this ago may be about to fail again by itself.
 STEADY_SECONDS = 5.0
 # After a trial, a suspect waits this long for another target that it has to itself. At
-# first it does not wait, as most suspects are innocent.
+# first it does not wait, as most suspects did not cause the crash.
 ALONE_PATIENCE_SECONDS = 2.0
 
 
@@ -44,22 +44,22 @@
     return target.last_answer - run.started_at <= SURVIVAL_SECONDS
 
 
-def note_fall(target: TargetRow, now: float) -> None:
+def note_failure(target: TargetRow, now: float) -> None:
     """Note that a target cannot be reached any more, or has restarted.
 
-    Its fall is explained if it may have been crashed by a run.
+    The failure is explained if a run may have crashed the target.
     """
-    target.fell_at = now
-    target.fall_explained = any(
+    target.failed_at = now
+    target.failure_explained = any(
         is_suspect_of_crash(target, run) for run in target.runs.values()
     )
 
 
-def has_fallen_since(target: TargetRow, since: float) -> bool:
-    """Return whether the target was lost, or restarted, later than ``since``."""
-    if target.fell_at < since:
+def has_failed_since(target: TargetRow, since: float) -> bool:
+    """Return whether the target was lost, or restarted, after ``since``."""
+    if target.failed_at < since:
         return False
-    return not target.reachable or target.returned_at >= target.fell_at
+    return not target.reachable or target.returned_at >= target.failed_at
 
 
 def is_given_up(task: TaskRow) -> bool:
@@ -74,6 +74,8 @@
 
 def suspects(step: StepRow) -> list[TaskRow]:
     """Return the waiting tasks that are suspected; all of a gang if any of them is."""
+    if not step.suspected:
+        return []
     waiting = step.waiting()
     found = [task for task in waiting if task.crashed]
     return waiting if found and step.spec.gang else found
--- a/src/egretloft/_internal/fleet/crash_trials.py
+++ b/src/egretloft/_internal/fleet/crash_trials.py
@@ -1,4 +1,4 @@
-"""Trials of tasks that are suspected of crashing their targets, and their verdicts."""
+"""Trials of tasks that are suspected of crashing their targets, and what they show."""
 
 from __future__ import annotations
 
@@ -9,7 +9,7 @@
 
 from egretloft._internal.fleet.crash_suspects import (
     ALONE_PATIENCE_SECONDS,
-    has_fallen_since,
+    has_failed_since,
 )
 from egretloft._internal.fleet.lifecycle import update_state
 from egretloft._internal.fleet.tables import FleetTables, JobRow, RunRow, TargetRow
@@ -19,20 +19,20 @@
 
 # This many targets near that of a trial are watched, those of its rack first.
 WATCHED_TARGETS = 3
-# They are watched from the start of the trial until its verdict.
+# They are watched from the start of the trial until it is evaluated.
 WATCH_SECONDS = 8.0
-# The fall of a watched target may be noticed this much later than that of the trial's.
-VERDICT_DELAY_SECONDS = 1.5
+# A watched target's failure may be noticed this much later than that of the trial's.
+EVALUATION_DELAY_SECONDS = 1.5
 # It may also be noticed earlier, or have come just before the start.
 WATCH_MARGIN_SECONDS = 1.0
 
 
 @dataclass(slots=True, eq=False)
 class LostTrial:
-    """A trial whose target has crashed; the verdict is due at ``verdict_at``."""
+    """A trial whose target has crashed; it is evaluated at ``evaluate_at``."""
 
     run: RunRow
-    verdict_at: float
+    evaluate_at: float
 
 
 class CrashTrials:
@@ -91,22 +91,22 @@
             self.count(run)
             return
         run.task.on_trial.add(run.key.attempt)
-        run.task.verdict_at = now + VERDICT_DELAY_SECONDS
+        run.task.evaluate_at = now + EVALUATION_DELAY_SECONDS
         step = run.job.step(run.key.task.step)
-        step.alone_until = run.task.verdict_at + ALONE_PATIENCE_SECONDS
-        self.lost.append(LostTrial(run, run.task.verdict_at))
+        step.alone_until = run.task.evaluate_at + ALONE_PATIENCE_SECONDS
+        self.lost.append(LostTrial(run, run.task.evaluate_at))
 
     def review(self, now: float) -> None:
-        """Give the verdicts that are due."""
-        due = [trial for trial in self.lost if now >= trial.verdict_at]
+        """Evaluate the trials that are due."""
+        due = [trial for trial in self.lost if now >= trial.evaluate_at]
         if not due:
             return
-        self.lost = [trial for trial in self.lost if now < trial.verdict_at]
+        self.lost = [trial for trial in self.lost if now < trial.evaluate_at]
         for trial in due:
             if trial.run.task is not None:
                 trial.run.task.on_trial.discard(trial.run.key.attempt)
-            if proves_nothing(trial.run):
-                self.metrics.count("crash_trials_void")
+            if is_inconclusive(trial.run):
+                self.metrics.count("crash_trials_inconclusive")
                 log.info(
                     "crash not held against its task",
                     request_id=trial.run.key.task.step.job_id,
@@ -122,6 +122,7 @@
         if run.job is None or run.task is None or run.job.is_final():
             return
         run.task.crashed.add(run.key.attempt)
+        run.job.step(run.key.task.step).suspected = True
         self.metrics.count("crashes_at_start")
         log.warning(
             "task suspected of a crash",
@@ -135,17 +136,17 @@
         self.on_job_changed(run.job)
 
 
-def proves_nothing(run: RunRow) -> bool:
-    """Return whether what crashed the target of a trial also befell others.
+def is_inconclusive(run: RunRow) -> bool:
+    """Return whether targets near that of a trial failed too, without another cause.
 
-    A watched target may have been crashed by another task. So one that fell counts only
-    if no run had just started there, unless all of them fell.
+    A watched target may have been crashed by another task. So its failure counts only
+    if no run had just started there, unless all of them failed.
     """
     since = run.started_at - WATCH_MARGIN_SECONDS
-    fallen = [t for t in run.watched_targets if has_fallen_since(t, since)]
-    if any(not target.fall_explained for target in fallen):
+    failed = [t for t in run.watched_targets if has_failed_since(t, since)]
+    if any(not target.failure_explained for target in failed):
         return True
-    return len(fallen) > 1 and len(fallen) == len(run.watched_targets)
+    return len(failed) > 1 and len(failed) == len(run.watched_targets)
 
 
 def create_crash_trials(
--- a/src/egretloft/_internal/fleet/lifecycle.py
+++ b/src/egretloft/_internal/fleet/lifecycle.py
@@ -116,7 +116,12 @@
 
 def any_task_crashes_targets(job: JobRow) -> bool:
     """Return whether a task has crashed so many targets that it is given up."""
-    return any(is_given_up(task) for step in job.steps.values() for task in step.tasks)
+    return any(
+        is_given_up(task)
+        for step in job.steps.values()
+        if step.suspected
+        for task in step.tasks
+    )
 
 
 def open_steps(job: JobRow, wall_ms: float, now: float) -> Iterator[StepRow]:
--- a/src/egretloft/_internal/fleet/scheduler.py
+++ b/src/egretloft/_internal/fleet/scheduler.py
@@ -338,7 +338,7 @@
         tasks of the step get their turn in a later tick.
         """
         step = waiting.step
-        if any(self.context.now < task.verdict_at for task in suspected):
+        if any(self.context.now < task.evaluate_at for task in suspected):
             return True
         healthy = self.healthy_capacities
         alone = [free for free in healthy if self.is_idle_and_steady(free.target)]
@@ -369,7 +369,7 @@
         return self.context.now - step.ready_at <= QUARANTINE_FALLBACK_SECONDS
 
     def place(self, step: StepRow, tasks: list[TaskRow], spread: bool) -> Plan | None:
-        """Place all members of a gang, or as many single tasks as fit."""
+        """Place all members of a gang, or as many of ``tasks`` as fit."""
         capacities = (
             self.healthy_capacities
             if self.requires_healthy_targets(step)
--- a/src/egretloft/_internal/fleet/sessions.py
+++ b/src/egretloft/_internal/fleet/sessions.py
@@ -22,7 +22,7 @@
 from egretloft._internal.fleet.crash_suspects import (
     has_survived,
     is_suspect_of_crash,
-    note_fall,
+    note_failure,
 )
 from egretloft._internal.fleet.interfaces import FleetClock, Targets
 from egretloft._internal.fleet.lifecycle import (
@@ -246,7 +246,7 @@
             return
         target.failed_renewals += 1
         if target.failed_renewals == 1:
-            note_fall(target, self.clock.boottime())
+            note_failure(target, self.clock.boottime())
         self.metrics.count("renewal_failures")
         if target.failed_renewals == MAX_FAILED_RENEWALS:
             target.reachable = False
@@ -311,7 +311,7 @@
             )
             target.returned_at = self.clock.boottime()
             if not target.failed_renewals:
-                note_fall(target, target.returned_at)
+                note_failure(target, target.returned_at)
         target.incarnation_ms = answer.incarnation_ms
         target.clock = None
         target.lease_ends_ms = 0.0
--- a/src/egretloft/_internal/fleet/tables.py
+++ b/src/egretloft/_internal/fleet/tables.py
@@ -80,7 +80,7 @@
 
     ``failed`` holds the attempts that failed, ``failed_on`` the targets to avoid.
     ``crashed`` holds the attempts at whose start the target crashed, ``on_trial`` those
-    of a suspect that have not survived yet; until ``verdict_at`` it is not known
+    of a suspect that have not survived yet; until ``evaluate_at`` it is not known
     whether the last one counts.
     ``run`` is the newest run that may still be present on a target.
     """
@@ -91,7 +91,7 @@
     failed_on: set[str] = field(default_factory=set)
     crashed: set[int] = field(default_factory=set)
     on_trial: set[int] = field(default_factory=set)
-    verdict_at: float = -math.inf
+    evaluate_at: float = -math.inf
     checkpoint: str = ""
     run: RunRow | None = None
 
@@ -105,8 +105,8 @@
     passed, capacity is reclaimed or reserved for the step only on the targets in
     ``pinned_target_ids``.
     ``reclaimed_work`` is the work, in core-seconds, that preemptions of the step have
-    lost so far. Until ``alone_until``, its tasks that are suspected of a crash wait for
-    targets without other runs.
+    lost so far. ``suspected`` tells that a task has been suspected of a crash; until
+    ``alone_until``, such tasks wait for targets without other runs.
     """
 
     key: StepKey
@@ -120,6 +120,7 @@
     pinned_until: float = 0.0
     reclaimed_until: float = 0.0
     reclaimed_work: float = 0.0
+    suspected: bool = False
     alone_until: float = 0.0
 
     def is_done(self) -> bool:
@@ -242,6 +243,7 @@
                 row.tasks[index].checkpoint = saved
             for index, attempts in entry.crashed.items():
                 row.tasks[index].crashed = set(attempts)
+                row.suspected = True
 
 
 @dataclass(slots=True, eq=False)
@@ -260,9 +262,9 @@
     the boot time at which a draining target leaves at the earliest, if it has said so.
     ``returned_at`` is the boot time at which a target that is new, or was lost, was
     first heard of; minus infinity for one that was there when the term began.
-    ``fell_at`` is when it last failed to answer, or restarted; the fall is explained if
-    a run that had just started may have caused it. Until ``watched_until`` the target
-    is asked even if it has no runs.
+    ``failed_at`` is when it last failed to answer, or restarted; the failure is
+    explained if a run that had just started may have caused it. Until ``watched_until``
+    the target is asked even if it has no runs.
     ``in_use`` is the sum of the resources of ``runs``, including runs that are being
     stopped; both are changed by ``FleetTables`` only.
     """
@@ -289,8 +291,8 @@
     stalling: bool = False
     leaves_at: float | None = None
     returned_at: float = -math.inf
-    fell_at: float = -math.inf
-    fall_explained: bool = False
+    failed_at: float = -math.inf
+    failure_explained: bool = False
     watched_until: float = -math.inf
 
 
