--- a/src/egretloft/_internal/fleet/leader.py
+++ b/src/egretloft/_internal/fleet/leader.py
@@ -29,6 +29,7 @@
     TICK_SECONDS,
 )
 from egretloft._internal.fleet.crash_trials import create_crash_trials
+from egretloft._internal.fleet.decisions import RECLAIMING_PRIORITY, TickContext
 from egretloft._internal.fleet.election import Election, Term
 from egretloft._internal.fleet.interfaces import (
     FleetClock,
@@ -42,11 +43,7 @@
 from egretloft._internal.fleet.orders import create_orders
 from egretloft._internal.fleet.recorder import create_recorder
 from egretloft._internal.fleet.run_control import create_run_control
-from egretloft._internal.fleet.scheduler import (
-    RECLAIMING_PRIORITY,
-    Scheduler,
-    TickContext,
-)
+from egretloft._internal.fleet.scheduler import Scheduler
 from egretloft._internal.fleet.sessions import TargetSession, create_target_session
 from egretloft._internal.fleet.state_reader import create_state_reader
 from egretloft._internal.fleet.store_access import StoreAccess
--- a/src/egretloft/_internal/fleet/run_control.py
+++ b/src/egretloft/_internal/fleet/run_control.py
@@ -8,13 +8,13 @@
 
 import structlog
 
+from egretloft._internal.fleet.decisions import Placement, ReclaimDecision
 from egretloft._internal.fleet.departures import runs_to_move
 from egretloft._internal.fleet.interfaces import FleetClock
 from egretloft._internal.fleet.lifecycle import runs_to_stop
 from egretloft._internal.fleet.models import JobState, RunKey
 from egretloft._internal.fleet.orders import Orders
 from egretloft._internal.fleet.placing import required_resources
-from egretloft._internal.fleet.scheduler import Placement, ReclaimDecision
 from egretloft._internal.fleet.tables import FleetTables, JobRow, RunPhase, RunRow
 from egretloft._internal.fleet.target_health import quarantine, review_progress
 from egretloft._internal.metrics import Metrics
--- a/tests/lib/full_scan.py
+++ b/tests/lib/full_scan.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
+from egretloft._internal.fleet.decisions import TickContext
 from egretloft._internal.fleet.lifecycle import open_steps, unneeded_runs
 from egretloft._internal.fleet.models import Resources, RunKey
 from egretloft._internal.fleet.queueing import WaitingStep
-from egretloft._internal.fleet.scheduler import TickContext, is_startable
+from egretloft._internal.fleet.scheduler import is_startable
 from egretloft._internal.fleet.tables import FleetTables, RunPhase, TargetRow
 
 
--- a/tests/unit/fleet/test_call_pacer.py
+++ b/tests/unit/fleet/test_call_pacer.py
@@ -20,8 +20,9 @@
     CallSlot,
     create_call_pacer,
 )
+from egretloft._internal.fleet.decisions import TickContext
 from egretloft._internal.fleet.models import OperatorState
-from egretloft._internal.fleet.scheduler import Scheduler, TickContext
+from egretloft._internal.fleet.scheduler import Scheduler
 from lib.fleet_builders import (
     SMALL,
     WHOLE,
--- a/tests/unit/fleet/test_decision_times.py
+++ b/tests/unit/fleet/test_decision_times.py
@@ -6,9 +6,9 @@
 
 from returns.result import Success
 
+from egretloft._internal.fleet.decisions import Decisions, TickContext
 from egretloft._internal.fleet.leader import Leader
 from egretloft._internal.fleet.models import JobSpec, JobState
-from egretloft._internal.fleet.scheduler import Decisions, TickContext
 from lib.fleet_builders import SMALL, WHOLE, build_world, job_id, single_step
 from lib.virtual_time import run_virtual
 from standins.fleet.world import FleetWorld
--- a/tests/unit/fleet/test_demands.py
+++ b/tests/unit/fleet/test_demands.py
@@ -6,9 +6,10 @@
 
 import pytest
 
+from egretloft._internal.fleet.decisions import Decisions, TickContext
 from egretloft._internal.fleet.demands import Demand, UnplaceableDemands, demand_of
 from egretloft._internal.fleet.models import Resources, StepKey
-from egretloft._internal.fleet.scheduler import Decisions, Scheduler, TickContext
+from egretloft._internal.fleet.scheduler import Scheduler
 from egretloft._internal.fleet.tables import FleetTables, JobRow, StepRow
 from lib.fleet_builders import (
     SMALL,
--- a/tests/unit/fleet/test_placing.py
+++ b/tests/unit/fleet/test_placing.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from egretloft._internal.fleet.decisions import Decisions, TickContext
 from egretloft._internal.fleet.models import (
     Configuration,
     JobSpec,
@@ -16,7 +17,7 @@
     free_capacity,
     place_gang,
 )
-from egretloft._internal.fleet.scheduler import Decisions, Scheduler, TickContext
+from egretloft._internal.fleet.scheduler import Scheduler
 from egretloft._internal.fleet.tables import (
     FleetTables,
     JobRow,
--- a/tests/unit/fleet/test_run_times.py
+++ b/tests/unit/fleet/test_run_times.py
@@ -4,8 +4,9 @@
 
 import pytest
 
+from egretloft._internal.fleet.decisions import TickContext
 from egretloft._internal.fleet.run_times import create_run_times
-from egretloft._internal.fleet.scheduler import Scheduler, TickContext
+from egretloft._internal.fleet.scheduler import Scheduler
 from lib.fleet_builders import (
     SMALL,
     WHOLE,
--- a/tests/unit/fleet/test_small_processor.py
+++ b/tests/unit/fleet/test_small_processor.py
@@ -11,11 +11,11 @@
 from returns.result import Success
 
 from egretloft._internal.fleet.call_pacer import MAX_CALLS_PER_TARGET, CallSlot
+from egretloft._internal.fleet.decisions import Placement
 from egretloft._internal.fleet.leader import Leader
 from egretloft._internal.fleet.loop_delay import create_loop_delay
 from egretloft._internal.fleet.models import EndKind, JobState
 from egretloft._internal.fleet.orders import MAX_DECISION_AGE_SECONDS
-from egretloft._internal.fleet.scheduler import Placement
 from lib.busy_targets import (
     BusyTargets,
     busy_targets_factory,
--- a/tests/unit/fleet/test_table_indexes.py
+++ b/tests/unit/fleet/test_table_indexes.py
@@ -7,6 +7,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from egretloft._internal.fleet.decisions import TickContext
 from egretloft._internal.fleet.lifecycle import (
     adopt_run,
     apply_end,
@@ -23,7 +24,7 @@
     TaskKey,
 )
 from egretloft._internal.fleet.run_times import create_run_times
-from egretloft._internal.fleet.scheduler import TickContext, waiting_steps
+from egretloft._internal.fleet.scheduler import waiting_steps
 from egretloft._internal.fleet.tables import JobRow, RunPhase, RunRow, TargetRow
 from lib.fleet_builders import SMALL, add_job, build_tables, build_target, job_id
 from lib.full_scan import all_unneeded, all_waiting, used
--- a/tests/unit/fleet/test_unexpected_errors.py
+++ b/tests/unit/fleet/test_unexpected_errors.py
@@ -13,7 +13,7 @@
 from egretloft._internal.fleet.models import JobState
 from egretloft._internal.fleet.operators import create_operator_view
 from egretloft._internal.fleet.records import JobProgress, StepProgress, progress_key
-from egretloft._internal.fleet.scheduler import ServiceTick
+from egretloft._internal.fleet.service_tick import ServiceTick
 from egretloft._internal.fleet.sessions import TargetSession
 from egretloft._internal.fleet.supervision import keep_running
 from egretloft._internal.metrics import create_metrics
--- a/tools/bench/fleet_tick.py
+++ b/tools/bench/fleet_tick.py
@@ -6,8 +6,9 @@
 
 import click
 
+from egretloft._internal.fleet.decisions import TickContext
 from egretloft._internal.fleet.models import OperatorState
-from egretloft._internal.fleet.scheduler import Scheduler, TickContext
+from egretloft._internal.fleet.scheduler import Scheduler
 from egretloft._internal.fleet.tables import FleetTables
 from lib.fleet_builders import (
     SMALL,
