Acknowledge no ends of a restarted target unseen

What callers would see: a task that was done runs once more (TWICE).

A target that restarts under its id numbers its ends anew. A renewal carried the number of the last end that the leader had recorded, also when the target had meanwhile restarted, run and ended new tasks; the target forgot the ends with lower numbers, which nobody had heard of, and the leader started their tasks again.

Change: a renewal acknowledges only ends that are recorded and not acknowledged yet, and none if the renewal before it failed; the next one does. What the target has forgotten already need not be named again.

Test: a target restarts between two jobs and gets its renewals 0.3 s late: three tasks of the second job ran twice before, none now.

--- a/src/egretloft/_internal/fleet/sessions.py
+++ b/src/egretloft/_internal/fleet/sessions.py
@@ -202,11 +202,11 @@
         if expires_at_ms is not None:
             target.lease_ends_ms = max(target.lease_ends_ms, expires_at_ms)
         sent = self.clock.boottime()
-        last_recorded_end = target.last_recorded_end
+        acknowledged_end = self.end_to_acknowledge()
         result = await self.targets.renew(
             target.report,
             self.owner.epoch,
-            last_recorded_end,
+            acknowledged_end,
             expires_at_ms,
             wait,
             wait + self.owner.extend_timeout(RENEWAL_TIMEOUT_SECONDS),
@@ -214,7 +214,20 @@
         if isinstance(result, Failure):
             await self.on_failure(result.failure())
             return
-        self.on_answer(result.unwrap(), sent, last_recorded_end)
+        self.on_answer(result.unwrap(), sent, acknowledged_end)
+
+    def end_to_acknowledge(self) -> int:
+        """Return the number of the last end that the next renewal acknowledges.
+
+        It is 0 unless there are new ones, or if the target may have restarted since it
+        listed them: the numbers then stand for other ends, which nobody has heard of.
+        """
+        target = self.target
+        if target.failed_renewals:
+            return 0
+        if target.last_recorded_end <= target.last_acknowledged_end:
+            return 0
+        return target.last_recorded_end
 
     async def wait_for_recorder(self) -> None:
         """Wait up to ``RECORD_WAIT_SECONDS`` until all applied ends are recorded.
@@ -256,12 +269,12 @@
         await asyncio.sleep(RETRY_SECONDS)
 
     def on_answer(
-        self, answer: RenewalAnswer, sent: float, last_recorded_end: int
+        self, answer: RenewalAnswer, sent: float, acknowledged_end: int
     ) -> None:
         """Apply the runs and ends that a target reports.
 
         ``sent`` is the boot time at which the renewal was sent, and
-        ``last_recorded_end`` the number of the last end that it acknowledged.
+        ``acknowledged_end`` the number of the last end that it acknowledged.
         """
         target = self.target
         now = self.clock.boottime()
@@ -274,7 +287,7 @@
             )
         if answer.incarnation_ms != target.incarnation_ms:
             self.on_new_incarnation(answer)
-            last_recorded_end = 0
+            acknowledged_end = 0
         if target.clock is None:
             target.clock = TargetClock(answer.target_time_ms, now)
         target.clock.observe(answer.target_time_ms, now)
@@ -286,7 +299,7 @@
         target.failed_renewals = 0
         target.last_answer = now
         target.last_acknowledged_end = max(
-            target.last_acknowledged_end, last_recorded_end
+            target.last_acknowledged_end, acknowledged_end
         )
         was_fenced = target.fenced
         target.fenced = True
