Let targets without power report nothing in the storm of crashing tasks

It cut the power of a zone, then let a target there announce that it leaves, which a target without power cannot; the checker counted from an announcement that the store never held. Targets without power now take no other fault while they are down, as other faulty targets do; the check is unchanged.

--- a/tests/lib/crash_storm.py
+++ b/tests/lib/crash_storm.py
@@ -59,9 +59,13 @@
         self.report.faults.append(f"{now:.2f} power of {zone} {seconds:.2f}")
         until = now + seconds
         self.checker.disturbed_until = max(self.checker.disturbed_until, until)
+        loop = asyncio.get_running_loop()
         for name, target in self.world.targets.items():
             if target.zone == zone and name not in self.busy_targets:
+                # Without power it cannot report another fault, such as that it leaves.
+                self.busy_targets.add(name)
                 target.crash_for(seconds)
+                loop.call_later(seconds, self.busy_targets.discard, name)
 
     async def settle(self) -> None:
         """Wait until the sound jobs have ended and the crashing ones have failed."""
