Take a target that is listed no longer for crashed when a trial is evaluated

Cause: a target that comes back under another id is removed from the list, and from the tables, before another answer at its address can be seen, so 6 s passed without evidence and the crash did not count.

Change: being listed no longer is evidence too. A target that is only cut off for long is also removed; it counts against a task only if the cut came just after a trial's start and left the targets nearby alone.

--- a/src/egretloft/_internal/fleet/crash_trials.py
+++ b/src/egretloft/_internal/fleet/crash_trials.py
@@ -30,7 +30,7 @@
 # Failures that are noticed within this time of each other may have one cause: a call
 # to a target that does not answer takes up to 1.6 s to fail.
 SIMULTANEOUS_SECONDS = 2.0
-# So many watched targets do not fail at once through crashing tasks of their own.
+# More watched targets than this do not fail at once through tasks of their own.
 MAX_UNRELATED_FAILURES = 1
 
 
@@ -179,9 +179,13 @@
 
 
 def has_crashed(trial: LostTrial) -> bool:
-    """Return whether the target has restarted or was replaced, not just cut off."""
-    restarted = trial.target.incarnation_ms != trial.run.incarnation_ms
-    return restarted or trial.target.replaced
+    """Return whether the target has restarted or is gone.
+
+    One that comes back under another id is often known only by being listed no longer.
+    """
+    target = trial.target
+    restarted = target.incarnation_ms != trial.run.incarnation_ms
+    return restarted or target.replaced or not target.listed
 
 
 def is_inconclusive(trial: LostTrial) -> bool:
