--- a/review/lib/platform_standins.py
+++ b/review/lib/platform_standins.py
@@ -12,6 +12,7 @@
 import contextlib
 import json
 import os
+import random
 import shutil
 import signal
 import socket
@@ -46,6 +47,8 @@
 ENDS_PER_ANSWER = 500
 MAX_WAIT_S = 2.0
 CLOCK_RATE = 0.99
+PORTS = (10_000, 32_000)
+READY_S = 20.0
 
 Answer = tuple[int, dict[str, Any]] | None
 
@@ -668,10 +671,12 @@
 
 
 def free_port() -> int:
-    """Return a port that is free now."""
-    with socket.socket() as listener:
-        listener.bind((HOST, 0))
-        return int(listener.getsockname()[1])
+    """Return a port that is free now, below those that outgoing channels get."""
+    while True:
+        port = random.randrange(*PORTS)
+        with socket.socket() as listener, contextlib.suppress(OSError):
+            listener.bind((HOST, port))
+            return port
 
 
 class Program:
@@ -682,9 +687,13 @@
         self.zone = zone
         self.folder = folder
         self.store_address = store_address
+        self.process: asyncio.subprocess.Process | None = None
+        self.choose_ports()
+
+    def choose_ports(self) -> None:
+        """Choose free ports; another process may still take them."""
         self.http_port, self.ready_port = free_port(), free_port()
         self.peer_port, self.metrics_port = free_port(), free_port()
-        self.process: asyncio.subprocess.Process | None = None
 
     def write_settings(self) -> Path:
         """Write the settings file in the format of DEPLOY.md."""
@@ -743,6 +752,12 @@
                 env=environment,
             )
 
+    async def restart_if_ended(self) -> None:
+        """Start the process again, on other ports, if it has ended by itself."""
+        if self.process is not None and self.process.returncode is not None:
+            self.choose_ports()
+            await self.start()
+
     async def is_ready(self) -> bool:
         """Return whether the readiness check succeeds."""
         answer = await http_call(self.ready_port, "GET", "/readyz", timeout=1.0)
@@ -810,8 +825,10 @@
             address = self.store.server.address
             self.programs.append(Program(f"edge-{number}", zone, self.folder, address))
             await self.programs[-1].start()
-        until = time.monotonic() + 20
+        until = time.monotonic() + READY_S
         while time.monotonic() < until:
+            for program in self.programs:
+                await program.restart_if_ended()
             ready = [await program.is_ready() for program in self.programs]
             if all(ready):
                 # A leader is chosen within seconds.
