--- a/src/egretloft/_internal/fleet/intake.py
+++ b/src/egretloft/_internal/fleet/intake.py
@@ -272,6 +272,7 @@
             return Failure(self.store_unavailable(found.failure().message, deadline))
         job = found.unwrap()
         if job is None:
+            log.info("cancel request for an unknown job", request_id=job_id)
             return Failure(no_such_job(job_id))
         if job.cancelled or job.state() in TERMINAL_STATES:
             return Success(job.state())
--- a/src/egretloft/_internal/fleet/leader.py
+++ b/src/egretloft/_internal/fleet/leader.py
@@ -6,6 +6,7 @@
 import contextlib
 import sys
 from collections.abc import Awaitable, Callable, Coroutine
+from enum import StrEnum
 from typing import Any
 
 import structlog
@@ -77,6 +78,16 @@
 CANCEL_RETRY_SECONDS = 0.2
 
 
+class Authority(StrEnum):
+    """Why the leader may send orders, if it may."""
+
+    # The last heartbeat excludes a takeover.
+    CONFIRMED = "confirmed"
+    # No instance reaches the store, so none can take over.
+    STORE_UNREACHED = "store_unreached"
+    NONE = "none"
+
+
 class Leader:
     """Schedules all jobs while its epoch is current."""
 
@@ -102,6 +113,7 @@
         self.operators = operators
         self.operators_age = operators_age
         self.starts_withheld = False
+        self.authority = Authority.CONFIRMED
         self.clock = clock
         self.agreed_time = agreed_time
         self.metrics = metrics
@@ -145,18 +157,24 @@
     # Called by sessions, orders and the state reader.
 
     def may_issue_orders(self) -> bool:
-        """Return whether the leader may send orders and renew leases.
+        """Return whether the leader may send orders and renew leases."""
+        return self.current_authority() is not Authority.NONE
+
+    def current_authority(self) -> Authority:
+        """Return why the leader may send orders now, if it may.
 
         It may while its last heartbeat excludes a takeover, and also while no live peer
         reaches the store, as nobody can take over then.
         """
         if self.election.term is not self.term:
-            return False
+            return Authority.NONE
         if self.election.confirmed_at < self.confirmation_needed_since:
-            return False
+            return Authority.NONE
         if self.election.is_confirmed():
-            return True
-        return self.store.peers_lack_store()
+            return Authority.CONFIRMED
+        if self.store.peers_lack_store():
+            return Authority.STORE_UNREACHED
+        return Authority.NONE
 
     def may_start_runs(self) -> bool:
         """Return whether the leader may also start runs.
@@ -426,7 +444,8 @@
         self.update_recovery(now)
         self.remove_unused_targets()
         self.remove_expired_jobs()
-        if not self.may_issue_orders():
+        self.note_authority(now)
+        if self.authority is Authority.NONE:
             return
         if now - self.runs_reviewed_at >= RUN_REVIEW_SECONDS:
             self.runs_reviewed_at = now
@@ -442,6 +461,21 @@
         if self.decision_needed or now >= self.decide_at:
             self.decide(now)
 
+    def note_authority(self, now: float) -> None:
+        """Update why the leader may send orders, and log a change."""
+        authority = self.current_authority()
+        if authority is self.authority or not self.is_current():
+            self.authority = authority
+            return
+        self.authority = authority
+        log.warning(
+            "leader's authority changed",
+            epoch=self.epoch,
+            authority=authority.value,
+            confirmed_age=round(now - self.election.confirmed_at, 3),
+            silent_members=len(self.store.silent_members()),
+        )
+
     def note_withheld(self, withheld: bool) -> None:
         """Log when starts begin to be withheld, or no longer are."""
         if withheld == self.starts_withheld:
--- a/src/egretloft/_internal/fleet/sessions.py
+++ b/src/egretloft/_internal/fleet/sessions.py
@@ -330,6 +330,7 @@
         )
         was_fenced = target.fenced
         target.fenced = True
+        target.listed_ends = len(answer.ends)
         self.apply_ends(answer)
         self.apply_active_runs(answer, now)
         self.apply_missing_runs(answer, sent)
@@ -401,6 +402,7 @@
             attempt=run.key.attempt,
             target=run.target_id,
             why=why,
+            listed_ends=self.target.listed_ends,
         )
         self.metrics.count("runs_lost")
         self.tables.remove_run(self.target, run)
--- a/src/egretloft/_internal/fleet/store_access.py
+++ b/src/egretloft/_internal/fleet/store_access.py
@@ -172,6 +172,10 @@
         heartbeats += self.peers.inbound_heartbeats()
         return bool(heartbeats) and not any(h.get(HEARTBEAT_STORE) for h in heartbeats)
 
+    def silent_members(self) -> set[str]:
+        """Return the other instances that were not heard from recently."""
+        return set(self.peer_ids()) - self.peers.alive_ids()
+
     async def commit(
         self, transaction: RowTransaction, timeout_seconds: float
     ) -> Result[int, StoreFailure]:
--- a/src/egretloft/_internal/fleet/tables.py
+++ b/src/egretloft/_internal/fleet/tables.py
@@ -271,7 +271,8 @@
     ``lease_ends_ms`` is the end of the longest lease that was granted, on the target's
     clock. ``last_applied_end``, ``last_recorded_end`` and ``last_acknowledged_end`` are
     the highest numbers of the target's ends that were applied to the tables, recorded
-    in the store and acknowledged to the target.
+    in the store and acknowledged to the target; ``listed_ends`` is how many ends its
+    last answer listed.
     ``failed_renewals`` counts the consecutive lease renewals that have failed.
     ``stalling`` tells whether a run on the target makes no progress. ``leaves_at`` is
     the boot time at which a draining target leaves at the earliest, if it has said so.
@@ -298,6 +299,7 @@
     lease_ends_ms: float = 0.0
     last_recorded_end: int = 0
     last_applied_end: int = 0
+    listed_ends: int = 0
     runs: dict[RunKey, RunRow] = field(default_factory=dict)
     in_use: Resources = field(default_factory=Resources)
     last_answer: float = 0.0
