--- a/src/egretloft/_internal/fleet/election.py
+++ b/src/egretloft/_internal/fleet/election.py
@@ -103,6 +103,10 @@
         self.confirmed_for = HEARTBEAT_TIMEOUT_SECONDS
         self.campaign_after = 0.0
         self.may_campaign = True
+        # Whether a takeover of this instance is under way at the store.
+        self.campaigning = False
+        # Until when this instance has pledged to a leader not to take over.
+        self.pledged_until = 0.0
         self.jitter = generator.uniform(0, CANDIDATE_JITTER_SECONDS)
         self.last_heartbeat_at = 0.0
 
@@ -164,11 +168,15 @@
             if self.clock.boottime() - self.last_heartbeat_at >= HEARTBEAT_SECONDS:
                 await self.send_heartbeat(released=False)
         elif self.should_campaign() and self.clock.boottime() >= self.campaign_after:
-            await self.campaign()
+            self.campaigning = True
+            try:
+                await self.campaign()
+            finally:
+                self.campaigning = False
 
     def should_campaign(self) -> bool:
         """Return whether leadership is vacant and it is this instance's turn to try."""
-        if not self.rows_loaded or not self.may_campaign:
+        if not self.rows_loaded or not self.may_campaign or self.is_pledged():
             return False
         if not self.rows_readable():
             # A heartbeat that cannot be read is not evidence of a silent leader.
@@ -189,6 +197,10 @@
             return True
         return self.larger_instance() is None
 
+    def is_pledged(self) -> bool:
+        """Return whether this instance has pledged to a leader not to take over now."""
+        return self.clock.boottime() < self.pledged_until
+
     def timeout_seconds(self) -> float:
         """Return the heartbeat timeout, extended while the store is slow."""
         extension = STORE_DELAY_FACTOR * self.store_delay()
--- a/src/egretloft/_internal/fleet/instance.py
+++ b/src/egretloft/_internal/fleet/instance.py
@@ -48,6 +48,7 @@
     create_member_expiry,
 )
 from egretloft._internal.fleet.operators import OperatorView, create_operator_view
+from egretloft._internal.fleet.pledges import Pledges, create_pledges
 from egretloft._internal.fleet.records import InstanceRecord
 from egretloft._internal.fleet.store_access import StoreAccess, create_store_access
 from egretloft._internal.fleet.succession import Succession, create_succession
@@ -129,6 +130,9 @@
             self.store.delay_seconds,
             lambda: not self.control_watcher.failing,
         )
+        self.pledges: Pledges = create_pledges(
+            peers, self.peer_ids, self.store.is_lost, self.election, clock
+        )
         self.links: Links = create_links(
             identity.instance_id,
             self.members.values,
@@ -392,6 +396,7 @@
                 self.leader = Leader(
                     term,
                     self.election,
+                    self.pledges,
                     self.store,
                     self.targets,
                     self.decoder,
--- a/src/egretloft/_internal/fleet/leader.py
+++ b/src/egretloft/_internal/fleet/leader.py
@@ -43,6 +43,7 @@
     OperatorState,
 )
 from egretloft._internal.fleet.orders import create_orders
+from egretloft._internal.fleet.pledges import Pledges
 from egretloft._internal.fleet.recorder import create_recorder
 from egretloft._internal.fleet.run_control import create_run_control
 from egretloft._internal.fleet.scheduler import Scheduler
@@ -83,8 +84,8 @@
 
     # The last heartbeat excludes a takeover.
     CONFIRMED = "confirmed"
-    # No instance reaches the store, so none can take over.
-    STORE_UNREACHED = "store_unreached"
+    # All other instances lack the store and have pledged not to take over.
+    PLEDGED = "pledged"
     NONE = "none"
 
 
@@ -95,6 +96,7 @@
         self,
         term: Term,
         election: Election,
+        pledges: Pledges,
         store: StoreAccess,
         targets: Targets,
         decoder: RowDecoder,
@@ -107,6 +109,7 @@
         self.term = term
         self.epoch = term.epoch
         self.election = election
+        self.pledges = pledges
         self.store = store
         self.targets = targets
         self.decoder = decoder
@@ -163,8 +166,8 @@
     def current_authority(self) -> Authority:
         """Return why the leader may send orders now, if it may.
 
-        It may while its last heartbeat excludes a takeover, and also while no live peer
-        reaches the store, as nobody can take over then.
+        It may while its last heartbeat excludes a takeover, and also while the pledges
+        of all other instances do.
         """
         if self.election.term is not self.term:
             return Authority.NONE
@@ -172,15 +175,15 @@
             return Authority.NONE
         if self.election.is_confirmed():
             return Authority.CONFIRMED
-        if self.store.peers_lack_store():
-            return Authority.STORE_UNREACHED
+        if self.pledges.exclude_takeover(self.epoch):
+            return Authority.PLEDGED
         return Authority.NONE
 
     def may_start_runs(self) -> bool:
         """Return whether the leader may also start runs.
 
         It has to know what operators ask for and what targets say of themselves, unless
-        nobody reaches the store, as neither can change then.
+        no instance reaches the store, as nobody can know then.
         """
         if not self.may_issue_orders():
             return False
--- /dev/null
+++ b/src/egretloft/_internal/fleet/pledges.py
@@ -0,0 +1,133 @@
+"""Pledges by which a leader may go on while no instance reaches the store.
+
+A leader whose heartbeat the store does not confirm must not act beside a new leader.
+That it hears of no instance with access to the store proves nothing: one that it does
+not hear from may have it. So each instance that has lost the store pledges not to take
+over for ``PLEDGE_SECONDS``, and the leader goes on only while it holds a pledge of
+every other instance.
+
+A pledge names the epoch of the leader and repeats the boot time of the leader's
+heartbeat that it answers. It was made after that heartbeat was sent, so the leader
+relies on it for less than ``PLEDGE_SECONDS`` from that time on, however late it
+arrives. Both travel in the heartbeats between the instances.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+
+from egretloft._internal.fleet.constants import (
+    CLOCK_RATE_ERROR,
+    HEARTBEAT_TIMEOUT_SECONDS,
+)
+from egretloft._internal.fleet.election import Election
+from egretloft._internal.fleet.interfaces import FleetClock
+from egretloft._internal.peers.protocols import Peers
+
+HEARTBEAT_CLAIM = "leads"
+HEARTBEAT_PLEDGE = "pledge"
+# An instance that restarts forgets its pledge, but does not take over before a
+# heartbeat has timed out.
+PLEDGE_SECONDS = HEARTBEAT_TIMEOUT_SECONDS
+RELIANCE_SECONDS = PLEDGE_SECONDS * (1 - 2 * CLOCK_RATE_ERROR)
+
+
+class Claim(msgspec.Struct, array_like=True, frozen=True):
+    """The epoch of a leader, and when it sent its heartbeat, in its own boot time."""
+
+    epoch: int
+    sent_at: float
+
+
+class Pledges:
+    """Makes this instance's pledges, and counts those made to it while it leads."""
+
+    def __init__(
+        self,
+        peers: Peers,
+        peer_ids: Callable[[], list[str]],
+        lacks_store: Callable[[], bool],
+        election: Election,
+        clock: FleetClock,
+    ) -> None:
+        self.peers = peers
+        self.peer_ids = peer_ids
+        self.lacks_store = lacks_store
+        self.election = election
+        self.clock = clock
+        peers.heartbeat_sources.append(self.heartbeat)
+
+    def heartbeat(self) -> dict[str, Any]:
+        """Return the heartbeat entry with the claim of a leader, or a pledge to it.
+
+        An instance that is about to take over makes no pledge.
+        """
+        now = self.clock.boottime()
+        term = self.election.term
+        if term is not None:
+            return {HEARTBEAT_CLAIM: msgspec.to_builtins(Claim(term.epoch, now))}
+        if not self.lacks_store() or self.election.campaigning:
+            return {}
+        claim = self.newest_claim()
+        if claim is None:
+            return {}
+        self.election.pledged_until = now + PLEDGE_SECONDS
+        return {HEARTBEAT_PLEDGE: msgspec.to_builtins(claim)}
+
+    def newest_claim(self) -> Claim | None:
+        """Return the newest claim of a peer, unless a newer leader is known."""
+        claims = [
+            claim
+            for heartbeat in self.peers.dated_heartbeats()
+            if (claim := decode_claim(heartbeat.body.get(HEARTBEAT_CLAIM))) is not None
+        ]
+        if not claims:
+            return None
+        newest = max(claims, key=lambda claim: (claim.epoch, claim.sent_at))
+        leader = self.election.leader
+        if leader is not None and leader.epoch > newest.epoch:
+            return None
+        return newest
+
+    def exclude_takeover(self, epoch: int) -> bool:
+        """Return whether every other instance has pledged not to replace this leader.
+
+        That includes instances that are heard from and not registered. Without any
+        other instance there is nobody to pledge, and the answer is no.
+        """
+        oldest = self.clock.boottime() - RELIANCE_SECONDS
+        needed = set(self.peer_ids())
+        pledged: set[str] = set()
+        for heartbeat in self.peers.dated_heartbeats():
+            needed.add(heartbeat.instance_id)
+            pledge = decode_claim(heartbeat.body.get(HEARTBEAT_PLEDGE))
+            if pledge is not None and pledge.epoch == epoch and pledge.sent_at > oldest:
+                pledged.add(heartbeat.instance_id)
+        return bool(needed) and needed <= pledged
+
+
+def decode_claim(value: object) -> Claim | None:
+    """Return a claim from a heartbeat; ``None`` if there is none that can be read."""
+    if value is None:
+        return None
+    try:
+        return msgspec.convert(value, Claim)
+    except msgspec.ValidationError:
+        return None
+
+
+def create_pledges(
+    peers: Peers,
+    peer_ids: Callable[[], list[str]],
+    lacks_store: Callable[[], bool],
+    election: Election,
+    clock: FleetClock,
+) -> Pledges:
+    """Return the pledges of one instance, which travel in the heartbeats of ``peers``.
+
+    ``lacks_store`` tells whether this instance fails to reach the store itself.
+    """
+    return Pledges(peers, peer_ids, lacks_store, election, clock)
--- a/src/egretloft/_internal/fleet/store_access.py
+++ b/src/egretloft/_internal/fleet/store_access.py
@@ -159,13 +159,16 @@
 
     def heartbeat(self) -> dict[str, Any]:
         """Return the heartbeat entry that tells peers whether direct calls work."""
-        return {HEARTBEAT_STORE: self.direct_works and self.reached_at is not None}
+        return {HEARTBEAT_STORE: not self.is_lost()}
+
+    def is_lost(self) -> bool:
+        """Return whether direct calls fail, or none has succeeded yet."""
+        return not self.direct_works or self.reached_at is None
 
     def peers_lack_store(self) -> bool:
-        """Return whether at least one peer is alive and none reaches the store.
+        """Return whether at least one peer is alive and no live peer reaches the store.
 
-        All instances keep a connection to the leader, so it judges by every peer,
-        although it may itself be connected to a few only.
+        A peer that is not heard from may reach it all the same.
         """
         alive = [peer for peer in self.peer_ids() if self.peers.is_alive(peer)]
         heartbeats = [self.peers.last_heartbeat(peer) for peer in alive]
--- a/src/egretloft/_internal/peers/network.py
+++ b/src/egretloft/_internal/peers/network.py
@@ -201,8 +201,10 @@
                 newest[connection.instance_id] = connection
         now = self.clock.monotonic()
         return [
-            DatedHeartbeat(connection.heartbeat or {}, now - connection.heartbeat_at)
-            for connection in newest.values()
+            DatedHeartbeat(
+                instance_id, connection.heartbeat or {}, now - connection.heartbeat_at
+            )
+            for instance_id, connection in newest.items()
         ]
 
     async def call(
--- a/src/egretloft/_internal/peers/protocols.py
+++ b/src/egretloft/_internal/peers/protocols.py
@@ -39,6 +39,7 @@
 class DatedHeartbeat:
     """The body of a peer's last heartbeat and the seconds since it arrived."""
 
+    instance_id: str
     body: dict[str, Any]
     age_seconds: float
 
--- a/tests/lib/fleet_builders.py
+++ b/tests/lib/fleet_builders.py
@@ -25,6 +25,7 @@
 )
 from egretloft._internal.models.members import Member
 from lib.peer_fakes import PeerHub, create_fake_peers
+from standins.fleet.cuts import ZoneCuts
 from standins.fleet.world import (
     SERVICE,
     WHOLE_TARGET,
@@ -41,10 +42,13 @@
     """Return a factory of peer networks that are connected in memory."""
 
     def create(
-        name: str, wait_until_thawed: Callable[[], Awaitable[None]]
+        name: str, wait_until_thawed: Callable[[], Awaitable[None]], cuts: ZoneCuts
     ) -> EmulatedPeers:
+        hub.separates = cuts.separates
         member = Member(name, "", "", name, "region", "zone-a")
-        return create_fake_peers(hub, member, wait_until_thawed)
+        network = create_fake_peers(hub, member, wait_until_thawed)
+        network.start_heartbeats()
+        return network
 
     return create
 
@@ -55,6 +59,8 @@
     target_count: int = 8,
     processors: dict[str, float] | None = None,
     wrap_targets: Callable[[Targets], Targets] | None = None,
+    zones: tuple[str, ...] = ("zone-a", "zone-b"),
+    spreads_instances: bool = False,
 ) -> FleetWorld:
     """Return an emulated fleet whose instances can reach each other."""
     return FleetWorld(
@@ -62,8 +68,10 @@
         fake_peers_factory(PeerHub()),
         instance_count,
         target_count,
+        zones,
         processors=processors,
         wrap_targets=wrap_targets,
+        spreads_instances=spreads_instances,
     )
 
 
--- a/tests/lib/fleet_faults.py
+++ b/tests/lib/fleet_faults.py
@@ -44,6 +44,9 @@
 TARGET_FAULT_SUFFIXES = ("_target", "_rack", "_zone")
 FINAL_STATES = (JobState.COMPLETE, JobState.CANCELLED)
 
+# Brings about one fault for so many seconds.
+Fault = Callable[[float], Awaitable[None]]
+
 
 class StormChecker(Checker):
     """Also checks starts on leaving targets, in zones out of service and after cancels.
@@ -109,13 +112,7 @@
     def __init__(self, seed: int) -> None:
         self.generator = random.Random(seed)
         self.checker = StormChecker()
-        self.world = FleetWorld(
-            seed,
-            fake_peers_factory(PeerHub()),
-            instance_count=4,
-            target_count=8,
-            checker=self.checker,
-        )
+        self.world = self.build_world(seed)
         self.checker.zone_of = {
             target.target_id: target.zone for target in self.world.targets.values()
         }
@@ -125,6 +122,16 @@
         self.busy_targets: set[str] = set()
         self.idle_jobs = IdleJobs(self.world, self.is_usable, self.owed_jobs)
 
+    def build_world(self, seed: int) -> FleetWorld:
+        """Return the fleet on which the storm is played."""
+        return FleetWorld(
+            seed,
+            fake_peers_factory(PeerHub()),
+            instance_count=4,
+            target_count=8,
+            checker=self.checker,
+        )
+
     async def play(self) -> StormReport:
         """Play the traffic and the faults, let all heal, and wait for the jobs."""
         world = self.world
@@ -222,10 +229,9 @@
 
     # Faults.
 
-    async def fault_later(self) -> None:
-        """Bring about one fault at a random time, for a random time."""
-        await asyncio.sleep(self.generator.uniform(0, TRAFFIC_SECONDS))
-        faults: list[Callable[[float], Awaitable[None]]] = [
+    def faults(self) -> list[Fault]:
+        """Return the faults that may be drawn."""
+        return [
             self.freeze_instance,
             self.freeze_leader,
             self.kill_instance,
@@ -243,13 +249,15 @@
             self.forget_history,
             self.evacuate_zone,
         ]
-        fault = self.generator.choice(faults)
+
+    async def fault_later(self) -> None:
+        """Bring about one fault at a random time, for a random time."""
+        await asyncio.sleep(self.generator.uniform(0, TRAFFIC_SECONDS))
+        fault = self.generator.choice(self.faults())
         seconds = self.generator.uniform(0.4, LONGEST_FAULT_SECONDS)
         await self.bring_about(fault, seconds)
 
-    async def bring_about(
-        self, fault: Callable[[float], Awaitable[None]], seconds: float
-    ) -> None:
+    async def bring_about(self, fault: Fault, seconds: float) -> None:
         """Bring about one fault; only those of targets leave the rest calm."""
         at = asyncio.get_running_loop().time()
         name = getattr(fault, "__name__", "")
--- a/tests/lib/peer_fakes.py
+++ b/tests/lib/peer_fakes.py
@@ -11,7 +11,11 @@
 
 from egretloft._internal.models.members import Member
 from egretloft._internal.models.outcomes import Reason
-from egretloft._internal.peers.network import SILENCE_SECONDS
+from egretloft._internal.peers.network import (
+    SILENCE_SECONDS,
+    TICK_SECONDS,
+    TICKS_PER_HEARTBEAT,
+)
 from egretloft._internal.peers.protocols import (
     CallResult,
     DatedHeartbeat,
@@ -21,11 +25,18 @@
     PeerFailureKind,
 )
 
+HEARTBEAT_SECONDS = TICK_SECONDS * TICKS_PER_HEARTBEAT
+
 
 async def no_delay() -> None:
     """Return without a delay."""
 
 
+def never_separated(one: str, other: str) -> bool:
+    """Return whether two instances are in zones that are cut off from each other."""
+    return False
+
+
 @dataclass(slots=True)
 class PeerHub:
     """All fake networks by address; cut links lose calls, answers and heartbeats."""
@@ -33,17 +44,22 @@
     networks: dict[str, FakePeers] = field(default_factory=dict)
     cut: set[frozenset[str]] = field(default_factory=set)
     latency: Callable[[], Awaitable[None]] = no_delay
+    separates: Callable[[str, str], bool] = never_separated
     tasks: set[asyncio.Task[None]] = field(default_factory=set)
 
     def connected(self, one: str, other: str) -> bool:
-        return other in self.networks and frozenset({one, other}) not in self.cut
+        if self.separates(one, other) or frozenset({one, other}) in self.cut:
+            return False
+        return other in self.networks
 
 
 @dataclass(slots=True)
 class FakePeers:
     """The network of one process.
 
-    ``wait_until_thawed`` blocks its calls while it is frozen.
+    ``wait_until_thawed`` blocks its calls while it is frozen. Dated heartbeats are
+    those that have arrived, once ``start_heartbeats`` was called; what peers know of
+    each other otherwise is up to date.
     """
 
     hub: PeerHub
@@ -53,10 +69,47 @@
     heartbeat_sources: list[HeartbeatSource] = field(default_factory=list)
     handlers: dict[str, Handler] = field(default_factory=dict)
     addresses: dict[str, str] = field(default_factory=dict)
+    received: dict[str, tuple[dict[str, Any], float]] = field(default_factory=dict)
+    heartbeat_task: asyncio.Task[None] | None = None
 
     def close(self) -> None:
+        if self.heartbeat_task is not None:
+            self.heartbeat_task.cancel()
         if self.hub.networks.get(self.address) is self:
             del self.hub.networks[self.address]
+            for network in self.hub.networks.values():
+                network.received.pop(self.instance_id, None)
+
+    def start_heartbeats(self) -> None:
+        """Send a heartbeat to all connected peers periodically, until closed."""
+        self.heartbeat_task = asyncio.create_task(self.send_heartbeats())
+
+    async def send_heartbeats(self) -> None:
+        while True:
+            await self.wait_until_thawed()
+            body = self.heartbeat_body()
+            for network in self.connected_networks():
+                task = asyncio.create_task(network.receive(self.instance_id, body))
+                self.hub.tasks.add(task)
+                task.add_done_callback(self.hub.tasks.discard)
+            await asyncio.sleep(HEARTBEAT_SECONDS)
+
+    async def receive(self, sender: str, body: dict[str, Any]) -> None:
+        """Take a heartbeat; a frozen process reads it when it goes on."""
+        await self.hub.latency()
+        await self.wait_until_thawed()
+        self.received[sender] = (body, asyncio.get_running_loop().time())
+
+    def connected_networks(self) -> list[FakePeers]:
+        """Return the peers that this one is connected to, whoever dialled."""
+        return [
+            network
+            for network in self.hub.networks.values()
+            if network is not self
+            and (
+                network.is_alive(self.instance_id) or self.is_alive(network.instance_id)
+            )
+        ]
 
     def register(self, call_type: str, handler: Handler) -> None:
         self.handlers[call_type] = handler
@@ -88,9 +141,16 @@
         ]
 
     def dated_heartbeats(self) -> list[DatedHeartbeat]:
+        if self.heartbeat_task is not None:
+            now = asyncio.get_running_loop().time()
+            return [
+                DatedHeartbeat(sender, body, now - at)
+                for sender, (body, at) in self.received.items()
+                if now - at <= SILENCE_SECONDS
+            ]
         alive = self.alive_ids() - {self.instance_id}
         return [
-            DatedHeartbeat(network.heartbeat_body(), 0.0)
+            DatedHeartbeat(network.instance_id, network.heartbeat_body(), 0.0)
             for network in self.hub.networks.values()
             if network.instance_id in alive
         ]
--- a/tests/unit/fleet/test_random_faults.py
+++ b/tests/unit/fleet/test_random_faults.py
@@ -13,6 +13,7 @@
 from lib.fleet_faults import failure_text, play_storm
 from lib.virtual_time import run_virtual
 from lib.wide_storm import play_wide_storm
+from lib.zone_storm import play_zone_storm
 
 SEEDS_VARIABLE = "EGRETLOFT_FAULT_SEEDS"
 DEFAULT_SEEDS = range(1, 13)
@@ -60,3 +61,11 @@
     assert not report.violations, failure_text(report)
     assert not report.unfinished, failure_text(report)
     assert report.accepted
+
+
+@pytest.mark.parametrize("seed", chosen_seeds())
+def test_random_faults_with_zone_cuts_break_no_promise(seed: int) -> None:
+    report = run_virtual(play_zone_storm(seed))
+    assert not report.violations, failure_text(report)
+    assert not report.unfinished, failure_text(report)
+    assert report.accepted
--- a/tools/standins/fleet/store.py
+++ b/tools/standins/fleet/store.py
@@ -129,6 +129,11 @@
     """Return at once, for a client that is never frozen."""
 
 
+def never_cut_off() -> bool:
+    """Return whether a client that is never cut off is cut off."""
+    return False
+
+
 def refused(message: str) -> StoreFailure:
     """Return the failure of a call that had no effect."""
     return StoreFailure(StoreFailureKind.REFUSED, message)
@@ -143,14 +148,15 @@
 class StoreClient:
     """Store client of one instance.
 
-    ``wait_until_thawed`` blocks while the instance is frozen. Feeds of
-    ``silent_tables`` get no answer.
+    ``wait_until_thawed`` blocks while the instance is frozen, and no call is answered
+    while ``is_cut_off`` holds. Feeds of ``silent_tables`` get no answer.
     """
 
     store: EmulatedStore
     mode: StoreMode = StoreMode.WORKS
     silent_tables: set[str] = field(default_factory=set)
     wait_until_thawed: Callable[[], Awaitable[None]] = return_at_once
+    is_cut_off: Callable[[], bool] = never_cut_off
     late_writes: set[asyncio.Task[None]] = field(default_factory=set)
 
     async def begin(self, timeout_seconds: float) -> StoreFailure | None:
@@ -159,7 +165,7 @@
         store = self.store
         store.calls += 1
         modes = (self.mode, store.mode)
-        if StoreMode.SILENT in modes:
+        if StoreMode.SILENT in modes or self.is_cut_off():
             await asyncio.sleep(timeout_seconds)
             return unknown("no answer")
         one_way_delay = ROUND_TRIP_SECONDS * store.slowness / 2
@@ -171,10 +177,14 @@
             return refused("503")
         return None
 
-    async def finish(self) -> None:
-        """Wait for the answer to reach the client."""
+    async def finish(self, timeout_seconds: float) -> StoreFailure | None:
+        """Wait for the answer to reach the client; return the failure if it is lost."""
+        if self.is_cut_off():
+            await asyncio.sleep(timeout_seconds)
+            return unknown("cut off")
         await asyncio.sleep(ROUND_TRIP_SECONDS * self.store.slowness / 2)
         await self.wait_until_thawed()
+        return None
 
     async def commit(
         self, transaction: RowTransaction, timeout_seconds: float
@@ -207,8 +217,8 @@
             await asyncio.sleep(timeout_seconds)
             return Failure(unknown("the answer was lost"))
         result = store.apply(transaction)
-        await self.finish()
-        return result
+        lost = await self.finish(timeout_seconds)
+        return result if lost is None else Failure(lost)
 
     async def apply_after(self, transaction: RowTransaction, seconds: float) -> None:
         """Apply a transaction after its caller has timed out."""
@@ -250,8 +260,8 @@
         page = RowPage(
             tuple(rows[:PAGE_ROWS]), self.store.version, len(rows) > PAGE_ROWS
         )
-        await self.finish()
-        return Success(page)
+        lost = await self.finish(timeout_seconds)
+        return Success(page) if lost is None else Failure(lost)
 
     async def feed(
         self, table: str, after_version: int, wait_seconds: float
@@ -276,8 +286,8 @@
                 page = RowPage(
                     rows, store.version if not store.feeds_stalled else after_version
                 )
-                await self.finish()
-                return Success(page)
+                lost = await self.finish(FEED_TIMEOUT_SECONDS)
+                return Success(page) if lost is None else Failure(lost)
             changed = store.changed
             # Not asyncio.wait_for, which swallows a cancellation that arrives as the
             # wait ends.
--- a/tools/standins/fleet/targets.py
+++ b/tools/standins/fleet/targets.py
@@ -400,11 +400,17 @@
     """Return at once, for a client that is never frozen."""
 
 
+def never_separated(target_id: str) -> bool:
+    """Return whether a client that is never cut off is cut off from a target."""
+    return False
+
+
 @dataclass(slots=True)
 class TargetsClient:
     """Target client of one instance.
 
-    ``wait_until_thawed`` blocks while the instance is frozen.
+    ``wait_until_thawed`` blocks while the instance is frozen. Calls to a target of
+    ``cut_from``, or one for which ``is_separated`` holds, get no answer.
 
     ``late_order_share`` is the share of starts and stops that get no answer and are
     carried out seconds later, ``lost_answer_share`` that of starts that are carried out
@@ -417,6 +423,7 @@
     late_order_share: float = 0.0
     lost_answer_share: float = 0.0
     cut_from: set[str] = field(default_factory=set)
+    is_separated: Callable[[str], bool] = never_separated
     late_orders: set[asyncio.Task[None]] = field(default_factory=set)
 
     async def reach(
@@ -425,13 +432,18 @@
         """Wait for a call to arrive; return the target, or ``None`` after a timeout."""
         await self.wait_until_thawed()
         target = self.targets.get(report.target_id)
-        unreachable = target is None or target.cut or report.target_id in self.cut_from
-        if unreachable or (target is not None and target.silent):
+        if target is None or not self.answers(target):
             await asyncio.sleep(timeout_seconds)
             return None
         await asyncio.sleep(ONE_WAY_DELAY_SECONDS)
         return target
 
+    def answers(self, target: EmulatedTarget) -> bool:
+        """Return whether a target is up and not cut off from the instance."""
+        name = target.target_id
+        separated = name in self.cut_from or self.is_separated(name)
+        return not (target.cut or target.silent or separated)
+
     def is_late(self) -> bool:
         """Return whether this order gets no answer and is carried out late."""
         return (
@@ -518,7 +530,7 @@
             reached.new_end.clear()
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(reached.new_end.wait(), wait_seconds)
-        if reached.cut or reached.silent or reached.target_id in self.cut_from:
+        if not self.answers(reached):
             return no_answer()
         answer = reached.renewal_answer()
         await asyncio.sleep(ONE_WAY_DELAY_SECONDS)
--- a/tools/standins/fleet/world.py
+++ b/tools/standins/fleet/world.py
@@ -27,6 +27,7 @@
 from egretloft._internal.metrics import create_metrics
 from egretloft._internal.peers.protocols import Peers
 from standins.fleet.checker import Checker, JobTruth, RunTruth
+from standins.fleet.cuts import ZoneCuts
 from standins.fleet.store import EmulatedStore, StoreClient
 from standins.fleet.targets import EmulatedTarget, TargetsClient
 
@@ -51,7 +52,7 @@
         """Close all connections, as the process has ended."""
 
 
-PeersFactory = Callable[[str, Callable[[], Awaitable[None]]], EmulatedPeers]
+PeersFactory = Callable[[str, Callable[[], Awaitable[None]], ZoneCuts], EmulatedPeers]
 
 
 class EmulatedDecoder:
@@ -126,7 +127,8 @@
 class FleetWorld:
     """A deployment of ``instance_count`` instances and ``target_count`` targets.
 
-    ``wrap_targets`` returns the client of an instance around the given one.
+    ``wrap_targets`` returns the client of an instance around the given one. Instances
+    are in the first zone, or spread over all ``zones`` with ``spreads_instances``.
     """
 
     def __init__(
@@ -140,8 +142,10 @@
         checker: Checker | None = None,
         targets_per_rack: int = TARGETS_PER_RACK,
         wrap_targets: Callable[[Targets], Targets] | None = None,
+        spreads_instances: bool = False,
     ) -> None:
         self.wrap_targets = wrap_targets
+        self.cuts = ZoneCuts()
         self.generator = random.Random(seed)
         self.peers_of = peers_of
         self.clock = LoopFleetClock()
@@ -159,6 +163,9 @@
         for number in range(target_count):
             self.add_target(number)
         self.instance_names = [f"instance-{n}" for n in range(instance_count)]
+        for number, name in enumerate(self.instance_names):
+            zone_number = number % len(zones) if spreads_instances else 0
+            self.cuts.zone_of[name] = zones[zone_number]
 
     def add_target(self, number: int) -> EmulatedTarget:
         """Add a target, whose clock has a random offset."""
@@ -174,6 +181,7 @@
             self.generator.uniform(0, 1e6),
         )
         self.targets[target.target_id] = target
+        self.cuts.zone_of[target.target_id] = target.zone
         return target
 
     async def start(self) -> None:
@@ -212,12 +220,13 @@
     async def register_periodically(self, target: EmulatedTarget) -> None:
         """Register a target as often as the platform asks, until it is removed.
 
-        A target that is cut off for several periods loses its row.
+        A target that is cut off, or in a zone that is, for several periods loses its
+        row.
         """
         await asyncio.sleep(self.generator.uniform(0, REGISTRATION_PERIOD_SECONDS))
         missed = 0
         while not target.removed:
-            if target.cut:
+            if target.cut or self.cuts.hides_store(target.target_id):
                 missed += 1
                 if missed == MAX_MISSED_REGISTRATIONS:
                     self.store.put(TARGET_TABLE, target.target_id, None)
@@ -235,16 +244,26 @@
         self.incarnations += 1
         gate = Gate()
         gate.open.set()
-        store = StoreClient(self.store, wait_until_thawed=gate.wait)
-        targets = TargetsClient(self.targets, self.generator, gate.wait)
-        peers = self.peers_of(name, gate.wait)
+        cuts = self.cuts
+        store = StoreClient(
+            self.store,
+            wait_until_thawed=gate.wait,
+            is_cut_off=lambda: cuts.hides_store(name),
+        )
+        targets = TargetsClient(
+            self.targets,
+            self.generator,
+            gate.wait,
+            is_separated=lambda target_id: cuts.separates(name, target_id),
+        )
+        peers = self.peers_of(name, gate.wait, cuts)
         clock = LoopFleetClock()
         instance = create_instance(
             Identity(
                 name,
                 f"life-{self.incarnations}",
                 name,
-                self.zones[0],
+                cuts.zone_of.setdefault(name, self.zones[0]),
                 "region",
                 self.processors.get(name, 1.0),
             ),
