Expect the longest lease on a target that got an order from before its restart

Seen by callers: a task runs twice, or is never started again. A target restarts while it is idle; the next start goes out with an expiry on the old clock, and the target is then cut off.

Cause: an order's expiry, a time of the former clock, is far ahead on the new one. The target carries it out and holds the longest lease, which a start extends for all runs and nothing shortens; the leader waited for 3.5 s only (TWICE). If the start had been confirmed while the renewal that told of the restart was under way, its old expiry was kept, so the run was never given up (LOST).

Found by the heartbeats of the emulated instances, which moved the moments.

The longest lease comes from the platform's settings (hold_max_ms). Not covered, and not shown: a copy of such an order that arrives seconds later and extends the lease once more.

--- a/src/egretloft/_internal/fleet/interfaces.py
+++ b/src/egretloft/_internal/fleet/interfaces.py
@@ -119,7 +119,12 @@
 
 
 class Targets(Protocol):
-    """Client for the targets."""
+    """Client for the targets.
+
+    A target shortens longer leases to ``max_lease_seconds``.
+    """
+
+    max_lease_seconds: float
 
     async def start(
         self, target: TargetReport, order: StartOrder, timeout_seconds: float
--- a/src/egretloft/_internal/fleet/sessions.py
+++ b/src/egretloft/_internal/fleet/sessions.py
@@ -345,6 +345,9 @@
         expiry says nothing on the new clock, so such a start is stopped. A start that
         was confirmed after the renewal was ``sent`` may be one of the new incarnation;
         the next answers tell.
+
+        The expiry of such an order may be far ahead on the new clock, and a start
+        extends the lease of all runs, so the target may hold the longest lease.
         """
         target = self.target
         if target.incarnation_ms:
@@ -363,14 +366,19 @@
             target.last_acknowledged_end
         ) = 0
         listed_runs = {active.run for active in answer.active}
+        start_expires_ms = answer.target_time_ms + START_EXPIRY_MS
         for run in list(target.runs.values()):
-            if run.key in listed_runs:
-                run.order_expires_ms = answer.target_time_ms + START_EXPIRY_MS
-                continue
-            if run.confirmed and run.confirmed_at < sent:
+            if run.key in listed_runs or (run.confirmed and run.confirmed_at >= sent):
+                run.order_expires_ms = start_expires_ms
+            elif run.confirmed:
                 self.lose_run(run, "target restarted", crashed=True)
-            elif not run.confirmed and run.order_expires_ms:
+                continue
+            elif run.order_expires_ms:
                 self.stop_unconfirmed_start(run, answer)
+            else:
+                continue
+            longest_ms = self.targets.max_lease_seconds * MILLISECONDS
+            target.lease_ends_ms = start_expires_ms + longest_ms
 
     def stop_unconfirmed_start(self, run: RunRow, answer: RenewalAnswer) -> None:
         """Stop a start that was sent to the former incarnation and never confirmed.
--- a/src/egretloft/platform/program.py
+++ b/src/egretloft/platform/program.py
@@ -72,7 +72,7 @@
     return create_instance(
         identity,
         create_platform_row_store(settings.store_address),
-        create_platform_targets(),
+        create_platform_targets(settings.max_lease_seconds),
         create_platform_row_decoder(),
         peers,
         create_system_clock(),
--- a/src/egretloft/platform/settings.py
+++ b/src/egretloft/platform/settings.py
@@ -19,7 +19,8 @@
     Addresses are ``IP:PORT``. ``first_peer_port`` is the first port of the range for
     connections between instances. ``processors`` is the processor capacity of the
     machine, in cores. ``in_force_seconds`` is the time after which a change of the
-    configuration has to be in force on every instance.
+    configuration has to be in force on every instance. Targets shorten longer leases to
+    ``max_lease_seconds``.
     """
 
     instance_id: str
@@ -33,6 +34,7 @@
     grace_seconds: float
     processors: float
     in_force_seconds: float
+    max_lease_seconds: float
 
 
 REQUIRED_SETTINGS = (
@@ -80,6 +82,8 @@
             * float(fields.get("limits.cpu_cores", "1")),
             in_force_seconds=float(fields.get("parameters.config_apply_ms", "4000"))
             / MILLISECONDS,
+            max_lease_seconds=float(fields.get("parameters.hold_max_ms", "10000"))
+            / MILLISECONDS,
         )
     except ValueError as error:
         return Failure(f"a setting is not a number: {error}")
--- a/src/egretloft/platform/targets.py
+++ b/src/egretloft/platform/targets.py
@@ -107,7 +107,8 @@
 class PlatformTargets:
     """Calls runners, each with its own session."""
 
-    def __init__(self) -> None:
+    def __init__(self, max_lease_seconds: float) -> None:
+        self.max_lease_seconds = max_lease_seconds
         self.sessions: dict[str, ReconnectingSession] = {}
 
     def session(self, target: TargetReport) -> ReconnectingSession:
@@ -252,6 +253,6 @@
     return TargetFailure(kind, message, refusal, math.floor(wire.server_time_ms))
 
 
-def create_platform_targets() -> PlatformTargets:
+def create_platform_targets(max_lease_seconds: float) -> PlatformTargets:
     """Return the targets; needs a running event loop."""
-    return PlatformTargets()
+    return PlatformTargets(max_lease_seconds)
--- a/tests/lib/busy_targets.py
+++ b/tests/lib/busy_targets.py
@@ -37,6 +37,7 @@
 
     def __init__(self, targets: Targets, seconds: float) -> None:
         self.targets = targets
+        self.max_lease_seconds = targets.max_lease_seconds
         self.seconds = seconds
         self.timeouts = 0
 
--- a/tests/unit/adapter/test_calls.py
+++ b/tests/unit/adapter/test_calls.py
@@ -34,7 +34,7 @@
 from standins.fleet.checker import Checker, JobTruth
 from standins.fleet.http import HttpPlatform
 from standins.fleet.store import EmulatedStore, StoreMode
-from standins.fleet.targets import EmulatedTarget
+from standins.fleet.targets import MAX_LEASE_SECONDS, EmulatedTarget
 
 JOB = "00000000000000aa"
 KEY = RowKey("jobs", "egretloft", "one")
@@ -140,7 +140,7 @@
 
 async def test_run_starts_once_and_its_end_is_listed(platform: HttpPlatform) -> None:
     report = await wait_for_report(platform)
-    targets = create_platform_targets()
+    targets = create_platform_targets(MAX_LEASE_SECONDS)
     first = (await targets.renew(report, 1, 0, None, 0.0, 1.0)).unwrap()
     expires = first.target_time_ms + 2000
     for _ in range(2):
@@ -155,7 +155,7 @@
 
 async def test_refusals_of_a_target_are_told_apart(platform: HttpPlatform) -> None:
     report = await wait_for_report(platform)
-    targets = create_platform_targets()
+    targets = create_platform_targets(MAX_LEASE_SECONDS)
     now = (await targets.renew(report, 3, 0, None, 0.0, 1.0)).unwrap().target_time_ms
     late = (await targets.start(report, order(5, 3, now - 1), 1.0)).failure()
     assert late.refusal is StartRefusal.LATE
@@ -170,6 +170,8 @@
 async def test_order_without_an_answer_is_unknown(platform: HttpPlatform) -> None:
     report = await wait_for_report(platform)
     platform.targets["i-1"].silent = True
-    result = await create_platform_targets().renew(report, 1, 0, None, 0.0, 0.2)
+    result = await create_platform_targets(MAX_LEASE_SECONDS).renew(
+        report, 1, 0, None, 0.0, 0.2
+    )
     assert isinstance(result, Failure)
     assert result.failure().kind is TargetFailureKind.UNKNOWN
--- a/tests/unit/fleet/test_end_numbers.py
+++ b/tests/unit/fleet/test_end_numbers.py
@@ -27,6 +27,7 @@
 
     def __init__(self, targets: Targets) -> None:
         self.targets = targets
+        self.max_lease_seconds = targets.max_lease_seconds
 
     async def start(
         self, target: TargetReport, order: StartOrder, timeout_seconds: float
--- a/tests/unit/fleet/test_unanswered_starts.py
+++ b/tests/unit/fleet/test_unanswered_starts.py
@@ -36,6 +36,7 @@
 
     def __init__(self, inner: Targets, target_id: str) -> None:
         self.inner = inner
+        self.max_lease_seconds = inner.max_lease_seconds
         self.target_id = target_id
         self.asked: set[RunKey] = set()
         self.stop = inner.stop
@@ -188,6 +189,30 @@
     assert run_virtual(main())
 
 
+@pytest.mark.parametrize("seed", range(6))
+def test_order_from_before_a_restart_may_bring_the_longest_lease(seed: int) -> None:
+    """Guards against a second start while a cut-off target still holds that lease.
+
+    The expiry of the order is far ahead on the new clock of the target.
+    """
+
+    async def main() -> float | None:
+        world = build_world(seed=seed)
+        await world.start()
+        await asyncio.sleep(5.0)
+        for target in world.targets.values():
+            target.crash()
+        await asyncio.sleep(0.5)
+        result = await world.submit(job_id(1), single_step(1, WHOLE), 9.0)
+        assert isinstance(result, Success)
+        await asyncio.sleep(1.0)
+        for target in world.targets.values():
+            target.cut = bool(target.runs)
+        return await seconds_until_complete(world)
+
+    assert run_virtual(main())
+
+
 @pytest.mark.parametrize("tasks", [1, 2, 4])
 def test_job_runs_beside_a_target_that_refuses_after_it_gave_no_answer(
     tasks: int,
--- a/tools/standins/fleet/targets.py
+++ b/tools/standins/fleet/targets.py
@@ -424,6 +424,7 @@
     lost_answer_share: float = 0.0
     cut_from: set[str] = field(default_factory=set)
     is_separated: Callable[[str], bool] = never_separated
+    max_lease_seconds: float = MAX_LEASE_SECONDS
     late_orders: set[asyncio.Task[None]] = field(default_factory=set)
 
     async def reach(
