--- a/src/egretloft/_internal/fleet/models.py
+++ b/src/egretloft/_internal/fleet/models.py
@@ -224,7 +224,8 @@
 class RenewalAnswer:
     """Answer to a lease renewal: the target's clock, active runs and ended runs.
 
-    ``unreadable`` counts the listed runs and ends that could not be decoded.
+    ``unreadable`` counts the listed runs and ends that could not be decoded. Without
+    ``lists_all_ends`` there may be ends after the last one of ``ends``.
     """
 
     target_time_ms: int
@@ -232,6 +233,7 @@
     active: tuple[ActiveRun, ...]
     ends: tuple[RunEnd, ...]
     unreadable: int = 0
+    lists_all_ends: bool = True
 
 
 class StartRefusal(StrEnum):
--- a/src/egretloft/_internal/fleet/sessions.py
+++ b/src/egretloft/_internal/fleet/sessions.py
@@ -164,12 +164,13 @@
     def needs_renewal(self) -> bool:
         """Return whether to fence the target, keep runs or acknowledge ends.
 
-        An unreachable target is also asked, to notice its return, and a watched one.
+        An unreachable target is also asked, to notice its return, a watched one, and
+        one that has more ends than it could list.
         """
         target = self.target
         if not target.fenced or target.runs or not target.reachable:
             return True
-        if self.is_watched():
+        if self.is_watched() or not target.lists_all_ends:
             return True
         return target.last_applied_end > target.last_acknowledged_end
 
@@ -220,7 +221,11 @@
         # A run may have started while this waited.
         expires_at_ms = self.lease_expiry_ms()
         wait = 0.0
-        if target.fenced and target.last_applied_end <= target.last_recorded_end:
+        if (
+            target.fenced
+            and target.lists_all_ends
+            and target.last_applied_end <= target.last_recorded_end
+        ):
             if expires_at_ms is not None:
                 wait = self.renewal_wait_seconds()
             elif self.is_watched() and not target.runs:
@@ -331,6 +336,7 @@
         was_fenced = target.fenced
         target.fenced = True
         target.listed_ends = len(answer.ends)
+        target.lists_all_ends = answer.lists_all_ends
         self.apply_ends(answer)
         self.apply_active_runs(answer, now)
         self.apply_missing_runs(answer, sent)
@@ -516,8 +522,11 @@
         """Remove runs that are not listed and cannot be active on the target.
 
         Stops confirmed and runs started after the renewal was ``sent`` are not judged
-        by its answer, which may be older than they are.
+        by its answer, which may be older than they are. Neither is any run while the
+        target has more ends than it could list: the end of the run may be among these.
         """
+        if not answer.lists_all_ends:
+            return
         target = self.target
         listed_runs = {active.run for active in answer.active}
         for run in list(target.runs.values()):
--- a/src/egretloft/platform/targets.py
+++ b/src/egretloft/platform/targets.py
@@ -37,6 +37,8 @@
     WireStop,
 )
 
+# A runner lists at most so many of the ends that it still holds, the oldest ones.
+MAX_LISTED_ENDS = 500
 OK = 200
 CONFLICT = 409
 OTHER_INCARNATION_STATUS = 421
@@ -225,6 +227,7 @@
             tuple(active),
             tuple(ends),
             unreadable,
+            lists_all_ends=len(wire.finished) < MAX_LISTED_ENDS,
         )
     )
 
--- a/tests/unit/adapter/test_malformed_input.py
+++ b/tests/unit/adapter/test_malformed_input.py
@@ -25,6 +25,7 @@
 from egretloft.platform.rows import decode_page
 from egretloft.platform.settings import parse_settings
 from egretloft.platform.targets import (
+    MAX_LISTED_ENDS,
     classify_failure,
     decode_renewal_answer,
     decode_target_time,
@@ -141,6 +142,16 @@
         assert end.number >= 0
 
 
+@pytest.mark.parametrize("count", [MAX_LISTED_ENDS - 1, MAX_LISTED_ENDS])
+def test_a_full_list_of_ends_is_not_taken_for_all_ends(count: int) -> None:
+    """Guards against ends that a runner holds back as its list is full."""
+    rows = [[number, RUN, 1, "done", ""] for number in range(1, count + 1)]
+    answer = decode_renewal_answer(
+        json.dumps({**HOLD_ANSWER, "finished": rows}).encode()
+    )
+    assert answer.unwrap().lists_all_ends == (count < MAX_LISTED_ENDS)
+
+
 def test_an_unreadable_row_of_a_renewal_answer_costs_only_itself() -> None:
     """Guards against a target that is lost because of one strange row."""
     answer = {
--- a/tools/standins/fleet/checker.py
+++ b/tools/standins/fleet/checker.py
@@ -10,6 +10,7 @@
     EndKind,
     JobSpec,
     Resources,
+    RunEnd,
     RunKey,
     StepKey,
     TaskKey,
@@ -70,6 +71,8 @@
         self.violations: list[str] = []
         self.running: dict[TaskKey, list[RunTruth]] = {}
         self.acknowledged_done: set[TaskKey] = set()
+        self.done_runs: dict[TaskKey, list[RunKey]] = {}
+        self.started_after_done: dict[RunKey, list[RunKey]] = {}
         self.done: set[TaskKey] = set()
         self.failures: dict[TaskKey, int] = {}
         self.acknowledged_failures: dict[TaskKey, int] = {}
@@ -87,7 +90,8 @@
 
         Its job must have been submitted (UNASKED) and not refused (REFUSED). The task
         must have no other active run and no acknowledged completion (TWICE), and
-        attempts left (BUDGET). All steps that it depends on must be done (ORDER).
+        attempts left (BUDGET). All steps that it depends on must be done (ORDER). A
+        start after an end as done that is acknowledged later is reported then.
         """
         self.starts += 1
         task = run.key.task
@@ -114,6 +118,8 @@
             before = StepKey(task.step.job_id, task.step.occurrence, number)
             if not self.is_step_done(before, truth):
                 self.report("ORDER", f"{task}", at)
+        for done in self.done_runs.get(task, ()):
+            self.started_after_done.setdefault(done, []).append(run.key)
         others.append(run)
 
     def is_step_done(self, step: StepKey, truth: JobTruth) -> bool:
@@ -130,20 +136,23 @@
         if kind is EndKind.FAILED:
             self.failures[task] = self.failures.get(task, 0) + 1
         if kind is EndKind.DONE:
+            self.done_runs.setdefault(task, []).append(run.key)
             truth = self.jobs[task.step.job_id]
             step = truth.spec.steps[task.step.step]
             indexes = range(step.tasks) if step.gang else (task.index,)
             self.done.update(TaskKey(task.step, index) for index in indexes)
 
-    def on_acknowledged(
-        self, task: TaskKey, kind: EndKind, lease_expired: bool
-    ) -> None:
+    def on_acknowledged(self, end: RunEnd, lease_expired: bool, at: float) -> None:
         """Record that the scheduler acknowledged the end of a run.
 
         ``lease_expired`` tells whether the target's lease expired after the run ended.
+        If it did not, the task must not have started after an end as done (TWICE).
         """
+        task, kind = end.run.task, end.kind
         if kind is EndKind.DONE and not lease_expired:
             self.acknowledged_done.add(task)
+            for started in self.started_after_done.pop(end.run, ()):
+                self.report("TWICE", f"{started} started after {end.run} was done", at)
         if kind is EndKind.FAILED:
             self.acknowledged_failures[task] = (
                 self.acknowledged_failures.get(task, 0) + 1
--- a/tools/standins/fleet/targets.py
+++ b/tools/standins/fleet/targets.py
@@ -30,6 +30,7 @@
 
 ONE_WAY_DELAY_SECONDS = 0.004
 STOP_DELAY_SECONDS = 0.3
+MAX_LISTED_ENDS = 500
 GANG_TIMEOUT_SECONDS = 3.0
 MAX_LEASE_SECONDS = 6.0
 # Slowdown of a gang that asked for a single rack but was placed on several.
@@ -62,6 +63,8 @@
     not register either; with ``fails_all`` every run fails, and with ``stalls_all`` no
     run makes progress. With ``loses_starts`` no start arrives, while all other calls
     are answered; starts are answered ``start_answer_delay_seconds`` late.
+
+    It lists the first ``max_listed_ends`` of the ends that are not acknowledged.
     """
 
     def __init__(
@@ -97,6 +100,7 @@
         self.stalls_all = False
         self.loses_starts = False
         self.start_answer_delay_seconds = 0.0
+        self.max_listed_ends = MAX_LISTED_ENDS
         self.draining = False
         self.leaves_at: float | None = None
         self.removed = False
@@ -366,8 +370,7 @@
             self.extend(expires_ms)
         for item in self.ends:
             if item.end.number <= last_recorded_end:
-                task = item.end.run.task
-                self.checker.on_acknowledged(task, item.end.kind, item.lease_expired)
+                self.checker.on_acknowledged(item.end, item.lease_expired, self.now())
         self.ends = [item for item in self.ends if item.end.number > last_recorded_end]
         return None
 
@@ -380,8 +383,14 @@
             )
             for run in self.runs.values()
         )
-        ends = tuple(item.end for item in self.ends)
-        return RenewalAnswer(self.time_ms(), self.incarnation_ms, active, ends)
+        ends = tuple(item.end for item in self.ends[: self.max_listed_ends])
+        return RenewalAnswer(
+            self.time_ms(),
+            self.incarnation_ms,
+            active,
+            ends,
+            lists_all_ends=len(ends) < self.max_listed_ends,
+        )
 
 
 def progress_percent(run: RunTruth, now: float, stalled: bool) -> int:
