--- a/src/egretloft/_internal/fleet/leader.py
+++ b/src/egretloft/_internal/fleet/leader.py
@@ -514,7 +514,9 @@
         """End the recovery once no unknown run of an earlier term can be active.
 
         That is when every target that an earlier leader may have used is fenced, or
-        when all leases that it may have granted have expired.
+        when all leases that it may have granted have expired. Ends are not lost with
+        the lease, so a target that has yet to list some of them is waited for as long
+        as it can be reached.
         """
         if not self.recovering:
             return
@@ -523,7 +525,10 @@
             for target in self.tables.targets.values()
             if target.used_before and not target.fenced
         ]
-        if not unfenced or now >= self.recovery_deadline:
+        has_more_ends = any(
+            target.reachable and not target.lists_all_ends for target in unfenced
+        )
+        if not unfenced or (now >= self.recovery_deadline and not has_more_ends):
             self.recovering = False
             self.decision_needed = True
             for job in self.tables.open_jobs.values():
@@ -540,6 +545,8 @@
                 continue
             if not target.fenced and self.recovering:
                 continue
+            if not target.lists_all_ends and not target.failed_renewals:
+                continue
             if (
                 target.last_applied_end > target.last_acknowledged_end
                 and not target.failed_renewals
--- a/src/egretloft/_internal/fleet/sessions.py
+++ b/src/egretloft/_internal/fleet/sessions.py
@@ -334,7 +334,8 @@
             target.last_acknowledged_end, acknowledged_end
         )
         was_fenced = target.fenced
-        target.fenced = True
+        # What runs, and what has ended, is known only from a complete answer.
+        target.fenced = was_fenced or answer.lists_all_ends
         target.listed_ends = len(answer.ends)
         target.lists_all_ends = answer.lists_all_ends
         self.apply_ends(answer)
--- a/src/egretloft/_internal/fleet/tables.py
+++ b/src/egretloft/_internal/fleet/tables.py
@@ -267,12 +267,13 @@
 
     ``listed`` tells whether the platform's list contains it, ``recorded`` whether the
     store holds it as a target that may have runs, ``used_before`` whether it did when
-    the term began, ``fenced`` whether it has seen this leader's epoch.
-    ``lease_ends_ms`` is the end of the longest lease that was granted, on the target's
-    clock. ``last_applied_end``, ``last_recorded_end`` and ``last_acknowledged_end`` are
-    the highest numbers of the target's ends that were applied to the tables, recorded
-    in the store and acknowledged to the target; ``listed_ends`` is how many ends its
-    last answer listed, and ``lists_all_ends`` whether these were all.
+    the term began, ``fenced`` whether it has seen this leader's epoch and has then
+    listed all that it holds. ``lease_ends_ms`` is the end of the longest lease that was
+    granted, on the target's clock. ``last_applied_end``, ``last_recorded_end`` and
+    ``last_acknowledged_end`` are the highest numbers of the target's ends that were
+    applied to the tables, recorded in the store and acknowledged to the target;
+    ``listed_ends`` is how many ends its last answer listed, and ``lists_all_ends``
+    whether these were all.
     ``failed_renewals`` counts the consecutive lease renewals that have failed.
     ``stalling`` tells whether a run on the target makes no progress. ``leaves_at`` is
     the boot time at which a draining target leaves at the earliest, if it has said so.
--- a/tests/lib/zone_storm.py
+++ b/tests/lib/zone_storm.py
@@ -1,4 +1,7 @@
-"""A storm of faults in which availability zones are cut off from each other."""
+"""A storm of faults in which availability zones are cut off from each other.
+
+Targets list only a few of their ends at a time.
+"""
 
 from __future__ import annotations
 
@@ -12,6 +15,8 @@
 ZONES = ("zone-a", "zone-b", "zone-c")
 # So that most storms have several cuts.
 CUTS_AMONG_FAULTS = 4
+# So that ends pile up beyond what a target lists.
+LISTED_ENDS = 3
 
 
 class ZoneStorm(Storm):
@@ -19,7 +24,7 @@
 
     def build_world(self, seed: int) -> FleetWorld:
         """Return a fleet with two instances and three targets in each zone."""
-        return FleetWorld(
+        world = FleetWorld(
             seed,
             fake_peers_factory(PeerHub()),
             instance_count=6,
@@ -28,6 +33,9 @@
             checker=self.checker,
             spreads_instances=True,
         )
+        for target in world.targets.values():
+            target.max_listed_ends = LISTED_ENDS
+        return world
 
     def faults(self) -> list[Fault]:
         return [
--- a/tests/unit/fleet/test_unlisted_ends.py
+++ b/tests/unit/fleet/test_unlisted_ends.py
@@ -4,6 +4,7 @@
 
 import asyncio
 
+import pytest
 from returns.result import Success
 
 from egretloft._internal.fleet.models import JobState
@@ -56,3 +57,24 @@
         await check_all_complete_once(world)
 
     run_virtual(main())
+
+
+@pytest.mark.parametrize("restarts", [False, True])
+def test_new_leader_waits_for_all_ends_before_it_starts_anything(
+    restarts: bool,
+) -> None:
+    """Guards against a first answer that is cut off and taken for a fence."""
+
+    async def main() -> None:
+        world = await start_jobs()
+        leading = world.leader_name()
+        assert leading is not None
+        world.store.mode = StoreMode.SILENT
+        await asyncio.sleep(WORK_SECONDS)
+        await world.kill(leading)
+        world.store.mode = StoreMode.WORKS
+        if restarts:
+            await world.start_instance(leading)
+        await check_all_complete_once(world)
+
+    run_virtual(main())
