--- a/src/egretloft/_internal/fleet/intake.py
+++ b/src/egretloft/_internal/fleet/intake.py
@@ -71,6 +71,7 @@
     STORE_UNAVAILABLE = "store_unavailable"
     OUTCOME_UNKNOWN = "outcome_unknown"
     NO_SUCH_JOB = "no_such_job"
+    CANCELLED = "cancelled"
     UNSUPPORTED = "unsupported"
 
 
@@ -163,8 +164,11 @@
             spec=spec,
         )
         key = job_key(job_id)
+        # A cancel request that is there already ends the job, however late this write
+        # is carried out.
         transaction = RowTransaction(
-            (Expectation(key, 0),), ((key, codec.encode(accepted)),)
+            (Expectation(key, 0), Expectation(cancel_key(job_id), 0)),
+            ((key, codec.encode(accepted)),),
         )
         result = await self.write(transaction, deadline)
         if isinstance(result, Success):
@@ -172,6 +176,9 @@
             return Success(True)
         failure = result.failure()
         if failure.kind is StoreFailureKind.CONFLICT:
+            if is_cancelled_before_submission(job_id, failure.rows):
+                self.log_decision("job cancelled before", job_id, caller)
+                return Failure(cancelled_before_submission(job_id))
             self.log_decision("job known already", job_id, caller)
             return Success(False)
         refusal = self.write_refusal(failure, deadline)
@@ -266,15 +273,18 @@
     async def cancel(
         self, job_id: str, deadline: float
     ) -> Result[JobState, IntakeRefusal]:
-        """Store a cancel request; the leader then stops the job's runs."""
+        """Store a cancel request; the leader then stops the job's runs.
+
+        A request for an unknown job is stored too, and the answer is that there is no
+        such job: a write of the job may be under way, and must not take effect later.
+        """
         found = await self.find(job_id)
         if isinstance(found, Failure):
             return Failure(self.store_unavailable(found.failure().message, deadline))
         job = found.unwrap()
         if job is None:
             log.info("cancel request for an unknown job", request_id=job_id)
-            return Failure(no_such_job(job_id))
-        if job.cancelled or job.state() in TERMINAL_STATES:
+        elif job.cancelled or job.state() in TERMINAL_STATES:
             return Success(job.state())
         key = cancel_key(job_id)
         request = CancelRequest(int(self.clock.wall() * MILLISECONDS))
@@ -292,6 +302,8 @@
                 )
                 return Failure(self.write_refusal(failure, deadline))
         log.info("cancel request stored", request_id=job_id)
+        if job is None:
+            return Failure(no_such_job(job_id))
         return Success(JobState.CANCELLED)
 
     def store_unavailable(
@@ -344,6 +356,19 @@
     )
 
 
+def is_cancelled_before_submission(job_id: str, rows: tuple[StoredRow, ...]) -> bool:
+    """Return whether the rows of a conflict hold a cancel request and no job."""
+    present = {row.key for row in rows if row.version}
+    return cancel_key(job_id) in present and job_key(job_id) not in present
+
+
+def cancelled_before_submission(job_id: str) -> IntakeRefusal:
+    """Return the refusal for a job that never runs, as its cancellation came first."""
+    return IntakeRefusal(
+        IntakeRefusalKind.CANCELLED, f"job {job_id} was cancelled before"
+    )
+
+
 def no_such_job(job_id: str) -> IntakeRefusal:
     """Return the refusal for a job that the store does not hold."""
     return IntakeRefusal(IntakeRefusalKind.NO_SUCH_JOB, f"no job {job_id}")
--- a/src/egretloft/_internal/fleet/leader.py
+++ b/src/egretloft/_internal/fleet/leader.py
@@ -568,6 +568,9 @@
                 continue
             self.tables.remove_job(job)
             self.recorder.forget_job(job.accepted.job_id, job.cancelled)
+        cancelled_id = self.reader.take_expired_cancel(cutoff_ms)
+        if cancelled_id is not None:
+            self.recorder.forget_job(cancelled_id, cancelled=True)
 
     def waiting_counts(self) -> dict[str, int]:
         """Return the number of jobs per queue that have not started."""
--- a/src/egretloft/_internal/fleet/state_reader.py
+++ b/src/egretloft/_internal/fleet/state_reader.py
@@ -13,7 +13,12 @@
 from egretloft._internal.fleet.lifecycle import update_state
 from egretloft._internal.fleet.models import Resources, TargetReport
 from egretloft._internal.fleet.recorder import Recorder
-from egretloft._internal.fleet.records import AcceptedJob, JobProgress, UsedTarget
+from egretloft._internal.fleet.records import (
+    AcceptedJob,
+    CancelRequest,
+    JobProgress,
+    UsedTarget,
+)
 from egretloft._internal.fleet.supervision import apply_each
 from egretloft._internal.fleet.tables import FleetTables, JobRow, TargetRow
 from egretloft._internal.metrics import Metrics
@@ -61,6 +66,9 @@
         self.metrics = metrics
         # Jobs of which the row cannot be decoded, perhaps as another build wrote it.
         self.unreadable_jobs: set[str] = set()
+        # Cancel requests that came before their jobs, with their Unix times in
+        # milliseconds.
+        self.early_cancels: dict[str, int] = {}
 
     def add_used_target(self, row: StoredRow) -> None:
         """Add a target to which an earlier leader may have given work.
@@ -169,7 +177,9 @@
             by_suffix[job_row_suffix(row)].append(row)
         apply_each(by_suffix[""], self.add_job, self.metrics)
         apply_each(by_suffix[PROGRESS_SUFFIX], self.restore_job, self.metrics)
-        apply_each(by_suffix[CANCEL_SUFFIX], self.cancel_job, self.metrics)
+        apply_each(by_suffix[CANCEL_SUFFIX], self.on_cancel_request, self.metrics)
+        if self.early_cancels:
+            apply_each(by_suffix[""], self.cancel_late_job, self.metrics)
         self.owner.wake_scheduler()
 
     def add_job(self, row: StoredRow) -> None:
@@ -221,11 +231,39 @@
         if job.is_final():
             self.tables.close_job(job)
 
-    def cancel_job(self, row: StoredRow) -> None:
-        """Apply a cancel request."""
+    def on_cancel_request(self, row: StoredRow) -> None:
+        """Apply a cancel request, or keep it until its job is read."""
         job_id = row.key.key.removesuffix(CANCEL_SUFFIX)
         job = self.tables.jobs.get(job_id)
-        if job is None or job.cancelled:
+        if job is not None:
+            self.cancel_job(job, row.version)
+        elif job_id not in self.unreadable_jobs:
+            record = codec.decode(row.value or b"", CancelRequest)
+            at_ms = 0 if isinstance(record, Failure) else record.unwrap().at_ms
+            self.early_cancels[job_id] = at_ms
+
+    def cancel_late_job(self, row: StoredRow) -> None:
+        """Cancel a job whose cancel request was read before the job."""
+        job = self.tables.jobs.get(row.key.key)
+        if job is not None and self.early_cancels.pop(row.key.key, None) is not None:
+            self.cancel_job(job, row.version)
+
+    def take_expired_cancel(self, cutoff_ms: float) -> str | None:
+        """Return a job that was cancelled before ``cutoff_ms`` and never came.
+
+        It is forgotten. ``None`` means that there is no such job.
+        """
+        if not self.early_cancels:
+            return None
+        job_id, at_ms = next(iter(self.early_cancels.items()))
+        if at_ms >= cutoff_ms:
+            return None
+        del self.early_cancels[job_id]
+        return job_id
+
+    def cancel_job(self, job: JobRow, version: int) -> None:
+        """Cancel a job; ``version`` is that of the row that led to it."""
+        if job.cancelled:
             return
         job.cancelled = True
         self.tables.touch(job)
@@ -234,8 +272,8 @@
         update_state(job)
         log.info(
             "job cancelled",
-            request_id=job_id,
-            version=row.version,
+            request_id=job.accepted.job_id,
+            version=version,
             state=job.state.value,
         )
         self.owner.on_job_changed(job)
--- a/src/egretloft/platform/ingress.py
+++ b/src/egretloft/platform/ingress.py
@@ -38,6 +38,7 @@
     IntakeRefusalKind.STORE_UNAVAILABLE: 503,
     IntakeRefusalKind.OUTCOME_UNKNOWN: 504,
     IntakeRefusalKind.NO_SUCH_JOB: 410,
+    IntakeRefusalKind.CANCELLED: 503,
     IntakeRefusalKind.UNSUPPORTED: 503,
 }
 
--- a/tests/lib/fleet_faults.py
+++ b/tests/lib/fleet_faults.py
@@ -19,7 +19,7 @@
 from standins.fleet.checker import Checker, RunTruth
 from standins.fleet.store import StoreMode
 from standins.fleet.targets import EmulatedTarget
-from standins.fleet.world import FleetWorld
+from standins.fleet.world import FleetWorld, is_cancel_acknowledged
 
 TRAFFIC_SECONDS = 15.0
 JOBS = 24
@@ -111,7 +111,7 @@
 
     def __init__(self, seed: int) -> None:
         self.generator = random.Random(seed)
-        self.checker = StormChecker()
+        self.checker = self.build_checker()
         self.world = self.build_world(seed)
         self.checker.zone_of = {
             target.target_id: target.zone for target in self.world.targets.values()
@@ -122,6 +122,10 @@
         self.busy_targets: set[str] = set()
         self.idle_jobs = IdleJobs(self.world, self.is_usable, self.owed_jobs)
 
+    def build_checker(self) -> StormChecker:
+        """Return the checker of the storm."""
+        return StormChecker()
+
     def build_world(self, seed: int) -> FleetWorld:
         """Return the fleet on which the storm is played."""
         return FleetWorld(
@@ -221,8 +225,8 @@
     async def cancel(self, name: str) -> None:
         """Cancel a job, until the answer confirms it."""
         for _ in range(SUBMIT_TRIES):
-            if self.world.processes and isinstance(
-                await self.world.cancel(name), Success
+            if self.world.processes and is_cancel_acknowledged(
+                await self.world.cancel(name)
             ):
                 return
             await asyncio.sleep(0.7)
--- a/tests/unit/fleet/test_random_faults.py
+++ b/tests/unit/fleet/test_random_faults.py
@@ -9,6 +9,7 @@
 
 import pytest
 
+from lib.cancel_storm import play_cancel_storm
 from lib.crash_storm import play_crash_storm
 from lib.fleet_faults import failure_text, play_storm
 from lib.virtual_time import run_virtual
@@ -69,3 +70,10 @@
     assert not report.violations, failure_text(report)
     assert not report.unfinished, failure_text(report)
     assert report.accepted
+
+
+@pytest.mark.parametrize("seed", chosen_seeds())
+def test_cancelled_jobs_do_not_run_however_late_writes_are_done(seed: int) -> None:
+    report = run_virtual(play_cancel_storm(seed))
+    assert not report.violations, failure_text(report)
+    assert not report.unfinished, failure_text(report)
--- a/tools/standins/fleet/world.py
+++ b/tools/standins/fleet/world.py
@@ -12,7 +12,11 @@
 
 from egretloft._internal import codec
 from egretloft._internal.fleet.instance import Identity, Instance, create_instance
-from egretloft._internal.fleet.intake import Caller, IntakeRefusal
+from egretloft._internal.fleet.intake import (
+    Caller,
+    IntakeRefusal,
+    IntakeRefusalKind,
+)
 from egretloft._internal.fleet.interfaces import StoredRow, Targets
 from egretloft._internal.fleet.models import (
     Configuration,
@@ -359,11 +363,14 @@
         return await intake.submit(self.caller(queue), job_id, spec, deadline)
 
     async def cancel(self, job_id: str) -> Result[JobState, IntakeRefusal]:
-        """Cancel a job at the first instance that runs."""
+        """Cancel a job at the first instance that runs.
+
+        That the job is unknown acknowledges the cancellation as well.
+        """
         process = next(iter(self.processes.values()))
         deadline = self.clock.boottime() + 3.0
         result = await process.instance.intake.cancel(job_id, deadline)
-        if isinstance(result, Success):
+        if is_cancel_acknowledged(result):
             self.checker.jobs[job_id].cancelled_at = self.clock.boottime()
         return result
 
@@ -385,6 +392,13 @@
         return None
 
 
+def is_cancel_acknowledged(result: Result[JobState, IntakeRefusal]) -> bool:
+    """Return whether a caller who gets this answer need not cancel again."""
+    if isinstance(result, Success):
+        return True
+    return result.failure().kind is IntakeRefusalKind.NO_SUCH_JOB
+
+
 def queue(name: str, priority: int) -> Queue:
     """Return a queue of the emulated service."""
     return Queue(
