--- a/src/egretloft/_internal/fleet/election.py
+++ b/src/egretloft/_internal/fleet/election.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -109,6 +110,9 @@
         self.pledged_until = 0.0
         self.jitter = generator.uniform(0, CANDIDATE_JITTER_SECONDS)
         self.last_heartbeat_at = 0.0
+        # When the first heartbeat was sent of those without an answer since the last
+        # answer; ``None`` if there is none.
+        self.unanswered_since: float | None = None
 
     def on_rows(self, rows: tuple[StoredRow, ...]) -> None:
         """Apply the leader and heartbeat rows among ``rows``."""
@@ -320,6 +324,8 @@
         # If the answer is lost, other instances may still see this heartbeat and wait
         # only as long as it says.
         self.confirmed_for = min(self.confirmed_for, heartbeat.valid_seconds)
+        if self.unanswered_since is None:
+            self.unanswered_since = sent_at
         result = await self.store.commit(
             RowTransaction(
                 (
@@ -333,20 +339,34 @@
         if isinstance(result, Success):
             self.heartbeat, self.heartbeat_version = heartbeat, result.unwrap()
             self.heartbeat_changed_at = self.clock.boottime()
+            self.unanswered_since = None
             self.confirmed_at = sent_at
             self.confirmed_for = heartbeat.valid_seconds
             return True
         failure = result.failure()
         if failure.kind is StoreFailureKind.CONFLICT:
-            self.on_rows(failure.rows)
-            if self.term is not None and self.leader_version == term.leader_version:
-                # An earlier heartbeat whose answer was lost caused the conflict; the
-                # leader row is unchanged, so the term continues.
-                self.confirmed_at = sent_at
-                if self.heartbeat is not None:
-                    self.confirmed_for = self.heartbeat.valid_seconds
+            self.on_heartbeat_conflict(failure.rows, term, sent_at)
         return False
 
+    def on_heartbeat_conflict(
+        self, rows: tuple[StoredRow, ...], term: Term, sent_at: float
+    ) -> None:
+        """Go on if an earlier heartbeat whose answer was lost caused the conflict.
+
+        The leader row is unchanged then. The other instances count from that earlier
+        heartbeat, so it is the one that counts as confirmed, and the next is sent at
+        once. ``sent_at`` is when the conflicting one was sent.
+        """
+        self.on_rows(rows)
+        if self.term is None or self.leader_version != term.leader_version:
+            return
+        since = sent_at if self.unanswered_since is None else self.unanswered_since
+        self.unanswered_since = None
+        self.last_heartbeat_at = -math.inf
+        self.confirmed_at = max(self.confirmed_at, since)
+        if self.heartbeat is not None:
+            self.confirmed_for = self.heartbeat.valid_seconds
+
     async def release(self, successor: str = "") -> None:
         """End the term so that another instance, preferably ``successor``, takes over.
 
--- a/tests/unit/fleet/test_slow_store.py
+++ b/tests/unit/fleet/test_slow_store.py
@@ -16,6 +16,7 @@
 )
 from lib.fleet_builders import build_world, job_id, single_step
 from lib.virtual_time import run_virtual
+from standins.fleet.store import EmulatedStore, StoreClient
 from standins.fleet.world import FleetWorld, LoopFleetClock
 
 # Factor on the latency of the store; a transaction then takes 0.4 s.
@@ -127,6 +128,40 @@
         return Failure(StoreFailure(StoreFailureKind.UNKNOWN, "no answer"))
 
 
+def test_a_conflict_confirms_only_the_heartbeat_that_caused_it() -> None:
+    """Guards against a leader that is confirmed for longer than the others wait.
+
+    They count from the heartbeat that took effect, whose answer was lost; the conflict
+    of the next one says nothing of the time since.
+    """
+
+    async def main() -> None:
+        store = EmulatedStore(random.Random(1))
+        election = create_election(
+            StoreClient(store),
+            LoopFleetClock(),
+            "a",
+            "life-1",
+            random.Random(1),
+            dict,
+            lambda: None,
+            lambda: 0.0,
+            lambda: True,
+        )
+        await election.campaign()
+        sent_at = asyncio.get_running_loop().time()
+        store.lost_answer_share = 1.0
+        await election.send_heartbeat(released=False)
+        store.lost_answer_share = 0.0
+        await election.send_heartbeat(released=False)
+        confirmed_until = election.confirmed_at + election.confirmed_for
+        assert confirmed_until <= sent_at + HEARTBEAT_TIMEOUT_SECONDS
+        await election.tick()
+        assert election.is_confirmed()
+
+    run_virtual(main())
+
+
 def test_a_shorter_heartbeat_binds_the_leader_even_if_its_answer_is_lost() -> None:
     """Guards against orders of a leader that another instance may have replaced.
 
