Connect a leader without the store to the members that it does not hear from

Cause: in a deployment of more than 12 instances, the leader hears from the others because they connect to it. One that restarts while the store is away knows no other instance, so it was silent, could not pledge, and the leader stopped.

Change: a leader that has lost the store connects to silent members itself, and keeps these connections until it reaches the store again.

Before: test_leader_hears_from_an_instance_that_restarts_without_the_store failed with 24 instances and passed with 9. After: both pass.

--- a/src/egretloft/_internal/fleet/instance.py
+++ b/src/egretloft/_internal/fleet/instance.py
@@ -137,6 +137,7 @@
             identity.instance_id,
             self.members.values,
             self.leader_id,
+            self.store.is_lost,
             peers,
             clock,
         )
--- a/src/egretloft/_internal/fleet/links.py
+++ b/src/egretloft/_internal/fleet/links.py
@@ -4,7 +4,8 @@
 that would make the cost of each instance grow with the number of instances, so an
 instance connects to the leader, to the best-ranked candidates for leadership and to one
 neighbour in each availability zone. The leader hears from all instances, because each
-of them connects to it.
+of them connects to it. One that restarts while the store cannot be reached knows no
+other instance, so the leader connects to those that it does not hear from meanwhile.
 """
 
 from __future__ import annotations
@@ -39,12 +40,14 @@
         own_id: str,
         members: Callable[[], Collection[InstanceRecord]],
         leader_id: Callable[[], str],
+        lacks_store: Callable[[], bool],
         peers: Peers,
         clock: FleetClock,
     ) -> None:
         self.own_id = own_id
         self.members = members
         self.leader_id = leader_id
+        self.lacks_store = lacks_store
         self.peers = peers
         self.clock = clock
         self.linked_since: dict[str, float] = {}
@@ -83,8 +86,21 @@
                 neighbours, is_missing, 1, MAX_NEIGHBOUR_LINKS
             ):
                 chosen[member.instance_id] = member
+        if leader_id == self.own_id and self.lacks_store():
+            chosen.update({m.instance_id: m for m in others if self.is_needed(m)})
         return list(chosen.values())
 
+    def is_needed(self, member: InstanceRecord) -> bool:
+        """Return whether the leader has to connect to an instance by itself.
+
+        A link that was opened for that stays, as the instance may know no other way.
+        """
+        instance_id = member.instance_id
+        return (
+            instance_id in self.linked_since
+            or instance_id not in self.peers.alive_ids()
+        )
+
     def is_missing(self, instance_id: str, now: float) -> bool:
         """Return whether a linked peer has not been heard from for too long."""
         since = self.linked_since.get(instance_id)
@@ -139,8 +155,12 @@
     own_id: str,
     members: Callable[[], Collection[InstanceRecord]],
     leader_id: Callable[[], str],
+    lacks_store: Callable[[], bool],
     peers: Peers,
     clock: FleetClock,
 ) -> Links:
-    """Return the links of one instance; ``leader_id`` is empty without a leader."""
-    return Links(own_id, members, leader_id, peers, clock)
+    """Return the links of one instance; ``leader_id`` is empty without a leader.
+
+    ``lacks_store`` tells whether this instance fails to reach the store itself.
+    """
+    return Links(own_id, members, leader_id, lacks_store, peers, clock)
--- a/tests/unit/fleet/test_links.py
+++ b/tests/unit/fleet/test_links.py
@@ -78,6 +78,7 @@
             own_id,
             self.members,
             lambda: self.leader,
+            lambda: False,
             StubPeers(self.lost),
             self.clock,
         )
--- a/tests/unit/fleet/test_pledges.py
+++ b/tests/unit/fleet/test_pledges.py
@@ -220,3 +220,41 @@
         assert world.checker.starts == 6
 
     run_virtual(main())
+
+
+@pytest.mark.parametrize("instance_count", [9, 24])
+def test_leader_hears_from_an_instance_that_restarts_without_the_store(
+    instance_count: int,
+) -> None:
+    """Guards against work that lapses, as a restarted instance knows no other one.
+
+    In a large deployment the leader is not connected to it otherwise.
+    """
+
+    async def main() -> None:
+        world = build_world(instance_count=instance_count)
+        await world.start()
+        accepted = await world.submit(job_id(1), single_step(6), OUTAGE_SECONDS + 4.0)
+        assert isinstance(accepted, Success)
+        await asyncio.sleep(1.0)
+        leading = world.leader_name()
+        assert leading is not None
+        linked = world.processes[leading].instance.links.linked_since
+        others = [name for name in world.processes if name != leading]
+        restarted = next((name for name in others if name not in linked), others[0])
+        world.store.mode = StoreMode.SILENT
+        await asyncio.sleep(NOTICE_SECONDS)
+        await world.kill(restarted)
+        await asyncio.sleep(0.3)
+        await world.start_instance(restarted)
+        await asyncio.sleep(NOTICE_SECONDS)
+        for _ in range(30):
+            assert authority_of_leader(world) is Authority.PLEDGED
+            await asyncio.sleep(0.1)
+        world.store.mode = StoreMode.WORKS
+        assert await world.wait_for_state(job_id(1), JobState.COMPLETE, 15.0)
+        await world.stop()
+        assert world.checker.violations == []
+        assert world.checker.starts == 6
+
+    run_virtual(main())
