--- a/tests/lib/fleet_builders.py
+++ b/tests/lib/fleet_builders.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+import random
 from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
 
-from egretloft._internal.fleet.interfaces import Targets
+from egretloft._internal.fleet.election import Election, create_election
+from egretloft._internal.fleet.interfaces import FleetClock, RowStore, Targets
 from egretloft._internal.fleet.models import (
     JobSpec,
     Resources,
@@ -75,6 +78,38 @@
     )
 
 
+@dataclass(slots=True)
+class StubClock:
+    """A clock that a test sets."""
+
+    now: float = 0.0
+
+    def boottime(self) -> float:
+        return self.now
+
+    def wall(self) -> float:
+        return self.now
+
+
+def build_election(
+    store: RowStore,
+    clock: FleetClock,
+    store_delay: Callable[[], float] = lambda: 0.0,
+) -> Election:
+    """Return the election of an instance that does not lead, without peers."""
+    return create_election(
+        store,
+        clock,
+        "instance-0",
+        "life-1",
+        random.Random(1),
+        dict,
+        lambda: None,
+        store_delay,
+        lambda: True,
+    )
+
+
 def job_id(number: int) -> str:
     """Return the id of the job with this number."""
     return f"{number:016x}"
--- a/tests/unit/fleet/test_links.py
+++ b/tests/unit/fleet/test_links.py
@@ -15,7 +15,7 @@
 )
 from egretloft._internal.fleet.models import JobState
 from egretloft._internal.fleet.records import InstanceRecord
-from lib.fleet_builders import build_world, job_id, single_step
+from lib.fleet_builders import StubClock, build_world, job_id, single_step
 from lib.peer_fakes import FakePeers, PeerHub
 from lib.virtual_time import run_virtual
 from standins.fleet.store import StoreMode
@@ -27,19 +27,6 @@
 LEADER = "instance-00"
 
 
-@dataclass(slots=True)
-class StubClock:
-    """A clock that a test sets."""
-
-    now: float = 0.0
-
-    def boottime(self) -> float:
-        return self.now
-
-    def wall(self) -> float:
-        return self.now
-
-
 class StubPeers(FakePeers):
     """Peers of which a test names those that are lost."""
 
--- a/tests/unit/fleet/test_pledges.py
+++ b/tests/unit/fleet/test_pledges.py
@@ -10,7 +10,7 @@
 import pytest
 from returns.result import Success
 
-from egretloft._internal.fleet.election import Election, Term, create_election
+from egretloft._internal.fleet.election import Term
 from egretloft._internal.fleet.leader import Authority
 from egretloft._internal.fleet.models import JobState
 from egretloft._internal.fleet.pledges import (
@@ -22,7 +22,13 @@
 )
 from egretloft._internal.fleet.records import LeaderRecord
 from egretloft._internal.peers.protocols import DatedHeartbeat
-from lib.fleet_builders import build_world, job_id, single_step
+from lib.fleet_builders import (
+    StubClock,
+    build_election,
+    build_world,
+    job_id,
+    single_step,
+)
 from lib.peer_fakes import FakePeers, PeerHub
 from lib.virtual_time import run_virtual
 from standins.fleet.store import EmulatedStore, StoreClient, StoreMode
@@ -36,19 +42,6 @@
 GONE_SECONDS = 8.0
 
 
-@dataclass(slots=True)
-class StubClock:
-    """A clock that a test sets."""
-
-    now: float = 100.0
-
-    def boottime(self) -> float:
-        return self.now
-
-    def wall(self) -> float:
-        return self.now
-
-
 class StubPeers(FakePeers):
     """Peers whose last heartbeats a test sets."""
 
@@ -60,32 +53,18 @@
         return [DatedHeartbeat(name, body, 0.0) for name, body in self.bodies.items()]
 
 
-def idle_election(clock: StubClock) -> Election:
-    """Return an election of an instance that does not lead."""
-    return create_election(
-        StoreClient(EmulatedStore(random.Random(1))),
-        clock,
-        "instance-0",
-        "life-1",
-        random.Random(1),
-        dict,
-        lambda: None,
-        lambda: 0.0,
-        lambda: True,
-    )
-
-
 @dataclass(slots=True)
 class OneInstance:
     """The pledges of instance-0, with two peers; it has lost the store."""
 
-    clock: StubClock = field(default_factory=StubClock)
+    clock: StubClock = field(default_factory=lambda: StubClock(100.0))
     peers: StubPeers = field(default_factory=StubPeers)
     lost: bool = True
     members: list[str] = field(default_factory=lambda: ["instance-1", "instance-2"])
 
     def pledges(self) -> Pledges:
-        election = idle_election(self.clock)
+        store = StoreClient(EmulatedStore(random.Random(1)))
+        election = build_election(store, self.clock)
         return create_pledges(
             self.peers, lambda: self.members, lambda: self.lost, election, self.clock
         )
--- a/tests/unit/fleet/test_slow_store.py
+++ b/tests/unit/fleet/test_slow_store.py
@@ -8,13 +8,12 @@
 from returns.result import Failure, Result, Success
 
 from egretloft._internal.fleet.constants import HEARTBEAT_TIMEOUT_SECONDS
-from egretloft._internal.fleet.election import create_election
 from egretloft._internal.fleet.interfaces import (
     RowTransaction,
     StoreFailure,
     StoreFailureKind,
 )
-from lib.fleet_builders import build_world, job_id, single_step
+from lib.fleet_builders import build_election, build_world, job_id, single_step
 from lib.virtual_time import run_virtual
 from standins.fleet.store import EmulatedStore, StoreClient
 from standins.fleet.world import FleetWorld, LoopFleetClock
@@ -137,17 +136,7 @@
 
     async def main() -> None:
         store = EmulatedStore(random.Random(1))
-        election = create_election(
-            StoreClient(store),
-            LoopFleetClock(),
-            "a",
-            "life-1",
-            random.Random(1),
-            dict,
-            lambda: None,
-            lambda: 0.0,
-            lambda: True,
-        )
+        election = build_election(StoreClient(store), LoopFleetClock())
         await election.campaign()
         sent_at = asyncio.get_running_loop().time()
         store.lost_answer_share = 1.0
@@ -172,16 +161,10 @@
     async def main() -> None:
         delays = [0.5]
         store = LossyStore()
-        election = create_election(
+        election = build_election(
             store,  # type: ignore[arg-type]
             LoopFleetClock(),
-            "a",
-            "life-1",
-            random.Random(1),
-            dict,
-            lambda: None,
             lambda: delays[0],
-            lambda: True,
         )
         await election.campaign()
         await asyncio.sleep(HEARTBEAT_TIMEOUT_SECONDS + 0.2)
--- a/tests/unit/fleet/test_table_indexes.py
+++ b/tests/unit/fleet/test_table_indexes.py
@@ -215,7 +215,9 @@
         if not self.tables.open_jobs:
             return
         job = self.generator.choice(list(self.tables.open_jobs.values()))
-        self.reader.on_cancel_request(StoredRow(cancel_key(job.accepted.job_id), b"", 1))
+        self.reader.on_cancel_request(
+            StoredRow(cancel_key(job.accepted.job_id), b"", 1)
+        )
 
     def advance(self) -> None:
         self.pass_time(self.generator.uniform(0.01, 1.2), 0.0)
--- a/tests/unit/fleet/test_unlisted_ends.py
+++ b/tests/unit/fleet/test_unlisted_ends.py
@@ -28,9 +28,7 @@
         target.max_listed_ends = LISTED_ENDS
     await world.start()
     for number in range(JOBS):
-        # A gang of one takes part in the recovery of a new leader.
-        spec = single_step(TASKS)
-        accepted = await world.submit(job_id(number), spec, WORK_SECONDS)
+        accepted = await world.submit(job_id(number), single_step(TASKS), WORK_SECONDS)
         assert isinstance(accepted, Success)
     await asyncio.sleep(0.5)
     assert world.checker.starts >= TARGETS * 2 * LISTED_ENDS
