Compute what is heard, and the leader's authority, once

The authority was assigned in two branches and evaluated twice for a start, and the lease after a restart was set once for each run. Behaviour is the same.

--- a/src/egretloft/_internal/fleet/leader.py
+++ b/src/egretloft/_internal/fleet/leader.py
@@ -185,11 +185,10 @@
         It has to know what operators ask for and what targets say of themselves, unless
         no instance reaches the store, as nobody can know then.
         """
-        if not self.may_issue_orders():
-            return False
-        if self.knowledge_age() <= MAX_KNOWLEDGE_AGE_SECONDS:
-            return True
-        return not self.election.is_confirmed()
+        authority = self.current_authority()
+        if authority is Authority.CONFIRMED:
+            return self.knowledge_age() <= MAX_KNOWLEDGE_AGE_SECONDS
+        return authority is Authority.PLEDGED
 
     def knowledge_age(self) -> float:
         """Return how long ago the rows of operators and targets were known to hold."""
@@ -466,15 +465,13 @@
 
     def note_authority(self, now: float) -> None:
         """Update why the leader may send orders, and log a change."""
-        authority = self.current_authority()
-        if authority is self.authority or not self.is_current():
-            self.authority = authority
+        former, self.authority = self.authority, self.current_authority()
+        if self.authority is former or not self.is_current():
             return
-        self.authority = authority
         log.warning(
             "leader's authority changed",
             epoch=self.epoch,
-            authority=authority.value,
+            authority=self.authority.value,
             confirmed_age=round(now - self.election.confirmed_at, 3),
             silent_members=len(self.store.silent_members()),
         )
--- a/src/egretloft/_internal/fleet/links.py
+++ b/src/egretloft/_internal/fleet/links.py
@@ -87,19 +87,16 @@
             ):
                 chosen[member.instance_id] = member
         if leader_id == self.own_id and self.lacks_store():
-            chosen.update({m.instance_id: m for m in others if self.is_needed(m)})
+            chosen.update({m.instance_id: m for m in self.unheard_members(others)})
         return list(chosen.values())
 
-    def is_needed(self, member: InstanceRecord) -> bool:
-        """Return whether the leader has to connect to an instance by itself.
+    def unheard_members(self, others: list[InstanceRecord]) -> list[InstanceRecord]:
+        """Return the instances to which the leader has to connect by itself.
 
         A link that was opened for that stays, as the instance may know no other way.
         """
-        instance_id = member.instance_id
-        return (
-            instance_id in self.linked_since
-            or instance_id not in self.peers.alive_ids()
-        )
+        heard = self.peers.alive_ids() - self.linked_since.keys()
+        return [member for member in others if member.instance_id not in heard]
 
     def is_missing(self, instance_id: str, now: float) -> bool:
         """Return whether a linked peer has not been heard from for too long."""
--- a/src/egretloft/_internal/fleet/sessions.py
+++ b/src/egretloft/_internal/fleet/sessions.py
@@ -379,11 +379,9 @@
                 run.order_expires_ms = start_expires_ms
             elif run.confirmed:
                 self.lose_run(run, "target restarted", crashed=True)
-                continue
             elif run.order_expires_ms:
                 self.stop_unconfirmed_start(run, answer)
-            else:
-                continue
+        if any(run.order_expires_ms for run in target.runs.values()):
             longest_ms = self.targets.max_lease_seconds * MILLISECONDS
             target.lease_ends_ms = start_expires_ms + longest_ms
 
