--- a/src/egretloft/_internal/fleet/election.py
+++ b/src/egretloft/_internal/fleet/election.py
@@ -300,6 +300,7 @@
             epoch=epoch,
             version=version,
             silent_for=round(silent_for, 3),
+            confirmed_age=round(self.clock.boottime() - sent_at, 3),
         )
 
     async def send_heartbeat(self, released: bool, successor: str = "") -> bool:
--- a/src/egretloft/_internal/fleet/leader.py
+++ b/src/egretloft/_internal/fleet/leader.py
@@ -75,6 +75,8 @@
 REMOVAL_RETRY_MS = 1000.0
 # Runs are examined for progress, and for targets that leave, this often.
 RUN_REVIEW_SECONDS = 0.25
+# A log line names at most this many instances.
+LISTED_INSTANCES = 4
 # A task that has not ended this long after it was cancelled is cancelled again.
 CANCEL_RETRY_SECONDS = 0.2
 
@@ -474,6 +476,8 @@
             authority=self.authority.value,
             confirmed_age=round(now - self.election.confirmed_at, 3),
             silent_members=len(self.store.silent_members()),
+            missing_pledges=sorted(self.pledges.missing(self.epoch))[:LISTED_INSTANCES],
+            newest_claim=self.pledges.newest_claimed_epoch(),
         )
 
     def note_withheld(self, withheld: bool) -> None:
--- a/src/egretloft/_internal/fleet/pledges.py
+++ b/src/egretloft/_internal/fleet/pledges.py
@@ -79,11 +79,7 @@
 
     def newest_claim(self) -> Claim | None:
         """Return the newest claim of a peer, unless a newer leader is known."""
-        claims = [
-            claim
-            for heartbeat in self.peers.dated_heartbeats()
-            if (claim := decode_claim(heartbeat.body.get(HEARTBEAT_CLAIM))) is not None
-        ]
+        claims = self.claims()
         if not claims:
             return None
         newest = max(claims, key=lambda claim: (claim.epoch, claim.sent_at))
@@ -98,6 +94,16 @@
         That includes instances that are heard from and not registered. Without any
         other instance there is nobody to pledge, and the answer is no.
         """
+        needed, pledged = self.needed_and_pledged(epoch)
+        return bool(needed) and needed <= pledged
+
+    def missing(self, epoch: int) -> set[str]:
+        """Return the instances of which a leader of this epoch lacks a pledge."""
+        needed, pledged = self.needed_and_pledged(epoch)
+        return needed - pledged
+
+    def needed_and_pledged(self, epoch: int) -> tuple[set[str], set[str]]:
+        """Return the instances that have to pledge to this leader, and that have."""
         oldest = self.clock.boottime() - RELIANCE_SECONDS
         needed = set(self.peer_ids())
         pledged: set[str] = set()
@@ -106,7 +112,17 @@
             pledge = decode_claim(heartbeat.body.get(HEARTBEAT_PLEDGE))
             if pledge is not None and pledge.epoch == epoch and pledge.sent_at > oldest:
                 pledged.add(heartbeat.instance_id)
-        return bool(needed) and needed <= pledged
+        return needed, pledged
+
+    def newest_claimed_epoch(self) -> int:
+        """Return the newest epoch in which a live peer claims to lead; 0 if none."""
+        return max((claim.epoch for claim in self.claims()), default=0)
+
+    def claims(self) -> list[Claim]:
+        """Return the claims of the live peers that lead, or believe that they do."""
+        heartbeats = self.peers.dated_heartbeats()
+        claims = [decode_claim(h.body.get(HEARTBEAT_CLAIM)) for h in heartbeats]
+        return [claim for claim in claims if claim is not None]
 
 
 def decode_claim(value: object) -> Claim | None:
--- a/src/egretloft/_internal/fleet/sessions.py
+++ b/src/egretloft/_internal/fleet/sessions.py
@@ -414,8 +414,10 @@
             task=run.key.task.index,
             attempt=run.key.attempt,
             target=run.target_id,
+            epoch=self.owner.epoch,
             why=why,
             listed_ends=self.target.listed_ends,
+            failed_renewals=self.target.failed_renewals,
         )
         self.metrics.count("runs_lost")
         self.tables.remove_run(self.target, run)
