--- a/src/egretloft/_internal/fleet/election.py
+++ b/src/egretloft/_internal/fleet/election.py
@@ -214,6 +214,12 @@
         """Return whether our last confirmed heartbeat still excludes a takeover."""
         return self.clock.boottime() - self.confirmed_at <= self.confirmed_for
 
+    def confirmed_age(self) -> float | None:
+        """Return how old the confirmation of our term is, for logs."""
+        if self.confirmed_at == -math.inf:
+            return None
+        return round(self.clock.boottime() - self.confirmed_at, 3)
+
     def delay_after_release(self, successor: str) -> float:
         """Return how many seconds to wait after the leader has released its term."""
         delay = self.jitter / 5
@@ -273,34 +279,34 @@
     def adopt_unconfirmed_takeover(self, rows: tuple[StoredRow, ...]) -> None:
         """Begin the term if an earlier takeover succeeded but its answer was lost.
 
-        ``rows`` are the current rows that a conflict returned.
+        ``rows`` are the current rows that a conflict returned. The other instances
+        count from that takeover, so the term is not confirmed before a heartbeat is.
         """
         leader = self.leader
         if not rows or leader is None or leader.incarnation != self.incarnation:
             return
         if self.term is None and leader.instance_id == self.instance_id:
-            self.begin_term(
-                leader.epoch, self.leader_version, 0.0, self.clock.boottime()
-            )
+            self.begin_term(leader.epoch, self.leader_version, 0.0, None)
 
     def begin_term(
-        self, epoch: int, version: int, silent_for: float, sent_at: float
+        self, epoch: int, version: int, silent_for: float, sent_at: float | None
     ) -> None:
-        """Begin a term that is confirmed as of ``sent_at``.
+        """Begin a term that is confirmed as of ``sent_at``; ``None`` if it is not yet.
 
         ``silent_for`` is how many seconds the former leader's heartbeat was unchanged.
         """
         self.term = Term(epoch, version)
-        self.confirmed_at = sent_at
+        self.confirmed_at = self.last_heartbeat_at = (
+            -math.inf if sent_at is None else sent_at
+        )
         if self.heartbeat is not None:
             self.confirmed_for = self.heartbeat.valid_seconds
-        self.last_heartbeat_at = sent_at
         log.info(
             "leadership taken",
             epoch=epoch,
             version=version,
             silent_for=round(silent_for, 3),
-            confirmed_age=round(self.clock.boottime() - sent_at, 3),
+            confirmed_age=self.confirmed_age(),
         )
 
     async def send_heartbeat(self, released: bool, successor: str = "") -> bool:
--- a/src/egretloft/_internal/fleet/leader.py
+++ b/src/egretloft/_internal/fleet/leader.py
@@ -474,7 +474,7 @@
             "leader's authority changed",
             epoch=self.epoch,
             authority=self.authority.value,
-            confirmed_age=round(now - self.election.confirmed_at, 3),
+            confirmed_age=self.election.confirmed_age(),
             silent_members=len(self.store.silent_members()),
             missing_pledges=sorted(self.pledges.missing(self.epoch))[:LISTED_INSTANCES],
             newest_claim=self.pledges.newest_claimed_epoch(),
