--- a/src/egretloft/_internal/fleet/orders.py
+++ b/src/egretloft/_internal/fleet/orders.py
@@ -70,8 +70,10 @@
         for _ in range(START_ATTEMPTS):
             slot = await self.pacer.acquire(run.target_id, run.priority)
             try:
+                # Read first, so that a suspension in between prolongs no order.
+                now = self.clock.boottime()
                 allowed = self.may_start(target, run)
-                order = self.start_order(target, run) if allowed else None
+                order = self.start_order(target, run, now) if allowed else None
                 if order is None:
                     self.remove_unsent(target, run)
                     return
@@ -151,17 +153,20 @@
             return False
         return self.owner.may_start_runs()
 
-    def start_order(self, target: TargetRow, run: RunRow) -> StartOrder | None:
+    def start_order(
+        self, target: TargetRow, run: RunRow, now: float
+    ) -> StartOrder | None:
         """Return the start order, or ``None`` if the job or the clock is unknown.
 
-        All copies of an order have the same expiry.
+        All copies of an order have the same expiry, which counts from ``now`` of the
+        first one.
         """
         job = self.tables.jobs.get(run.key.task.step.job_id)
         task = self.tables.task(run.key.task)
         if job is None or task is None or target.clock is None:
             return None
         if not run.order_expires_ms:
-            now_ms = target.clock.earliest_ms(self.clock.boottime())
+            now_ms = target.clock.earliest_ms(now)
             run.order_expires_ms = now_ms + START_EXPIRY_SECONDS * MILLISECONDS
         return StartOrder(
             run=run.key,
--- a/src/egretloft/_internal/fleet/sessions.py
+++ b/src/egretloft/_internal/fleet/sessions.py
@@ -156,10 +156,8 @@
             if not self.needs_renewal():
                 await self.idle()
                 continue
-            if not self.owner.may_issue_orders():
+            if not await self.renew_once():
                 await asyncio.sleep(RETRY_SECONDS)
-                continue
-            await self.renew_once()
 
     def needs_renewal(self) -> bool:
         """Return whether to fence the target, keep runs or acknowledge ends.
@@ -187,9 +185,10 @@
             async with asyncio.timeout(IDLE_WAIT_SECONDS):
                 await self.wake.wait()
 
-    def lease_expiry_ms(self) -> int | None:
+    def lease_expiry_ms(self, now: float) -> int | None:
         """Return until when to renew the lease, in ms on the target's clock.
 
+        The lease counts from ``now``, at which the leader was allowed to renew it.
         ``None`` asks for the target's lists without renewing: the target's clock is
         unknown, it has no runs, the last renewal failed, or it has not been heard from
         lately. In the last two cases it may be unreachable, and what it runs must be
@@ -198,10 +197,9 @@
         target = self.target
         if target.clock is None or target.failed_renewals or not target.runs:
             return None
-        if self.clock.boottime() - target.last_answer > HEARD_SECONDS:
+        if now - target.last_answer > HEARD_SECONDS:
             return None
-        now_ms = target.clock.earliest_ms(self.clock.boottime())
-        return int(now_ms + LEASE_SECONDS * MILLISECONDS)
+        return int(target.clock.earliest_ms(now) + LEASE_SECONDS * MILLISECONDS)
 
     def renewal_wait_seconds(self) -> float:
         """Return how long the target may wait for a run to end before it answers."""
@@ -212,14 +210,19 @@
             return RECOVERY_WAIT_SECONDS
         return RENEWAL_WAIT_SECONDS
 
-    async def renew_once(self) -> None:
-        """Send one renewal and apply the answer."""
+    async def renew_once(self) -> bool:
+        """Send one renewal and apply the answer; return whether it might be sent."""
         target = self.target
-        unrecorded = target.last_applied_end > target.last_recorded_end
-        if unrecorded:
+        if not self.owner.may_issue_orders():
+            return False
+        if target.last_applied_end > target.last_recorded_end:
             await self.wait_for_recorder()
-        # A run may have started while this waited.
-        expires_at_ms = self.lease_expiry_ms()
+        # The term may have ended, or a run may have started, while this waited. The
+        # time is read first, so that a suspension in between prolongs no lease.
+        now = self.clock.boottime()
+        if not self.owner.may_issue_orders():
+            return False
+        expires_at_ms = self.lease_expiry_ms(now)
         wait = 0.0
         if (
             target.fenced
@@ -244,8 +247,9 @@
         )
         if isinstance(result, Failure):
             await self.on_failure(result.failure())
-            return
-        self.on_answer(result.unwrap(), sent, acknowledged_end)
+        else:
+            self.on_answer(result.unwrap(), sent, acknowledged_end)
+        return True
 
     def end_to_acknowledge(self) -> int:
         """Return the number of the last end that the next renewal acknowledges.
