--- a/src/egretloft/_internal/fleet/scheduler.py
+++ b/src/egretloft/_internal/fleet/scheduler.py
@@ -68,6 +68,7 @@
         if target.recorded
         and target.fenced
         and target.reachable
+        and target.is_readable
         and not target.report.draining
         and target.report.zone not in operators.evacuated_zones
         and target.report.target_id not in on_trial
--- a/src/egretloft/_internal/fleet/sessions.py
+++ b/src/egretloft/_internal/fleet/sessions.py
@@ -163,12 +163,12 @@
         """Return whether to fence the target, keep runs or acknowledge ends.
 
         An unreachable target is also asked, to notice its return, a watched one, and
-        one that has more ends than it could list.
+        one that has more ends than it could list, or than could be decoded.
         """
         target = self.target
         if not target.fenced or target.runs or not target.reachable:
             return True
-        if self.is_watched() or not target.lists_all_ends:
+        if self.is_watched() or not target.lists_all_ends or not target.is_readable:
             return True
         return target.last_applied_end > target.last_acknowledged_end
 
@@ -190,13 +190,16 @@
 
         The lease counts from ``now``, at which the leader was allowed to renew it.
         ``None`` asks for the target's lists without renewing: the target's clock is
-        unknown, it has no runs, the last renewal failed, or it has not been heard from
-        lately. In the last two cases it may be unreachable, and what it runs must be
-        able to expire; an order that has just been sent does so soon.
+        unknown, it has no runs, its list was unreadable, the last renewal failed, or it
+        has not been heard from lately. In the last two cases it may be unreachable. It
+        may run what the leader does not know of, which must be able to expire; an order
+        that has just been sent does so soon.
         """
         target = self.target
         if target.clock is None or target.failed_renewals or not target.runs:
             return None
+        if not target.is_readable:
+            return None
         if now - target.last_answer > HEARD_SECONDS:
             return None
         return int(target.clock.earliest_ms(now) + LEASE_SECONDS * MILLISECONDS)
@@ -231,7 +234,7 @@
         ):
             if expires_at_ms is not None:
                 wait = self.renewal_wait_seconds()
-            elif self.is_watched() and not target.runs:
+            elif not target.is_readable or (self.is_watched() and not target.runs):
                 wait = WATCH_WAIT_SECONDS
         if expires_at_ms is not None:
             target.lease_ends_ms = max(target.lease_ends_ms, expires_at_ms)
@@ -316,11 +319,12 @@
         now = self.clock.boottime()
         if answer.unreadable:
             self.metrics.count("renewal_rows_refused", answer.unreadable)
-            log.warning(
-                "listed runs cannot be decoded",
-                target=target.report.target_id,
-                rows=answer.unreadable,
-            )
+            if target.is_readable:
+                log.warning(
+                    "listed runs cannot be decoded",
+                    target=target.report.target_id,
+                    rows=answer.unreadable,
+                )
         if answer.incarnation_ms != target.incarnation_ms:
             self.on_new_incarnation(answer, sent)
             acknowledged_end = 0
@@ -339,7 +343,9 @@
         )
         was_fenced = target.fenced
         # What runs, and what has ended, is known only from a complete answer.
-        target.fenced = was_fenced or answer.lists_all_ends
+        is_complete = answer.lists_all_ends and not answer.unreadable
+        target.fenced = was_fenced or is_complete
+        target.is_readable = not answer.unreadable
         target.listed_ends = len(answer.ends)
         target.lists_all_ends = answer.lists_all_ends
         self.apply_ends(answer)
@@ -438,7 +444,13 @@
             self.owner.on_job_changed(run.job)
 
     def apply_ends(self, answer: RenewalAnswer) -> None:
-        """Apply the ends with a higher number than the last one applied."""
+        """Apply the ends with a higher number than the last one applied.
+
+        One that could not be decoded may come before them, so they wait until what the
+        target ran has expired.
+        """
+        if answer.unreadable and not self.lease_has_expired():
+            return
         for end in answer.ends:
             if end.number <= self.target.last_applied_end:
                 continue
@@ -528,10 +540,13 @@
 
         Stops confirmed and runs started after the renewal was ``sent`` are not judged
         by its answer, which may be older than they are. Neither is any run while the
-        target has more ends than it could list: the end of the run may be among these.
+        target has more ends than it could list, as the end of the run may be among
+        these, or while the run may be one of the rows that could not be decoded.
         """
         if not answer.lists_all_ends:
             return
+        if answer.unreadable and not self.lease_has_expired():
+            return
         target = self.target
         listed_runs = {active.run for active in answer.active}
         for run in list(target.runs.values()):
@@ -558,24 +573,27 @@
         return clock.target_ms > run.order_expires_ms
 
     def check_lease(self) -> None:
-        """Remove the runs of an unreachable target once its lease has expired.
-
-        Start orders that the target may still carry out count like the lease.
-        """
+        """Remove the runs of an unreachable target once its lease has expired."""
         target = self.target
         if target.failed_renewals < MAX_FAILED_RENEWALS:
             return
         if not target.runs:
             self.owner.on_target_idle(target)
-            return
-        if target.clock is None:
-            return
-        latest = max(
-            [target.lease_ends_ms, *(r.order_expires_ms for r in target.runs.values())]
-        )
-        if target.clock.has_passed(latest, self.clock.boottime()):
+        elif self.lease_has_expired():
             self.lose_all_runs("lease expired")
 
+    def lease_has_expired(self) -> bool:
+        """Return whether what the target ran has certainly ended by now.
+
+        Start orders that the target may still carry out count like the lease.
+        """
+        target = self.target
+        if target.clock is None:
+            return False
+        orders = [run.order_expires_ms for run in target.runs.values()]
+        latest = max([target.lease_ends_ms, *orders])
+        return target.clock.has_passed(latest, self.clock.boottime())
+
 
 def create_target_session(
     owner: TermOwner,
--- a/src/egretloft/_internal/fleet/tables.py
+++ b/src/egretloft/_internal/fleet/tables.py
@@ -273,7 +273,8 @@
     ``last_acknowledged_end`` are the highest numbers of the target's ends that were
     applied to the tables, recorded in the store and acknowledged to the target;
     ``listed_ends`` is how many ends its last answer listed, and ``lists_all_ends``
-    whether these were all.
+    whether these were all; ``is_readable`` tells whether each row of it could be
+    decoded.
     ``failed_renewals`` counts the consecutive lease renewals that have failed.
     ``stalling`` tells whether a run on the target makes no progress. ``leaves_at`` is
     the boot time at which a draining target leaves at the earliest, if it has said so.
@@ -302,6 +303,7 @@
     last_applied_end: int = 0
     listed_ends: int = 0
     lists_all_ends: bool = True
+    is_readable: bool = True
     runs: dict[RunKey, RunRow] = field(default_factory=dict)
     in_use: Resources = field(default_factory=Resources)
     last_answer: float = 0.0
--- /dev/null
+++ b/tests/unit/fleet/test_unreadable_rows.py
@@ -0,0 +1,141 @@
+"""Targets of whose lists a row cannot be decoded."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass, replace
+
+import pytest
+from returns.result import Result, Success
+
+from egretloft._internal.fleet.interfaces import Targets
+from egretloft._internal.fleet.models import (
+    JobState,
+    RenewalAnswer,
+    RunKey,
+    StartOrder,
+    TargetFailure,
+    TargetReport,
+)
+from lib.fleet_builders import build_world, job_id, single_step
+from lib.virtual_time import run_virtual
+from standins.fleet.world import FleetWorld
+
+WORK_SECONDS = 4.0
+FAULT_SECONDS = 2.0
+# A lease expires, and the work starts anew.
+FINISH_SECONDS = 20.0
+
+
+@dataclass(slots=True)
+class Garbler:
+    """Tells which rows of the targets' lists arrive unreadable."""
+
+    hides_runs: bool = False
+    hides_ends: bool = False
+
+
+@dataclass(slots=True)
+class GarbledTargets:
+    """Targets of whose answers some rows cannot be decoded."""
+
+    inner: Targets
+    garbler: Garbler
+
+    @property
+    def max_lease_seconds(self) -> float:
+        return self.inner.max_lease_seconds
+
+    async def start(
+        self, target: TargetReport, order: StartOrder, timeout_seconds: float
+    ) -> Result[int, TargetFailure]:
+        return await self.inner.start(target, order, timeout_seconds)
+
+    async def stop(
+        self, target: TargetReport, run: RunKey, epoch: int, timeout_seconds: float
+    ) -> Result[int, TargetFailure]:
+        return await self.inner.stop(target, run, epoch, timeout_seconds)
+
+    async def renew(
+        self,
+        target: TargetReport,
+        epoch: int,
+        last_recorded_end: int,
+        expires_at_ms: int | None,
+        wait_seconds: float,
+        timeout_seconds: float,
+    ) -> Result[RenewalAnswer, TargetFailure]:
+        result = await self.inner.renew(
+            target,
+            epoch,
+            last_recorded_end,
+            expires_at_ms,
+            wait_seconds,
+            timeout_seconds,
+        )
+        return result.map(self.garble)
+
+    def garble(self, answer: RenewalAnswer) -> RenewalAnswer:
+        """Make the first row of a list unreadable."""
+        if self.garbler.hides_runs and answer.active:
+            return replace(answer, active=answer.active[1:], unreadable=1)
+        if self.garbler.hides_ends and answer.ends:
+            return replace(answer, ends=answer.ends[1:], unreadable=1)
+        return answer
+
+
+async def check_once(world: FleetWorld) -> None:
+    assert await world.wait_for_state(job_id(1), JobState.COMPLETE, FINISH_SECONDS)
+    await asyncio.sleep(2.0)
+    await world.stop()
+    assert world.checker.violations == []
+
+
+@pytest.mark.parametrize("takeover", [False, True])
+@pytest.mark.parametrize("seconds", [FAULT_SECONDS, WORK_SECONDS, 9.0])
+def test_run_in_an_unreadable_row_is_not_taken_for_a_missing_one(
+    seconds: float, takeover: bool
+) -> None:
+    """Guards against a second start of a run that the target still holds."""
+
+    async def main() -> None:
+        garbler = Garbler()
+        world = build_world(
+            target_count=2,
+            wrap_targets=lambda inner: GarbledTargets(inner, garbler),
+        )
+        await world.start()
+        accepted = await world.submit(job_id(1), single_step(2), WORK_SECONDS)
+        assert isinstance(accepted, Success)
+        await asyncio.sleep(0.5)
+        garbler.hides_runs = True
+        if takeover:
+            await world.kill(world.leader_name() or "")
+        await asyncio.sleep(seconds)
+        garbler.hides_runs = False
+        await check_once(world)
+
+    run_virtual(main())
+
+
+@pytest.mark.parametrize("seconds", [FAULT_SECONDS, 9.0])
+def test_end_in_an_unreadable_row_is_not_acknowledged_with_later_ones(
+    seconds: float,
+) -> None:
+    """Guards against a done task that starts again, as nobody heard of its end."""
+
+    async def main() -> None:
+        garbler = Garbler()
+        world = build_world(
+            target_count=1,
+            wrap_targets=lambda inner: GarbledTargets(inner, garbler),
+        )
+        await world.start()
+        garbler.hides_ends = True
+        accepted = await world.submit(job_id(1), single_step(2), 1.0)
+        assert isinstance(accepted, Success)
+        await asyncio.sleep(seconds)
+        garbler.hides_ends = False
+        await check_once(world)
+
+    run_virtual(main())
