--- a/src/egretloft/_internal/fleet/leader.py
+++ b/src/egretloft/_internal/fleet/leader.py
@@ -470,6 +470,8 @@
         former, self.authority = self.authority, self.current_authority()
         if self.authority is former or not self.is_current():
             return
+        if self.authority is Authority.PLEDGED and self.pledges.forgetful(self.epoch):
+            self.recover_again(now)
         log.warning(
             "leader's authority changed",
             epoch=self.epoch,
@@ -480,6 +482,27 @@
             newest_claim=self.pledges.newest_claimed_epoch(),
         )
 
+    def recover_again(self, now: float) -> None:
+        """Treat all targets as a new leader does, before anything is started.
+
+        An instance that has pledged may have led since this leader was last confirmed,
+        and have forgotten it. A target that it used has seen its epoch.
+        """
+        log.warning(
+            "recovering again",
+            epoch=self.epoch,
+            forgetful=sorted(self.pledges.forgetful(self.epoch))[:LISTED_INSTANCES],
+            targets=len(self.tables.targets),
+        )
+        self.recovering = True
+        self.recovery_deadline = now + self.max_unrenewed_seconds()
+        for job in self.tables.jobs.values():
+            job.known_before_term = True
+        for target_id, target in self.tables.targets.items():
+            target.used_before = True
+            target.fenced = False
+            self.wake_session(target_id)
+
     def note_withheld(self, withheld: bool) -> None:
         """Log when starts begin to be withheld, or no longer are."""
         if withheld == self.starts_withheld:
--- a/src/egretloft/_internal/fleet/pledges.py
+++ b/src/egretloft/_internal/fleet/pledges.py
@@ -10,12 +10,16 @@
 heartbeat that it answers. It was made after that heartbeat was sent, so the leader
 relies on it for less than ``PLEDGE_SECONDS`` from that time on, however late it
 arrives. Both travel in the heartbeats between the instances.
+
+A pledge is about the future only. An instance that led, and restarted without the
+store, has forgotten its term, so a pledge also tells the newest epoch that the instance
+has read since its start.
 """
 
 from __future__ import annotations
 
 from collections.abc import Callable
-from typing import Any
+from typing import Any, TypeVar
 
 import msgspec
 
@@ -27,6 +31,8 @@
 from egretloft._internal.fleet.interfaces import FleetClock
 from egretloft._internal.peers.protocols import Peers
 
+T = TypeVar("T")
+
 HEARTBEAT_CLAIM = "leads"
 HEARTBEAT_PLEDGE = "pledge"
 # An instance that restarts forgets its pledge, but does not take over before a
@@ -42,6 +48,15 @@
     sent_at: float
 
 
+class Pledge(Claim, array_like=True, frozen=True):
+    """The claim that a pledge answers, and the newest epoch that its maker has read.
+
+    ``known_epoch`` is 0 if the maker has read none since its start.
+    """
+
+    known_epoch: int = 0
+
+
 class Pledges:
     """Makes this instance's pledges, and counts those made to it while it leads."""
 
@@ -75,7 +90,10 @@
         if claim is None:
             return {}
         self.election.pledged_until = now + PLEDGE_SECONDS
-        return {HEARTBEAT_PLEDGE: msgspec.to_builtins(claim)}
+        leader = self.election.leader
+        known_epoch = leader.epoch if leader is not None else 0
+        pledge = Pledge(claim.epoch, claim.sent_at, known_epoch)
+        return {HEARTBEAT_PLEDGE: msgspec.to_builtins(pledge)}
 
     def newest_claim(self) -> Claim | None:
         """Return the newest claim of a peer, unless a newer leader is known."""
@@ -94,25 +112,37 @@
         That includes instances that are heard from and not registered. Without any
         other instance there is nobody to pledge, and the answer is no.
         """
-        needed, pledged = self.needed_and_pledged(epoch)
-        return bool(needed) and needed <= pledged
+        return bool(self.needed()) and not self.missing(epoch)
 
     def missing(self, epoch: int) -> set[str]:
         """Return the instances of which a leader of this epoch lacks a pledge."""
-        needed, pledged = self.needed_and_pledged(epoch)
-        return needed - pledged
+        return self.needed() - self.valid(epoch).keys()
+
+    def forgetful(self, epoch: int) -> set[str]:
+        """Return the instances that have pledged without having read this epoch.
 
-    def needed_and_pledged(self, epoch: int) -> tuple[set[str], set[str]]:
-        """Return the instances that have to pledge to this leader, and that have."""
+        They may have led in a newer one before they restarted.
+        """
+        return {
+            instance_id
+            for instance_id, pledge in self.valid(epoch).items()
+            if pledge.known_epoch < epoch
+        }
+
+    def needed(self) -> set[str]:
+        """Return the instances that have to pledge."""
+        heard = {h.instance_id for h in self.peers.dated_heartbeats()}
+        return heard.union(self.peer_ids())
+
+    def valid(self, epoch: int) -> dict[str, Pledge]:
+        """Return the pledges that a leader of this epoch may rely on now."""
         oldest = self.clock.boottime() - RELIANCE_SECONDS
-        needed = set(self.peer_ids())
-        pledged: set[str] = set()
+        pledges: dict[str, Pledge] = {}
         for heartbeat in self.peers.dated_heartbeats():
-            needed.add(heartbeat.instance_id)
-            pledge = decode_claim(heartbeat.body.get(HEARTBEAT_PLEDGE))
+            pledge = decode_pledge(heartbeat.body.get(HEARTBEAT_PLEDGE))
             if pledge is not None and pledge.epoch == epoch and pledge.sent_at > oldest:
-                pledged.add(heartbeat.instance_id)
-        return needed, pledged
+                pledges[heartbeat.instance_id] = pledge
+        return pledges
 
     def newest_claimed_epoch(self) -> int:
         """Return the newest epoch in which a live peer claims to lead; 0 if none."""
@@ -127,10 +157,20 @@
 
 def decode_claim(value: object) -> Claim | None:
     """Return a claim from a heartbeat; ``None`` if there is none that can be read."""
+    return convert(value, Claim)
+
+
+def decode_pledge(value: object) -> Pledge | None:
+    """Return a pledge from a heartbeat; ``None`` if there is none that can be read."""
+    return convert(value, Pledge)
+
+
+def convert(value: object, kind: type[T]) -> T | None:
+    """Return an entry of a heartbeat as ``kind``; ``None`` if it cannot be read."""
     if value is None:
         return None
     try:
-        return msgspec.convert(value, Claim)
+        return msgspec.convert(value, kind)
     except msgspec.ValidationError:
         return None
 
