--- a/src/egretloft/_internal/fleet/election.py
+++ b/src/egretloft/_internal/fleet/election.py
@@ -11,6 +11,7 @@
 import random
 from collections.abc import Callable
 from dataclasses import dataclass
+from typing import Protocol
 
 import structlog
 from returns.result import Failure, Success
@@ -63,10 +64,23 @@
     """A term in which this instance leads.
 
     The leader's writes require that the leader row still has ``leader_version``.
+    ``known_to_former`` tells whether the former leader certainly knew this instance,
+    and thus did not go on without its pledge.
     """
 
     epoch: int
     leader_version: int
+    known_to_former: bool = True
+
+
+class Registrations(Protocol):
+    """What an instance has read of the rows with which the instances register."""
+
+    def members_version(self) -> int:
+        """Return the version up to which the rows have been read."""
+
+    def known_since(self) -> int | None:
+        """Return the version with which this instance registered, if it has."""
 
 
 class Election:
@@ -83,6 +97,7 @@
         larger_instance: Callable[[], str | None],
         store_delay: Callable[[], float],
         rows_readable: Callable[[], bool],
+        registrations: Registrations,
     ) -> None:
         self.store = store
         self.clock = clock
@@ -93,6 +108,7 @@
         self.larger_instance = larger_instance
         self.store_delay = store_delay
         self.rows_readable = rows_readable
+        self.registrations = registrations
         self.leader: LeaderRecord | None = None
         self.leader_version = 0
         self.heartbeat: HeartbeatRecord | None = None
@@ -106,6 +122,8 @@
         self.may_campaign = True
         # Whether a takeover of this instance is under way at the store.
         self.campaigning = False
+        # Whether the leader that the last attempt was to replace knew this instance.
+        self.known_to_former = True
         # Until when this instance has pledged to a leader not to take over.
         self.pledged_until = 0.0
         self.jitter = generator.uniform(0, CANDIDATE_JITTER_SECONDS)
@@ -187,9 +205,7 @@
             return False
         if self.leader is None or self.heartbeat is None:
             return True
-        is_own = self.leader.instance_id == self.instance_id
-        if is_own and self.leader.incarnation != self.incarnation:
-            # This instance led before its process restarted.
+        if self.has_led_before_restart():
             return True
         silent_for = self.clock.boottime() - self.heartbeat_changed_at
         if self.heartbeat.released:
@@ -201,6 +217,29 @@
             return True
         return self.larger_instance() is None
 
+    def has_led_before_restart(self) -> bool:
+        """Return whether the leader is this instance before its process restarted."""
+        leader = self.leader
+        return (
+            leader is not None
+            and leader.instance_id == self.instance_id
+            and leader.incarnation != self.incarnation
+        )
+
+    def is_known_to_leader(self) -> bool:
+        """Return whether the leader that is to be replaced knows this instance.
+
+        One that does not may go on without its pledge. A leader that has ended its term
+        does not go on, nor does a former process of this instance.
+        """
+        heartbeat = self.heartbeat
+        if heartbeat is None or heartbeat.released or self.has_led_before_restart():
+            return True
+        if heartbeat.members_version is None:
+            return True
+        since = self.registrations.known_since()
+        return since is not None and since <= heartbeat.members_version
+
     def is_pledged(self) -> bool:
         """Return whether this instance has pledged to a leader not to take over now."""
         return self.clock.boottime() < self.pledged_until
@@ -235,12 +274,14 @@
         The transaction fails if the leader row or the heartbeat has changed meanwhile.
         """
         epoch = (self.leader.epoch if self.leader else 0) + 1
+        self.known_to_former = self.is_known_to_leader()
         record = LeaderRecord(self.instance_id, self.incarnation, epoch)
         heartbeat = HeartbeatRecord(
             epoch,
             0,
             waiting=self.heartbeat.waiting if self.heartbeat else {},
             valid_seconds=self.timeout_seconds(),
+            members_version=self.registrations.members_version(),
         )
         started = self.clock.boottime()
         result = await self.store.commit(
@@ -295,7 +336,7 @@
 
         ``silent_for`` is how many seconds the former leader's heartbeat was unchanged.
         """
-        self.term = Term(epoch, version)
+        self.term = Term(epoch, version, self.known_to_former)
         self.confirmed_at = self.last_heartbeat_at = (
             -math.inf if sent_at is None else sent_at
         )
@@ -307,6 +348,7 @@
             version=version,
             silent_for=round(silent_for, 3),
             confirmed_age=self.confirmed_age(),
+            known_to_former=self.known_to_former,
         )
 
     async def send_heartbeat(self, released: bool, successor: str = "") -> bool:
@@ -325,6 +367,7 @@
             self.waiting_counts(),
             successor,
             self.timeout_seconds(),
+            self.registrations.members_version(),
         )
         sent_at = self.clock.boottime()
         self.last_heartbeat_at = sent_at
@@ -395,6 +438,7 @@
     larger_instance: Callable[[], str | None],
     store_delay: Callable[[], float],
     rows_readable: Callable[[], bool],
+    registrations: Registrations,
 ) -> Election:
     """Return an election in which this instance does not lead.
 
@@ -413,4 +457,5 @@
         larger_instance,
         store_delay,
         rows_readable,
+        registrations,
     )
--- a/src/egretloft/_internal/fleet/instance.py
+++ b/src/egretloft/_internal/fleet/instance.py
@@ -5,11 +5,11 @@
 import asyncio
 import random
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any
 
 import structlog
-from returns.result import Failure
+from returns.result import Failure, Success
 
 from egretloft._internal import codec
 from egretloft._internal.fleet.admission import Admission, create_admission
@@ -129,6 +129,7 @@
             self.succession.larger_instance,
             self.store.delay_seconds,
             lambda: not self.control_watcher.failing,
+            self,
         )
         self.member_expiry: MemberExpiry = create_member_expiry()
         self.pledges: Pledges = create_pledges(
@@ -242,6 +243,17 @@
         returning = self.member_expiry.may_return(self.election.confirmed_at)
         return [*self.peer_ids(), *returning]
 
+    def members_version(self) -> int:
+        """Return the version up to which the instances' rows have been read."""
+        return self.control_watcher.read_version
+
+    def known_since(self) -> int | None:
+        """Return the version with which this instance registered first, if it has."""
+        record = self.members.get(self.identity.instance_id)
+        if record is None:
+            return None
+        return record.known_since or self.member_versions[record.instance_id]
+
     async def stay_registered(self) -> None:
         """Register at the start, and again whenever the leader has removed the row."""
         while True:
@@ -250,7 +262,10 @@
             await self.register()
 
     async def register(self) -> None:
-        """Write this instance's record to the store, with retries."""
+        """Write this instance's record to the store, with retries.
+
+        A record of a former process of this instance tells since when it is known.
+        """
         identity = self.identity
         key = RowKey(TABLE_CONTROL, PARTITION, INSTANCE_PREFIX + identity.instance_id)
         record = InstanceRecord(
@@ -277,6 +292,11 @@
                 current = failure.rows[0].value
                 if current == codec.encode(record):
                     return
+                former = codec.decode(current or b"", InstanceRecord)
+                since = 0
+                if isinstance(former, Success):
+                    since = former.unwrap().known_since or version
+                record = replace(record, known_since=since)
                 continue
             await asyncio.sleep(FEED_RETRY_SECONDS)
 
--- a/src/egretloft/_internal/fleet/leader.py
+++ b/src/egretloft/_internal/fleet/leader.py
@@ -75,6 +75,9 @@
 REMOVAL_RETRY_MS = 1000.0
 # Runs are examined for progress, and for targets that leave, this often.
 RUN_REVIEW_SECONDS = 0.25
+# A leader that the former one did not know waits at most this long for the targets that
+# it cannot reach. The former one may still use them in an outage of the store.
+FENCE_FIRST_SECONDS = 60.0
 # A log line names at most this many instances.
 LISTED_INSTANCES = 4
 # A task that has not ended this long after it was cancelled is cancelled again.
@@ -139,6 +142,9 @@
         self.wake = asyncio.Event()
         self.recovery_deadline = clock.boottime() + self.max_unrenewed_seconds()
         self.recovering = True
+        self.fences_first = not term.known_to_former
+        if self.fences_first:
+            self.recovery_deadline = clock.boottime() + FENCE_FIRST_SECONDS
         self.last_tick = clock.boottime()
         self.confirmation_needed_since = 0.0
         self.draining = False
@@ -449,7 +455,7 @@
         self.remove_unused_targets()
         self.remove_expired_jobs()
         self.note_authority(now)
-        if self.authority is Authority.NONE:
+        if self.authority is Authority.NONE or self.fences_first:
             return
         if now - self.runs_reviewed_at >= RUN_REVIEW_SECONDS:
             self.runs_reviewed_at = now
@@ -540,7 +546,8 @@
         That is when every target that an earlier leader may have used is fenced, or
         when all leases that it may have granted have expired. Ends are not lost with
         the lease, so a target that has yet to list some of them is waited for as long
-        as it can be reached.
+        as it can be reached. A former leader that goes on without the pledge of this
+        instance grants further leases, but only to targets that it has used.
         """
         if not self.recovering:
             return
@@ -554,6 +561,7 @@
         )
         if not unfenced or (now >= self.recovery_deadline and not has_more_ends):
             self.recovering = False
+            self.fences_first = False
             self.decision_needed = True
             for job in self.tables.open_jobs.values():
                 self.tables.touch(job)
--- a/src/egretloft/_internal/fleet/records.py
+++ b/src/egretloft/_internal/fleet/records.py
@@ -85,6 +85,8 @@
     The leader may give orders for ``valid_seconds`` after it sent this write, so no
     other instance takes over sooner. A leader that ends its term sets ``released``;
     ``successor`` is the instance that should take over, or empty.
+    The leader knows all instances that registered up to ``members_version``; a leader
+    of an earlier release does not tell.
     """
 
     epoch: int
@@ -93,6 +95,7 @@
     waiting: dict[str, int] = field(default_factory=dict)
     successor: str = ""
     valid_seconds: float = HEARTBEAT_TIMEOUT_SECONDS
+    members_version: int | None = None
 
 
 @dataclass(slots=True, frozen=True)
@@ -109,7 +112,8 @@
 class InstanceRecord:
     """Address of an instance for its peers.
 
-    ``processors`` is the processor capacity of its machine, in cores.
+    ``processors`` is the processor capacity of its machine, in cores. ``known_since``
+    is the version of the row with which the instance registered first; 0 in that row.
     """
 
     instance_id: str
@@ -118,6 +122,7 @@
     zone: str
     region: str
     processors: float = 1.0
+    known_since: int = 0
 
 
 def job_partition(job_id: str) -> str:
--- a/src/egretloft/_internal/fleet/sessions.py
+++ b/src/egretloft/_internal/fleet/sessions.py
@@ -74,6 +74,7 @@
 # A confirmed run that is missing from this many consecutive answers has ended without
 # being listed.
 MAX_TIMES_MISSING = 2
+LEASE_MS = LEASE_SECONDS * MILLISECONDS
 START_EXPIRY_MS = START_EXPIRY_SECONDS * MILLISECONDS
 # An idle session checks this often whether it has to renew again.
 IDLE_WAIT_SECONDS = 5.0
@@ -89,6 +90,9 @@
 
     epoch: int
     recovering: bool
+    # Whether all used targets are fenced before any lease is renewed, any run started
+    # or any end acknowledged: the former leader may go on until then.
+    fences_first: bool
 
     def may_issue_orders(self) -> bool:
         """Return whether the leader may send orders and renew leases."""
@@ -176,6 +180,12 @@
         """Return whether the target is asked although nothing may run there."""
         return self.target.watched_until > self.clock.boottime()
 
+    def is_asked_only(self) -> bool:
+        """Return whether the target is asked again and again without a lease."""
+        if self.owner.fences_first or not self.target.is_readable:
+            return True
+        return self.is_watched() and not self.target.runs
+
     async def idle(self) -> None:
         """Wait until the session is woken, at most ``IDLE_WAIT_SECONDS``."""
         self.wake.clear()
@@ -190,19 +200,19 @@
 
         The lease counts from ``now``, at which the leader was allowed to renew it.
         ``None`` asks for the target's lists without renewing: the target's clock is
-        unknown, it has no runs, its list was unreadable, the last renewal failed, or it
-        has not been heard from lately. In the last two cases it may be unreachable. It
-        may run what the leader does not know of, which must be able to expire; an order
-        that has just been sent does so soon.
+        unknown, it has no runs, the former leader may go on, its list was unreadable,
+        the last renewal failed, or it has not been heard from lately. Then it may run
+        what the leader does not know of, or be unreachable, and what it runs must be
+        able to expire; an order that has just been sent does so soon.
         """
         target = self.target
         if target.clock is None or target.failed_renewals or not target.runs:
             return None
-        if not target.is_readable:
+        if not target.is_readable or self.owner.fences_first:
             return None
         if now - target.last_answer > HEARD_SECONDS:
             return None
-        return int(target.clock.earliest_ms(now) + LEASE_SECONDS * MILLISECONDS)
+        return int(target.clock.earliest_ms(now) + LEASE_MS)
 
     def renewal_wait_seconds(self) -> float:
         """Return how long the target may wait for a run to end before it answers."""
@@ -234,7 +244,7 @@
         ):
             if expires_at_ms is not None:
                 wait = self.renewal_wait_seconds()
-            elif not target.is_readable or (self.is_watched() and not target.runs):
+            elif self.is_asked_only():
                 wait = WATCH_WAIT_SECONDS
         if expires_at_ms is not None:
             target.lease_ends_ms = max(target.lease_ends_ms, expires_at_ms)
@@ -261,7 +271,7 @@
         listed them: the numbers then stand for other ends, which nobody has heard of.
         """
         target = self.target
-        if target.failed_renewals:
+        if target.failed_renewals or self.owner.fences_first:
             return 0
         if target.last_recorded_end <= target.last_acknowledged_end:
             return 0
@@ -367,7 +377,11 @@
         extends the lease of all runs, so the target may hold the longest lease.
         """
         target = self.target
-        if target.incarnation_ms:
+        target.lease_ends_ms = 0.0
+        if not target.incarnation_ms:
+            # A former leader may have renewed its lease until now.
+            target.lease_ends_ms = answer.target_time_ms + LEASE_MS
+        else:
             log.info(
                 "target restarted",
                 target=target.report.target_id,
@@ -378,7 +392,6 @@
                 note_failure(target, target.returned_at)
         target.incarnation_ms = answer.incarnation_ms
         target.clock = None
-        target.lease_ends_ms = 0.0
         target.last_recorded_end = target.last_applied_end = (
             target.last_acknowledged_end
         ) = 0
--- a/src/egretloft/_internal/fleet/watching.py
+++ b/src/egretloft/_internal/fleet/watching.py
@@ -106,7 +106,10 @@
         self.on_change = on_change
         self.pause_seconds = pause_seconds
         self.on_regained = on_regained
+        # The version to continue from; ``None`` if the table is to be read anew.
         self.version: int | None = None
+        # The version up to which the handlers have got all rows.
+        self.read_version = 0
         self.confirmed_at: float | None = None
         self.failing = False
         # When the first of the failing calls was made.
@@ -168,7 +171,7 @@
         rows = tuple(row for row in page.rows if row.key.part in self.parts)
         if self.version is None or rows:
             handler(rows)
-        self.version = page.version
+        self.version = self.read_version = page.version
         return True
 
     def on_failure(self, failure: StoreFailure, asked_at: float) -> None:
--- a/tests/lib/fleet_builders.py
+++ b/tests/lib/fleet_builders.py
@@ -91,6 +91,16 @@
         return self.now
 
 
+class StubRegistrations:
+    """An instance that every leader knows."""
+
+    def members_version(self) -> int:
+        return 1
+
+    def known_since(self) -> int:
+        return 1
+
+
 def build_election(
     store: RowStore,
     clock: FleetClock,
@@ -107,6 +117,7 @@
         lambda: None,
         store_delay,
         lambda: True,
+        StubRegistrations(),
     )
 
 
--- a/tests/lib/term_owner.py
+++ b/tests/lib/term_owner.py
@@ -12,6 +12,7 @@
 
     epoch = 1
     recovering = False
+    fences_first = False
 
     def __init__(self, confirmed: bool) -> None:
         self.confirmed = confirmed
--- /dev/null
+++ b/tests/unit/fleet/test_unknown_instances.py
@@ -0,0 +1,100 @@
+"""Takeovers by an instance that the former leader does not know."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+from returns.result import Success
+
+from egretloft._internal.fleet.models import JobState
+from lib.fleet_builders import build_world, job_id, single_step
+from lib.virtual_time import run_virtual
+from standins.fleet.world import FleetWorld
+
+ZONES = ("zone-a", "zone-b")
+NEW = "instance-9"
+JOBS = 3
+TASKS = 4
+WORK_SECONDS = 8.0
+# A leader finds out that the store is lost, and collects pledges.
+PLEDGED_SECONDS = 3.0
+
+
+async def start_world(seed: int) -> FleetWorld:
+    """Return a fleet with targets in two zones and all its instances in one."""
+    world = build_world(seed, 2, 6, zones=ZONES)
+    await world.start()
+    for number in range(JOBS):
+        spec = single_step(TASKS)
+        accepted = await world.submit(job_id(number), spec, WORK_SECONDS)
+        assert isinstance(accepted, Success)
+    await asyncio.sleep(1.0)
+    return world
+
+
+async def finish(world: FleetWorld) -> None:
+    for number in range(JOBS):
+        assert await world.wait_for_state(job_id(number), JobState.COMPLETE, 40.0)
+    await world.stop()
+    assert world.checker.violations == []
+
+
+@pytest.mark.parametrize("cut_seconds", [8.0, 14.0])
+@pytest.mark.parametrize("seed", range(4))
+def test_new_instance_does_not_act_beside_a_leader_that_does_not_know_it(
+    seed: int, cut_seconds: float
+) -> None:
+    """Guards against a leader that holds all pledges that it asks for.
+
+    All instances that it knows are in its zone, which is cut off; the new one is not.
+    """
+
+    async def main() -> None:
+        world = await start_world(seed)
+        world.cuts.zones.add("zone-a")
+        await asyncio.sleep(PLEDGED_SECONDS)
+        world.cuts.zone_of[NEW] = "zone-b"
+        await world.start_instance(NEW)
+        await asyncio.sleep(cut_seconds)
+        world.cuts.zones.discard("zone-a")
+        await finish(world)
+
+    run_virtual(main())
+
+
+def test_new_instance_takes_over_at_once_if_it_reaches_all_targets() -> None:
+    async def main() -> float:
+        world = await start_world(1)
+        for name in list(world.processes):
+            await world.kill(name)
+        await world.start_instance(NEW)
+        started = world.clock.boottime()
+        leader = None
+        while leader is None or leader.fences_first or leader.recovering:
+            await asyncio.sleep(0.05)
+            leader = world.processes[NEW].instance.leader
+        took = world.clock.boottime() - started
+        await finish(world)
+        assert world.checker.starts == JOBS * TASKS
+        return took
+
+    assert run_virtual(main()) < 2.0
+
+
+def test_restarted_instance_is_still_known_to_the_leader() -> None:
+    """Guards against a long recovery after a loss of power with a dead target."""
+
+    async def main() -> None:
+        world = await start_world(1)
+        for name in list(world.processes):
+            await world.kill(name)
+        for name in world.instance_names:
+            await world.start_instance(name)
+        await asyncio.sleep(3.0)
+        leader = world.processes[world.leader_name() or ""].instance.leader
+        assert leader is not None
+        assert leader.term.known_to_former
+        await finish(world)
+
+    run_virtual(main())
