--- a/tests/unit/fleet/test_end_numbers.py
+++ b/tests/unit/fleet/test_end_numbers.py
@@ -3,60 +3,25 @@
 from __future__ import annotations
 
 import asyncio
+from typing import Any
 
 from returns.result import Result, Success
 
-from egretloft._internal.fleet.interfaces import Targets
-from egretloft._internal.fleet.models import (
-    JobState,
-    RenewalAnswer,
-    RunKey,
-    StartOrder,
-    TargetFailure,
-    TargetReport,
-)
+from egretloft._internal.fleet.models import JobState, RenewalAnswer, TargetFailure
 from lib.fleet_builders import build_world, job_id, single_step
+from lib.forwarding_targets import ForwardingTargets
 from lib.virtual_time import run_virtual
 
 RENEWAL_DELAY_SECONDS = 0.3
 SHORT_RUN_SECONDS = 0.1
 
 
-class LateRenewals:
+class LateRenewals(ForwardingTargets):
     """Targets that get every renewal late, and all other calls at once."""
 
-    def __init__(self, targets: Targets) -> None:
-        self.targets = targets
-        self.max_lease_seconds = targets.max_lease_seconds
-
-    async def start(
-        self, target: TargetReport, order: StartOrder, timeout_seconds: float
-    ) -> Result[int, TargetFailure]:
-        return await self.targets.start(target, order, timeout_seconds)
-
-    async def stop(
-        self, target: TargetReport, run: RunKey, epoch: int, timeout_seconds: float
-    ) -> Result[int, TargetFailure]:
-        return await self.targets.stop(target, run, epoch, timeout_seconds)
-
-    async def renew(
-        self,
-        target: TargetReport,
-        epoch: int,
-        last_recorded_end: int,
-        expires_at_ms: int | None,
-        wait_seconds: float,
-        timeout_seconds: float,
-    ) -> Result[RenewalAnswer, TargetFailure]:
+    async def renew(self, *call: Any) -> Result[RenewalAnswer, TargetFailure]:
         await asyncio.sleep(RENEWAL_DELAY_SECONDS)
-        return await self.targets.renew(
-            target,
-            epoch,
-            last_recorded_end,
-            expires_at_ms,
-            wait_seconds,
-            timeout_seconds,
-        )
+        return await super().renew(*call)
 
 
 def test_ends_of_a_restarted_target_are_not_acknowledged_unseen() -> None:
--- a/tests/unit/fleet/test_unreadable_rows.py
+++ b/tests/unit/fleet/test_unreadable_rows.py
@@ -4,20 +4,15 @@
 
 import asyncio
 from dataclasses import dataclass, replace
+from typing import Any
 
 import pytest
 from returns.result import Result, Success
 
 from egretloft._internal.fleet.interfaces import Targets
-from egretloft._internal.fleet.models import (
-    JobState,
-    RenewalAnswer,
-    RunKey,
-    StartOrder,
-    TargetFailure,
-    TargetReport,
-)
+from egretloft._internal.fleet.models import JobState, RenewalAnswer, TargetFailure
 from lib.fleet_builders import build_world, job_id, single_step
+from lib.forwarding_targets import ForwardingTargets
 from lib.virtual_time import run_virtual
 from standins.fleet.world import FleetWorld
 
@@ -35,44 +30,15 @@
     hides_ends: bool = False
 
 
-@dataclass(slots=True)
-class GarbledTargets:
+class GarbledTargets(ForwardingTargets):
     """Targets of whose answers some rows cannot be decoded."""
 
-    inner: Targets
-    garbler: Garbler
-
-    @property
-    def max_lease_seconds(self) -> float:
-        return self.inner.max_lease_seconds
-
-    async def start(
-        self, target: TargetReport, order: StartOrder, timeout_seconds: float
-    ) -> Result[int, TargetFailure]:
-        return await self.inner.start(target, order, timeout_seconds)
-
-    async def stop(
-        self, target: TargetReport, run: RunKey, epoch: int, timeout_seconds: float
-    ) -> Result[int, TargetFailure]:
-        return await self.inner.stop(target, run, epoch, timeout_seconds)
-
-    async def renew(
-        self,
-        target: TargetReport,
-        epoch: int,
-        last_recorded_end: int,
-        expires_at_ms: int | None,
-        wait_seconds: float,
-        timeout_seconds: float,
-    ) -> Result[RenewalAnswer, TargetFailure]:
-        result = await self.inner.renew(
-            target,
-            epoch,
-            last_recorded_end,
-            expires_at_ms,
-            wait_seconds,
-            timeout_seconds,
-        )
+    def __init__(self, targets: Targets, garbler: Garbler) -> None:
+        super().__init__(targets)
+        self.garbler = garbler
+
+    async def renew(self, *call: Any) -> Result[RenewalAnswer, TargetFailure]:
+        result = await super().renew(*call)
         return result.map(self.garble)
 
     def garble(self, answer: RenewalAnswer) -> RenewalAnswer:
