--- a/src/egretloft/_internal/fleet/election.py
+++ b/src/egretloft/_internal/fleet/election.py
@@ -50,6 +50,9 @@
 # Extra delay of a candidate while a larger instance could lead, or after a release that
 # names another successor.
 SECONDARY_DELAY_SECONDS = 0.3
+# Extra delay of a candidate that the former leader may not know. One that it knows need
+# not wait for targets that cannot be reached.
+UNKNOWN_DELAY_SECONDS = 1.0
 # The heartbeat may have been impossible to write, and not only to read, once its feed
 # has failed for longer than this. A call that is cut off may have waited for
 # FEED_WAIT_SECONDS before it failed.
@@ -124,6 +127,8 @@
         self.campaigning = False
         # Whether the leader that the last attempt was to replace knew this instance.
         self.known_to_former = True
+        # What a former leader that may still go on has read of the instances' rows.
+        self.former_members_version: int | None = None
         # Until when this instance has pledged to a leader not to take over.
         self.pledged_until = 0.0
         self.jitter = generator.uniform(0, CANDIDATE_JITTER_SECONDS)
@@ -175,6 +180,10 @@
         if unreadable_for > UNREADABLE_SECONDS:
             self.heartbeat_changed_at = self.clock.boottime()
 
+    def on_former_leader_fenced(self) -> None:
+        """Note that no former leader can go on any more."""
+        self.former_members_version = None
+
     def step_down(self, why: str) -> None:
         """End our term, if any, without releasing it in the store."""
         if self.term is not None:
@@ -205,40 +214,41 @@
             return False
         if self.leader is None or self.heartbeat is None:
             return True
-        if self.has_led_before_restart():
+        is_own = self.leader.instance_id == self.instance_id
+        if is_own and self.leader.incarnation != self.incarnation:
+            # This instance led before its process restarted.
             return True
         silent_for = self.clock.boottime() - self.heartbeat_changed_at
         if self.heartbeat.released:
             return silent_for >= self.delay_after_release(self.heartbeat.successor)
         timeout = max(self.heartbeat.valid_seconds, self.timeout_seconds())
+        if not self.is_known_to_leader():
+            timeout += UNKNOWN_DELAY_SECONDS
         if silent_for < timeout + self.jitter:
             return False
         if silent_for >= timeout + self.jitter + SECONDARY_DELAY_SECONDS:
             return True
         return self.larger_instance() is None
 
-    def has_led_before_restart(self) -> bool:
-        """Return whether the leader is this instance before its process restarted."""
-        leader = self.leader
-        return (
-            leader is not None
-            and leader.instance_id == self.instance_id
-            and leader.incarnation != self.incarnation
-        )
-
     def is_known_to_leader(self) -> bool:
         """Return whether the leader that is to be replaced knows this instance.
 
-        One that does not may go on without its pledge. A leader that has ended its term
-        does not go on, nor does a former process of this instance.
+        One that does not may go on without its pledge.
         """
-        heartbeat = self.heartbeat
-        if heartbeat is None or heartbeat.released or self.has_led_before_restart():
-            return True
-        if heartbeat.members_version is None:
+        if self.heartbeat is None or self.heartbeat.members_version is None:
             return True
         since = self.registrations.known_since()
-        return since is not None and since <= heartbeat.members_version
+        return since is not None and since <= self.heartbeat.members_version
+
+    def members_version(self, released: bool = False) -> int | None:
+        """Return what our heartbeat tells of the instances that a leader knows.
+
+        Nobody goes on after a leader that has ``released`` its term, unless its own
+        predecessor may still do so.
+        """
+        if self.former_members_version is not None:
+            return self.former_members_version
+        return None if released else self.registrations.members_version()
 
     def is_pledged(self) -> bool:
         """Return whether this instance has pledged to a leader not to take over now."""
@@ -275,13 +285,16 @@
         """
         epoch = (self.leader.epoch if self.leader else 0) + 1
         self.known_to_former = self.is_known_to_leader()
+        self.former_members_version = None
+        if self.heartbeat is not None and not self.known_to_former:
+            self.former_members_version = self.heartbeat.members_version
         record = LeaderRecord(self.instance_id, self.incarnation, epoch)
         heartbeat = HeartbeatRecord(
             epoch,
             0,
             waiting=self.heartbeat.waiting if self.heartbeat else {},
             valid_seconds=self.timeout_seconds(),
-            members_version=self.registrations.members_version(),
+            members_version=self.members_version(),
         )
         started = self.clock.boottime()
         result = await self.store.commit(
@@ -367,7 +380,7 @@
             self.waiting_counts(),
             successor,
             self.timeout_seconds(),
-            self.registrations.members_version(),
+            self.members_version(released),
         )
         sent_at = self.clock.boottime()
         self.last_heartbeat_at = sent_at
--- a/src/egretloft/_internal/fleet/leader.py
+++ b/src/egretloft/_internal/fleet/leader.py
@@ -562,6 +562,7 @@
         if not unfenced or (now >= self.recovery_deadline and not has_more_ends):
             self.recovering = False
             self.fences_first = False
+            self.election.on_former_leader_fenced()
             self.decision_needed = True
             for job in self.tables.open_jobs.values():
                 self.tables.touch(job)
--- a/src/egretloft/_internal/fleet/records.py
+++ b/src/egretloft/_internal/fleet/records.py
@@ -85,8 +85,9 @@
     The leader may give orders for ``valid_seconds`` after it sent this write, so no
     other instance takes over sooner. A leader that ends its term sets ``released``;
     ``successor`` is the instance that should take over, or empty.
-    The leader knows all instances that registered up to ``members_version``; a leader
-    of an earlier release does not tell.
+    The leader, or a former one that may still go on, knows all instances that
+    registered up to ``members_version``. It is ``None`` if nobody goes on, and from a
+    leader of an earlier release.
     """
 
     epoch: int
