--- a/src/egretloft/_internal/fleet/constants.py
+++ b/src/egretloft/_internal/fleet/constants.py
@@ -16,6 +16,8 @@
 RENEWAL_WAIT_SECONDS = 1.0
 # A renewal times out this long after the wait.
 RENEWAL_TIMEOUT_SECONDS = 0.6
+# A call without an answer may be carried out up to this long after its timeout.
+MAX_CALL_DELAY_SECONDS = 12.0
 # Timeout of one start or stop; an order without an answer is sent again.
 ORDER_TIMEOUT_SECONDS = 0.3
 # Period of the leader's heartbeat.
--- /dev/null
+++ b/src/egretloft/_internal/fleet/late_starts.py
@@ -0,0 +1,74 @@
+"""Copies of start orders that a target may still carry out, or may have just done.
+
+A call without an answer may be carried out seconds later. A copy that the target gets
+after it has restarted carries an expiry of the former clock, which says nothing on the
+new one: the target may start the run, and may extend the lease of all its runs.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from egretloft._internal.fleet.constants import MAX_CALL_DELAY_SECONDS
+from egretloft._internal.fleet.models import RunKey
+
+# Nothing has been sent before.
+NEVER = float("-inf")
+
+
+@dataclass(slots=True, frozen=True)
+class SentStart:
+    """A start order that was sent to one incarnation of a target."""
+
+    target_id: str
+    incarnation_ms: int
+    run: RunKey
+
+
+@dataclass(slots=True)
+class LateStarts:
+    """The start orders of a term, and until when copies of them may arrive.
+
+    ``arrive_until`` is in seconds of the boot-time clock. An order is kept for as long
+    as a lease that its last copy may have brought can last.
+    """
+
+    longest_lease_seconds: float
+    arrive_until: dict[SentStart, float] = field(default_factory=dict)
+
+    def note_sent(self, start: SentStart, timeout_at: float) -> float:
+        """Note that a copy is sent; return until when earlier ones may arrive.
+
+        ``timeout_at`` is when the sender stops waiting for the answer.
+        """
+        former = self.arrive_until.get(start, NEVER)
+        self.arrive_until[start] = max(former, timeout_at + MAX_CALL_DELAY_SECONDS)
+        return former
+
+    def note_answered(self, start: SentStart, now: float, former: float) -> None:
+        """Note that the copy was answered; ``former`` holds for the earlier ones."""
+        self.arrive_until[start] = max(now, former)
+
+    def before_restart(self, target_id: str, incarnation_ms: int) -> list[SentStart]:
+        """Return the orders that were sent to other incarnations of a target."""
+        return [
+            start
+            for start in self.arrive_until
+            if start.target_id == target_id and start.incarnation_ms != incarnation_ms
+        ]
+
+    def may_arrive(self, start: SentStart, now: float) -> bool:
+        """Return whether a copy of the order may still arrive."""
+        return self.arrive_until[start] > now
+
+    def longest_lease(self, starts: list[SentStart], now: float) -> float:
+        """Return for how many seconds from now a lease of these orders may last."""
+        latest = max((self.arrive_until[start] for start in starts), default=NEVER)
+        return max(0.0, latest + self.longest_lease_seconds - now)
+
+    def forget_old(self, now: float) -> None:
+        """Forget the orders of which no lease can last any more."""
+        oldest = now - self.longest_lease_seconds
+        for start, until in list(self.arrive_until.items()):
+            if until < oldest:
+                del self.arrive_until[start]
--- a/src/egretloft/_internal/fleet/leader.py
+++ b/src/egretloft/_internal/fleet/leader.py
@@ -38,6 +38,7 @@
     RowDecoder,
     Targets,
 )
+from egretloft._internal.fleet.late_starts import LateStarts
 from egretloft._internal.fleet.loop_delay import create_loop_delay
 from egretloft._internal.fleet.models import (
     OperatorState,
@@ -128,6 +129,7 @@
         self.tables = FleetTables()
         self.scheduler = Scheduler(self.tables)
         self.recorder = create_recorder(store, election, self.tables, metrics)
+        self.late_starts = LateStarts(targets.max_lease_seconds)
         self.orders = create_orders(self, self.tables, targets, clock, metrics)
         self.runs = create_run_control(self, self.tables, self.orders, clock, metrics)
         self.crash_trials = create_crash_trials(
@@ -459,6 +461,7 @@
             return
         if now - self.runs_reviewed_at >= RUN_REVIEW_SECONDS:
             self.runs_reviewed_at = now
+            self.late_starts.forget_old(now)
             self.runs.stop_stalled(now)
             self.runs.stop_departing(now)
             self.crash_trials.review(now)
--- a/src/egretloft/_internal/fleet/lifecycle.py
+++ b/src/egretloft/_internal/fleet/lifecycle.py
@@ -266,40 +266,61 @@
     )
 
 
+def add_late_start(
+    tables: FleetTables, target: TargetRow, key: RunKey, now: float
+) -> RunRow:
+    """Add a start that a target may still carry out; its task has been given up there.
+
+    It does not become the task's run, so it is not needed whatever becomes of it.
+    """
+    run = unknown_run(tables, target, key, RunPhase.STARTING, now)
+    # When it starts, if it does, is not known.
+    run.adopted = True
+    tables.add_run(target, run)
+    return run
+
+
 def adopt_run(
     tables: FleetTables, target: TargetRow, key: RunKey, percent: int, now: float
 ) -> RunRow:
-    """Add a run that a target reports and that this leader did not start.
+    """Add a run that a target reports and that this leader did not start."""
+    run = unknown_run(tables, target, key, RunPhase.ACTIVE, now)
+    run.percent = percent
+    run.reported_at = now
+    run.adopted = run.confirmed = True
+    tables.add_run(target, run)
+    job, task = run.job, run.task
+    if job is None or task is None:
+        return run
+    job.started = True
+    job.step(key.task.step).started = True
+    if job.state is JobState.QUEUED:
+        job.state = JobState.ACTIVE
+    if task.run is None or task.run.key.attempt < key.attempt:
+        task.run = run
+    return run
+
+
+def unknown_run(
+    tables: FleetTables, target: TargetRow, key: RunKey, phase: RunPhase, now: float
+) -> RunRow:
+    """Return a run that is not in the tables, without adding it.
 
     What a run of an unknown task takes is not known; it counts as the whole target.
     """
     task = tables.task(key.task)
     job = tables.jobs.get(key.task.step.job_id)
     spec = job.accepted.spec.steps[key.task.step.step] if job and task else None
-    run = RunRow(
+    return RunRow(
         key=key,
         target_id=target.report.target_id,
         room=required_resources(spec) if spec else target.report.room,
         priority=job.accepted.priority if job else 0,
-        phase=RunPhase.ACTIVE,
+        phase=phase,
         started_at=now,
-        percent=percent,
         percent_changed_at=now,
-        reported_at=now,
         lasting=spec.lasting if spec else False,
         gang=spec.gang if spec else False,
-        adopted=True,
-        confirmed=True,
         job=job if task is not None else None,
         task=task,
     )
-    tables.add_run(target, run)
-    if job is None or task is None:
-        return run
-    job.started = True
-    job.step(key.task.step).started = True
-    if job.state is JobState.QUEUED:
-        job.state = JobState.ACTIVE
-    if task.run is None or task.run.key.attempt < key.attempt:
-        task.run = run
-    return run
--- a/src/egretloft/_internal/fleet/orders.py
+++ b/src/egretloft/_internal/fleet/orders.py
@@ -10,15 +10,17 @@
 import asyncio
 
 import structlog
-from returns.result import Failure
+from returns.result import Failure, Result
 
 from egretloft._internal.fleet.call_pacer import STOP_PRIORITY, create_call_pacer
 from egretloft._internal.fleet.clocks import MILLISECONDS
 from egretloft._internal.fleet.constants import (
+    MAX_CALL_DELAY_SECONDS,
     ORDER_TIMEOUT_SECONDS,
     START_EXPIRY_SECONDS,
 )
 from egretloft._internal.fleet.interfaces import FleetClock, Targets
+from egretloft._internal.fleet.late_starts import SentStart
 from egretloft._internal.fleet.models import (
     StartOrder,
     StartRefusal,
@@ -79,8 +81,7 @@
                     return
                 sent = self.clock.boottime()
                 incarnation_ms = target.incarnation_ms
-                timeout = self.owner.extend_timeout(ORDER_TIMEOUT_SECONDS)
-                result = await self.targets.start(target.report, order, timeout)
+                result = await self.send_start(target, order, sent)
             finally:
                 self.pacer.release(slot)
             if target.incarnation_ms != incarnation_ms:
@@ -107,6 +108,26 @@
         )
         self.avoid_silent_target(target, run)
 
+    async def send_start(
+        self, target: TargetRow, order: StartOrder, sent: float
+    ) -> Result[int, TargetFailure]:
+        """Send a copy of a start, and note until when it may arrive.
+
+        The target is asked for as long as one without an answer may, so that a restart
+        is noticed at once.
+        """
+        timeout = self.owner.extend_timeout(ORDER_TIMEOUT_SECONDS)
+        late_starts = self.owner.late_starts
+        start = SentStart(target.report.target_id, target.incarnation_ms, order.run)
+        former = late_starts.note_sent(start, sent + timeout)
+        result = await self.targets.start(target.report, order, timeout)
+        if is_answer(result):
+            late_starts.note_answered(start, self.clock.boottime(), former)
+        else:
+            until = sent + timeout + MAX_CALL_DELAY_SECONDS
+            target.watched_until = max(target.watched_until, until)
+        return result
+
     def avoid_silent_target(self, target: TargetRow, run: RunRow) -> None:
         """Let the task, and others for a while, use other targets than a silent one.
 
@@ -168,6 +189,8 @@
         if not run.order_expires_ms:
             now_ms = target.clock.earliest_ms(now)
             run.order_expires_ms = now_ms + START_EXPIRY_SECONDS * MILLISECONDS
+        # A target that refuses the start takes the lease from it all the same.
+        target.lease_ends_ms = max(target.lease_ends_ms, run.order_expires_ms)
         return StartOrder(
             run=run.key,
             payload=job.accepted.spec.payload,
@@ -187,7 +210,6 @@
         now = self.clock.boottime()
         if target.clock is not None:
             target.clock.observe(target_ms, now)
-        target.lease_ends_ms = max(target.lease_ends_ms, run.order_expires_ms)
         run.confirmed = True
         run.confirmed_at = now
         run.percent_changed_at = now
@@ -271,6 +293,13 @@
             await asyncio.sleep(STOP_RETRY_SECONDS)
 
 
+def is_answer(result: Result[int, TargetFailure]) -> bool:
+    """Return whether the target has certainly carried out or refused the call."""
+    if not isinstance(result, Failure):
+        return True
+    return result.failure().kind is TargetFailureKind.REFUSED
+
+
 def create_orders(
     owner: TermOwner,
     tables: FleetTables,
--- a/src/egretloft/_internal/fleet/sessions.py
+++ b/src/egretloft/_internal/fleet/sessions.py
@@ -26,7 +26,9 @@
     note_failure,
 )
 from egretloft._internal.fleet.interfaces import FleetClock, Targets
+from egretloft._internal.fleet.late_starts import LateStarts
 from egretloft._internal.fleet.lifecycle import (
+    add_late_start,
     adopt_run,
     apply_end,
     may_be_waiting,
@@ -93,6 +95,7 @@
     # Whether all used targets are fenced before any lease is renewed, any run started
     # or any end acknowledged: the former leader may go on until then.
     fences_first: bool
+    late_starts: LateStarts
 
     def may_issue_orders(self) -> bool:
         """Return whether the leader may send orders and renew leases."""
@@ -367,14 +370,15 @@
     def on_new_incarnation(self, answer: RenewalAnswer, sent: float) -> None:
         """Reset what is known of a target that restarted: clock, lease and end numbers.
 
-        Its runs are removed, except those that it lists and starts that are not yet
-        confirmed. A copy of an order that was sent before may still arrive, and its
-        expiry says nothing on the new clock, so such a start is stopped. A start that
-        was confirmed after the renewal was ``sent`` may be one of the new incarnation;
-        the next answers tell.
+        Its runs are removed, except those that it lists and starts of which a copy may
+        still arrive. The expiry of a copy that was sent before says nothing on the new
+        clock, so such a start is stopped, also if it was given up or has ended since.
+        A start that was confirmed after the renewal was ``sent`` may be one of the new
+        incarnation; the next answers tell.
 
         The expiry of such an order may be far ahead on the new clock, and a start
-        extends the lease of all runs, so the target may hold the longest lease.
+        extends the lease of all runs, even if it is refused, so the target may hold the
+        longest lease from then on.
         """
         target = self.target
         target.lease_ends_ms = 0.0
@@ -397,24 +401,42 @@
         ) = 0
         listed_runs = {active.run for active in answer.active}
         start_expires_ms = answer.target_time_ms + START_EXPIRY_MS
+        now = self.clock.boottime()
+        late_starts = self.owner.late_starts
+        sent_before = late_starts.before_restart(
+            target.report.target_id, answer.incarnation_ms
+        )
+        late = {s.run for s in sent_before if late_starts.may_arrive(s, now)}
         for run in list(target.runs.values()):
             if run.key in listed_runs or (run.confirmed and run.confirmed_at >= sent):
                 run.order_expires_ms = start_expires_ms
-            elif run.confirmed:
+            elif run.confirmed and run.key not in late:
                 self.lose_run(run, "target restarted", crashed=True)
-            elif run.order_expires_ms:
+            elif run.order_expires_ms or run.confirmed:
                 self.stop_unconfirmed_start(run, answer)
+        for key in late - listed_runs - target.runs.keys():
+            run = add_late_start(self.tables, target, key, now)
+            self.stop_unconfirmed_start(run, answer)
+        lease_seconds = late_starts.longest_lease(sent_before, now)
+        if lease_seconds:
+            target.lease_ends_ms = max(
+                target.lease_ends_ms,
+                answer.target_time_ms + lease_seconds * MILLISECONDS,
+            )
         if any(run.order_expires_ms for run in target.runs.values()):
             longest_ms = self.targets.max_lease_seconds * MILLISECONDS
-            target.lease_ends_ms = start_expires_ms + longest_ms
+            target.lease_ends_ms = max(
+                target.lease_ends_ms, start_expires_ms + longest_ms
+            )
 
     def stop_unconfirmed_start(self, run: RunRow, answer: RenewalAnswer) -> None:
-        """Stop a start that was sent to the former incarnation and never confirmed.
+        """Stop a start of which a copy was sent to the former incarnation.
 
         A stop that the former incarnation confirmed does not hold for the new one.
         """
         is_stop_under_way = run.phase is RunPhase.STOPPING and not run.stop_confirmed_at
         run.sent_before_restart = True
+        run.confirmed = False
         run.stop_confirmed_at = 0.0
         # While the target is unreachable, the order counts as sent just now.
         run.order_expires_ms = answer.target_time_ms + START_EXPIRY_MS
--- a/tests/lib/term_owner.py
+++ b/tests/lib/term_owner.py
@@ -4,6 +4,7 @@
 
 import asyncio
 
+from egretloft._internal.fleet.late_starts import LateStarts
 from egretloft._internal.fleet.tables import JobRow, RunRow, TargetRow
 
 
@@ -16,6 +17,7 @@
 
     def __init__(self, confirmed: bool) -> None:
         self.confirmed = confirmed
+        self.late_starts = LateStarts(longest_lease_seconds=6.0)
 
     def may_issue_orders(self) -> bool:
         return self.confirmed
--- a/tools/standins/fleet/targets.py
+++ b/tools/standins/fleet/targets.py
@@ -423,13 +423,15 @@
 
     ``late_order_share`` is the share of starts and stops that get no answer and are
     carried out seconds later, ``lost_answer_share`` that of starts that are carried out
-    at once and whose answer is lost.
+    at once and whose answer is lost. With ``late_orders_outlive_crashes``, a target
+    that has restarted meanwhile carries out late orders too.
     """
 
     targets: dict[str, EmulatedTarget]
     generator: random.Random
     wait_until_thawed: Callable[[], Awaitable[None]] = return_at_once
     late_order_share: float = 0.0
+    late_orders_outlive_crashes: bool = False
     lost_answer_share: float = 0.0
     cut_from: set[str] = field(default_factory=set)
     is_separated: Callable[[str], bool] = never_separated
@@ -464,10 +466,14 @@
     async def carry_out_late(
         self, target: EmulatedTarget, action: Callable[[], object]
     ) -> None:
-        """Carry out an order after a random delay, unless the target crashes first."""
+        """Carry out an order after a random delay.
+
+        One to a target that crashes first is lost, unless it is to outlive that.
+        """
         incarnation_ms = target.incarnation_ms
         await asyncio.sleep(self.generator.uniform(*LATE_ORDER_DELAY_SECONDS))
-        if target.incarnation_ms == incarnation_ms:
+        is_same = target.incarnation_ms == incarnation_ms
+        if is_same or self.late_orders_outlive_crashes:
             action()
 
     def postpone(self, target: EmulatedTarget, action: Callable[[], object]) -> None:
