--- a/src/egretloft/_internal/fleet/leader.py
+++ b/src/egretloft/_internal/fleet/leader.py
@@ -79,7 +79,7 @@
 # A leader that the former one did not know waits at most this long for the targets that
 # it cannot reach. The former one may still use them in an outage of the store.
 FENCE_FIRST_SECONDS = 60.0
-# A log line names at most this many instances.
+# A log line names at most this many instances or targets.
 LISTED_INSTANCES = 4
 # A task that has not ended this long after it was cancelled is cancelled again.
 CANCEL_RETRY_SECONDS = 0.2
@@ -554,6 +554,7 @@
         """
         if not self.recovering:
             return
+        self.update_fences_first(now)
         unfenced = [
             target
             for target in self.tables.targets.values()
@@ -564,12 +565,34 @@
         )
         if not unfenced or (now >= self.recovery_deadline and not has_more_ends):
             self.recovering = False
-            self.fences_first = False
             self.decision_needed = True
             for job in self.tables.open_jobs.values():
                 self.tables.touch(job)
             log.info("recovered", epoch=self.epoch, unfenced=len(unfenced))
 
+    def update_fences_first(self, now: float) -> None:
+        """Begin to act once all used targets have answered, and refuse older epochs.
+
+        Some may have more ends than they list: these have to be acknowledged first.
+        """
+        if not self.fences_first:
+            return
+        silent = [
+            target_id
+            for target_id, target in self.tables.targets.items()
+            if target.used_before and not target.has_answered
+        ]
+        if silent and now < self.recovery_deadline:
+            return
+        self.fences_first = False
+        if not silent:
+            self.recovery_deadline = now + self.max_unrenewed_seconds()
+        log.info(
+            "former leader fenced",
+            epoch=self.epoch,
+            silent=sorted(silent)[:LISTED_INSTANCES],
+        )
+
     def remove_unused_targets(self) -> None:
         """Remove unlisted targets that cannot have active runs.
 
--- a/src/egretloft/_internal/fleet/sessions.py
+++ b/src/egretloft/_internal/fleet/sessions.py
@@ -92,8 +92,8 @@
 
     epoch: int
     recovering: bool
-    # Whether all used targets are fenced before any lease is renewed, any run started
-    # or any end acknowledged: the former leader may go on until then.
+    # Whether all used targets have to answer before any lease is renewed, any run
+    # started or any end acknowledged: the former leader may go on until then.
     fences_first: bool
     late_starts: LateStarts
 
@@ -354,6 +354,7 @@
         target.last_acknowledged_end = max(
             target.last_acknowledged_end, acknowledged_end
         )
+        target.has_answered = True
         was_fenced = target.fenced
         # What runs, and what has ended, is known only from a complete answer.
         is_complete = answer.lists_all_ends and not answer.unreadable
--- a/src/egretloft/_internal/fleet/state_reader.py
+++ b/src/egretloft/_internal/fleet/state_reader.py
@@ -161,7 +161,7 @@
         target.listed = True
         self.owner.on_target_announced(target)
         if moved or restarted:
-            target.fenced = False
+            target.fenced = target.has_answered = False
             self.owner.on_target_changed(target)
         self.owner.wake_scheduler()
 
--- a/src/egretloft/_internal/fleet/tables.py
+++ b/src/egretloft/_internal/fleet/tables.py
@@ -267,8 +267,9 @@
 
     ``listed`` tells whether the platform's list contains it, ``recorded`` whether the
     store holds it as a target that may have runs, ``used_before`` whether it did when
-    the term began, ``fenced`` whether it has seen this leader's epoch and has then
-    listed all that it holds. ``lease_ends_ms`` is the end of the longest lease that was
+    the term began, ``has_answered`` whether it has seen this leader's epoch and so
+    refuses the former one, ``fenced`` whether it has then listed all that it holds.
+    ``lease_ends_ms`` is the end of the longest lease that was
     granted, on the target's clock. ``last_applied_end``, ``last_recorded_end`` and
     ``last_acknowledged_end`` are the highest numbers of the target's ends that were
     applied to the tables, recorded in the store and acknowledged to the target;
@@ -292,6 +293,7 @@
     listed: bool = True
     recorded: bool = False
     used_before: bool = False
+    has_answered: bool = False
     fenced: bool = False
     reachable: bool = True
     failed_renewals: int = 0
--- a/tests/unit/fleet/test_unknown_instances.py
+++ b/tests/unit/fleet/test_unknown_instances.py
@@ -7,7 +7,7 @@
 import pytest
 from returns.result import Success
 
-from egretloft._internal.fleet.models import JobState
+from egretloft._internal.fleet.models import EndKind, JobState
 from lib.fleet_builders import build_world, job_id, single_step
 from lib.virtual_time import run_virtual
 from standins.fleet.world import FleetWorld
@@ -98,3 +98,22 @@
         await finish(world)
 
     run_virtual(main())
+
+
+def test_new_instance_takes_over_targets_that_have_more_ends_than_they_list() -> None:
+    """Guards against a leader that waits for all ends, and acknowledges none."""
+
+    async def main() -> None:
+        world = await start_world(1)
+        for target in world.targets.values():
+            target.max_listed_ends = 1
+        for name in list(world.processes):
+            await world.kill(name)
+        # The tasks end, unless their leases expire before.
+        for target in world.targets.values():
+            for run in list(target.runs.values()):
+                target.end(run, EndKind.DONE)
+        await world.start_instance(NEW)
+        await finish(world)
+
+    run_virtual(main())
