--- a/src/egretloft/_internal/fleet/leader.py
+++ b/src/egretloft/_internal/fleet/leader.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import math
 import sys
 from collections.abc import Awaitable, Callable, Coroutine
 from enum import StrEnum
@@ -44,7 +45,7 @@
     OperatorState,
 )
 from egretloft._internal.fleet.orders import create_orders
-from egretloft._internal.fleet.pledges import Pledges
+from egretloft._internal.fleet.pledges import Incarnation, Pledges
 from egretloft._internal.fleet.recorder import create_recorder
 from egretloft._internal.fleet.run_control import create_run_control
 from egretloft._internal.fleet.scheduler import Scheduler
@@ -147,6 +148,11 @@
         self.fences_first = not term.known_to_former
         if self.fences_first:
             self.recovery_deadline = clock.boottime() + FENCE_FIRST_SECONDS
+        # The instances that have pledged and may have led before, as far as examined.
+        self.examined_instances: set[Incarnation] = set()
+        # Those of the targets when the examination began; ``None`` outside of one.
+        self.expected_incarnations: dict[str, int] | None = None
+        self.former_deadline = self.recovery_deadline
         self.last_tick = clock.boottime()
         self.confirmation_needed_since = 0.0
         self.draining = False
@@ -479,32 +485,37 @@
         former, self.authority = self.authority, self.current_authority()
         if self.authority is former or not self.is_current():
             return
-        if self.authority is Authority.PLEDGED and self.pledges.forgetful(self.epoch):
-            self.recover_again(now)
-        log.warning(
-            "leader's authority changed",
-            epoch=self.epoch,
-            authority=self.authority.value,
-            confirmed_age=self.election.confirmed_age(),
-            silent_members=len(self.store.silent_members()),
-            missing_pledges=sorted(self.pledges.missing(self.epoch))[:LISTED_INSTANCES],
-            newest_claim=self.pledges.newest_claimed_epoch(),
-        )
-
-    def recover_again(self, now: float) -> None:
-        """Treat all targets as a new leader does, before anything is started.
-
-        An instance that has pledged may have led since this leader was last confirmed,
-        and have forgotten it. A target that it used has seen its epoch.
+        if self.authority is Authority.PLEDGED:
+            self.examine_pledges()
+        elif self.authority is Authority.CONFIRMED:
+            self.end_examination()
+
+    def examine_pledges(self) -> None:
+        """Treat all targets as a new leader does if an instance may have led meanwhile.
+
+        It has pledged, and has restarted since this leader was last confirmed. A target
+        that it used has seen its epoch, unless that target restarted as well. So
+        nothing is started before all targets have answered in the incarnations that
+        this leader knows, or the store confirms that nobody has led.
         """
+        forgetful = self.pledges.forgetful(self.epoch) - self.examined_instances
+        if not forgetful:
+            return
+        self.examined_instances |= forgetful
         log.warning(
             "recovering again",
             epoch=self.epoch,
-            forgetful=sorted(self.pledges.forgetful(self.epoch))[:LISTED_INSTANCES],
+            forgetful=sorted(i.instance_id for i in forgetful)[:LISTED_INSTANCES],
             targets=len(self.tables.targets),
         )
+        if self.expected_incarnations is None:
+            self.former_deadline = self.recovery_deadline
         self.recovering = True
-        self.recovery_deadline = now + self.max_unrenewed_seconds()
+        self.recovery_deadline = math.inf
+        self.expected_incarnations = {
+            target_id: target.incarnation_ms
+            for target_id, target in self.tables.targets.items()
+        }
         for job in self.tables.jobs.values():
             job.known_before_term = True
         for target_id, target in self.tables.targets.items():
@@ -512,6 +523,19 @@
             target.fenced = False
             self.wake_session(target_id)
 
+    def end_examination(self) -> None:
+        """Go on as before: the store has confirmed that nobody has taken over."""
+        if self.expected_incarnations is not None:
+            self.expected_incarnations = None
+            self.recovery_deadline = self.former_deadline
+
+    def has_forgotten_epochs(self, target: TargetRow) -> bool:
+        """Return whether the target may have seen a newer epoch and forgotten it."""
+        if self.expected_incarnations is None:
+            return False
+        expected = self.expected_incarnations.get(target.report.target_id, 0)
+        return not expected or target.incarnation_ms != expected
+
     def note_withheld(self, withheld: bool) -> None:
         """Log when starts begin to be withheld, or no longer are."""
         if withheld == self.starts_withheld:
@@ -558,13 +582,15 @@
         unfenced = [
             target
             for target in self.tables.targets.values()
-            if target.used_before and not target.fenced
+            if target.used_before
+            and (not target.fenced or self.has_forgotten_epochs(target))
         ]
         has_more_ends = any(
             target.reachable and not target.lists_all_ends for target in unfenced
         )
         if not unfenced or (now >= self.recovery_deadline and not has_more_ends):
             self.recovering = False
+            self.expected_incarnations = None
             self.decision_needed = True
             for job in self.tables.open_jobs.values():
                 self.tables.touch(job)
--- a/src/egretloft/_internal/fleet/pledges.py
+++ b/src/egretloft/_internal/fleet/pledges.py
@@ -19,6 +19,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from dataclasses import dataclass
 from typing import Any, TypeVar
 
 import msgspec
@@ -51,10 +52,20 @@
 class Pledge(Claim, array_like=True, frozen=True):
     """The claim that a pledge answers, and the newest epoch that its maker has read.
 
-    ``known_epoch`` is 0 if the maker has read none since its start.
+    ``known_epoch`` is 0 if the maker has read none since its start, which
+    ``incarnation`` tells from its other starts.
     """
 
     known_epoch: int = 0
+    incarnation: str = ""
+
+
+@dataclass(slots=True, frozen=True)
+class Incarnation:
+    """One start of an instance."""
+
+    instance_id: str
+    incarnation: str
 
 
 class Pledges:
@@ -92,7 +103,9 @@
         self.election.pledged_until = now + PLEDGE_SECONDS
         leader = self.election.leader
         known_epoch = leader.epoch if leader is not None else 0
-        pledge = Pledge(claim.epoch, claim.sent_at, known_epoch)
+        pledge = Pledge(
+            claim.epoch, claim.sent_at, known_epoch, self.election.incarnation
+        )
         return {HEARTBEAT_PLEDGE: msgspec.to_builtins(pledge)}
 
     def newest_claim(self) -> Claim | None:
@@ -118,13 +131,13 @@
         """Return the instances of which a leader of this epoch lacks a pledge."""
         return self.needed() - self.valid(epoch).keys()
 
-    def forgetful(self, epoch: int) -> set[str]:
+    def forgetful(self, epoch: int) -> set[Incarnation]:
         """Return the instances that have pledged without having read this epoch.
 
         They may have led in a newer one before they restarted.
         """
         return {
-            instance_id
+            Incarnation(instance_id, pledge.incarnation)
             for instance_id, pledge in self.valid(epoch).items()
             if pledge.known_epoch < epoch
         }
--- a/tests/unit/fleet/test_pledges.py
+++ b/tests/unit/fleet/test_pledges.py
@@ -144,7 +144,7 @@
     assert election.should_campaign()
     claim = [EPOCH, 17.5]
     one.peers.bodies = {"instance-1": {HEARTBEAT_CLAIM: claim}}
-    assert pledges.heartbeat() == {HEARTBEAT_PLEDGE: [*claim, 0]}
+    assert pledges.heartbeat() == {HEARTBEAT_PLEDGE: [*claim, 0, "life-1"]}
     assert not election.should_campaign()
     one.clock.now += PLEDGE_SECONDS
     assert election.should_campaign()
