--- a/src/egretloft/_internal/fleet/election.py
+++ b/src/egretloft/_internal/fleet/election.py
@@ -231,14 +231,20 @@
         return self.larger_instance() is None
 
     def is_known_to_leader(self) -> bool:
-        """Return whether the leader that is to be replaced knows this instance.
+        """Return whether the leader that is to be replaced surely knows this instance.
 
-        One that does not may go on without its pledge.
+        One that does not may go on without its pledge. This instance's row may have
+        been removed since it read the instances' rows, if the heartbeat is newer.
         """
-        if self.heartbeat is None or self.heartbeat.members_version is None:
+        heartbeat = self.heartbeat
+        if heartbeat is None:
             return True
+        if heartbeat.members_version is None:
+            return heartbeat.released
+        if self.registrations.members_version() < self.heartbeat_version:
+            return False
         since = self.registrations.known_since()
-        return since is not None and since <= self.heartbeat.members_version
+        return since is not None and since <= heartbeat.members_version
 
     def members_version(self, released: bool = False) -> int | None:
         """Return what our heartbeat tells of the instances that a leader knows.
--- a/src/egretloft/_internal/fleet/records.py
+++ b/src/egretloft/_internal/fleet/records.py
@@ -86,8 +86,8 @@
     other instance takes over sooner. A leader that ends its term sets ``released``;
     ``successor`` is the instance that should take over, or empty.
     The leader, or a former one that may still go on, knows all instances that
-    registered up to ``members_version``. It is ``None`` if nobody goes on, and from a
-    leader of an earlier release.
+    registered up to ``members_version``. It is ``None`` if nobody goes on after the
+    release of a term, and from a leader of an earlier release.
     """
 
     epoch: int
--- a/src/egretloft/_internal/fleet/sessions.py
+++ b/src/egretloft/_internal/fleet/sessions.py
@@ -185,10 +185,14 @@
 
     def is_asked_only(self) -> bool:
         """Return whether the target is asked again and again without a lease."""
-        if self.owner.fences_first or not self.target.is_readable:
+        if self.withholds_acknowledgement():
             return True
         return self.is_watched() and not self.target.runs
 
+    def withholds_acknowledgement(self) -> bool:
+        """Return whether the target's ends may not be acknowledged yet."""
+        return self.owner.fences_first or not self.target.is_readable
+
     async def idle(self) -> None:
         """Wait until the session is woken, at most ``IDLE_WAIT_SECONDS``."""
         self.wake.clear()
@@ -263,8 +267,11 @@
         )
         if isinstance(result, Failure):
             await self.on_failure(result.failure())
-        else:
-            self.on_answer(result.unwrap(), sent, acknowledged_end)
+            return True
+        self.on_answer(result.unwrap(), sent, acknowledged_end)
+        if self.withholds_acknowledgement():
+            # The target does not wait while it has ends to report.
+            await asyncio.sleep(RETRY_SECONDS)
         return True
 
     def end_to_acknowledge(self) -> int:
@@ -382,11 +389,9 @@
         longest lease from then on.
         """
         target = self.target
-        target.lease_ends_ms = 0.0
-        if not target.incarnation_ms:
-            # A former leader may have renewed its lease until now.
-            target.lease_ends_ms = answer.target_time_ms + LEASE_MS
-        else:
+        # A former leader may have renewed the lease until now.
+        target.lease_ends_ms = answer.target_time_ms + LEASE_MS
+        if target.incarnation_ms:
             log.info(
                 "target restarted",
                 target=target.report.target_id,
--- a/tests/unit/fleet/test_unknown_instances.py
+++ b/tests/unit/fleet/test_unknown_instances.py
@@ -3,13 +3,33 @@
 from __future__ import annotations
 
 import asyncio
+import random
+from collections import Counter
+from typing import Any
 
 import pytest
-from returns.result import Success
-
-from egretloft._internal.fleet.models import EndKind, JobState
-from lib.fleet_builders import build_world, job_id, single_step
+from returns.result import Result, Success
+
+from egretloft._internal.fleet.interfaces import Targets
+from egretloft._internal.fleet.models import (
+    EndKind,
+    JobState,
+    RenewalAnswer,
+    TargetFailure,
+    TargetReport,
+)
+from egretloft._internal.fleet.records import HeartbeatRecord
+from egretloft._internal.fleet.sessions import RETRY_SECONDS
+from lib.fleet_builders import (
+    StubClock,
+    build_election,
+    build_world,
+    job_id,
+    single_step,
+)
+from lib.forwarding_targets import ForwardingTargets
 from lib.virtual_time import run_virtual
+from standins.fleet.store import EmulatedStore, StoreClient
 from standins.fleet.world import FleetWorld
 
 ZONES = ("zone-a", "zone-b")
@@ -24,16 +44,34 @@
 TAKEOVER_SECONDS = 3.0
 
 
+class CountingTargets(ForwardingTargets):
+    """Targets that count the renewals by their ids."""
+
+    def __init__(self, targets: Targets) -> None:
+        super().__init__(targets)
+        self.renewals: Counter[str] = Counter()
+
+    async def renew(
+        self, target: TargetReport, *call: Any
+    ) -> Result[RenewalAnswer, TargetFailure]:
+        self.renewals[target.target_id] += 1
+        return await super().renew(target, *call)
+
+
 async def start_world(seed: int) -> FleetWorld:
     """Return a fleet with targets in two zones and all its instances in one."""
     world = build_world(seed, 2, 6, zones=ZONES)
+    await start_work(world)
+    return world
+
+
+async def start_work(world: FleetWorld) -> None:
     await world.start()
     for number in range(JOBS):
         spec = single_step(TASKS)
         accepted = await world.submit(job_id(number), spec, WORK_SECONDS)
         assert isinstance(accepted, Success)
     await asyncio.sleep(1.0)
-    return world
 
 
 async def finish(world: FleetWorld) -> None:
@@ -167,3 +205,51 @@
         await finish(world)
 
     run_virtual(main())
+
+
+def is_known(heartbeat: HeartbeatRecord, heartbeat_version: int) -> bool:
+    """Return whether an instance whose row has version 1 is known to a leader."""
+    store = StoreClient(EmulatedStore(random.Random(1)))
+    election = build_election(store, StubClock())
+    election.heartbeat = heartbeat
+    election.heartbeat_version = heartbeat_version
+    return election.is_known_to_leader()
+
+
+def test_leader_of_an_earlier_release_may_not_know_this_instance() -> None:
+    assert not is_known(HeartbeatRecord(1, 1), 1)
+    assert is_known(HeartbeatRecord(1, 1, released=True), 1)
+
+
+def test_instance_whose_row_may_have_been_removed_since_is_not_known() -> None:
+    """Guards against a heartbeat that a conflict brought, without the other rows."""
+    heartbeat = HeartbeatRecord(1, 1, members_version=2)
+    assert is_known(heartbeat, 1)
+    assert not is_known(heartbeat, 2)
+
+
+@pytest.mark.parametrize("seed", range(2))
+def test_targets_are_not_asked_without_a_pause_while_they_are_fenced(seed: int) -> None:
+    """Guards against a target that answers at once, as its ends are kept back."""
+
+    async def main() -> float:
+        clients: list[CountingTargets] = []
+
+        def wrap(targets: Targets) -> CountingTargets:
+            clients.append(CountingTargets(targets))
+            return clients[-1]
+
+        world = build_world(seed, 2, 6, zones=ZONES, wrap_targets=wrap)
+        await start_work(world)
+        world.cuts.zones.add("zone-a")
+        await asyncio.sleep(PLEDGED_SECONDS)
+        world.cuts.zone_of[NEW] = "zone-b"
+        await world.start_instance(NEW)
+        await asyncio.sleep(WORK_SECONDS)
+        renewals = clients[-1].renewals
+        renewals.clear()
+        await asyncio.sleep(WORK_SECONDS)
+        await world.stop()
+        return max(renewals.values()) / WORK_SECONDS
+
+    assert run_virtual(main()) <= 1 / RETRY_SECONDS
