--- a/src/egretloft/_internal/fleet/state_reader.py
+++ b/src/egretloft/_internal/fleet/state_reader.py
@@ -64,7 +64,7 @@
         self.recorder = recorder
         self.decoder = decoder
         self.metrics = metrics
-        # Jobs of which the row cannot be decoded, perhaps as another build wrote it.
+        # Jobs of which a row cannot be decoded, perhaps as another build wrote it.
         self.unreadable_jobs: set[str] = set()
         # Cancel requests that came before their jobs, with their Unix times in
         # milliseconds.
@@ -225,6 +225,9 @@
                 request_id=job_id,
                 version=row.version,
             )
+            # What of it is done is not known.
+            self.unreadable_jobs.add(job_id)
+            self.tables.withdraw_job(job)
             return
         job.restore(record.unwrap())
         job.progress_version = row.version
--- a/src/egretloft/_internal/fleet/tables.py
+++ b/src/egretloft/_internal/fleet/tables.py
@@ -360,6 +360,13 @@
         self.startable_jobs.pop(job_id, None)
         self.touch(job)
 
+    def withdraw_job(self, job: JobRow) -> None:
+        """Forget an open job without runs; nothing of it is started or written."""
+        job_id = job.accepted.job_id
+        self.remove_job(job)
+        del self.open_jobs[job_id]
+        self.startable_jobs.pop(job_id, None)
+
     def take_expired_jobs(self, cutoff_ms: float, limit: int) -> list[JobRow]:
         """Return up to ``limit`` jobs that ended before ``cutoff_ms``, oldest first.
 
--- a/tests/unit/fleet/test_odd_rows.py
+++ b/tests/unit/fleet/test_odd_rows.py
@@ -7,11 +7,15 @@
 from returns.result import Success
 
 from egretloft._internal import codec
+from egretloft._internal.fleet.interfaces import RowTransaction
 from egretloft._internal.fleet.models import JobState, TargetReport
+from egretloft._internal.fleet.records import progress_key
 from lib.fleet_builders import build_world, job_id, single_step
 from lib.virtual_time import run_virtual
 from standins.fleet.world import TARGET_TABLE
 
+# No msgpack value begins with this byte.
+UNREADABLE_ROW = b"\xc1"
 # A list in a list and so on, as msgpack.
 DEEP = b"\x91" * 200_000 + b"\xc0"
 
@@ -54,3 +58,25 @@
         assert world.checker.violations == []
 
     run_virtual(main())
+
+
+def test_job_with_an_unreadable_progress_row_is_not_started_again() -> None:
+    """Guards against done tasks that run again, as their progress counts as none."""
+
+    async def main() -> None:
+        world = build_world()
+        await world.start()
+        assert isinstance(await world.submit(job_id(1), single_step(4), 1.0), Success)
+        assert await world.wait_for_state(job_id(1), JobState.COMPLETE, 20.0)
+        await asyncio.sleep(1.0)
+        writes = ((progress_key(job_id(1)), UNREADABLE_ROW),)
+        world.store.apply(RowTransaction((), writes))
+        await world.kill(world.leader_name() or "")
+        await asyncio.sleep(5.0)
+        assert isinstance(await world.submit(job_id(2), single_step(4), 1.0), Success)
+        assert await world.wait_for_state(job_id(2), JobState.COMPLETE, 20.0)
+        assert world.store.rows[progress_key(job_id(1))].value == UNREADABLE_ROW
+        await world.stop()
+        assert world.checker.violations == []
+
+    run_virtual(main())
