--- a/src/egretloft/_internal/fleet/election.py
+++ b/src/egretloft/_internal/fleet/election.py
@@ -246,6 +246,27 @@
         since = self.registrations.known_since()
         return since is not None and since <= heartbeat.members_version
 
+    def judge_former_leader(self) -> None:
+        """Note whether a leader that is replaced may go on, and whom it knows."""
+        self.known_to_former = self.is_known_to_leader()
+        self.former_members_version = (
+            None if self.known_to_former else self.known_to_former_leaders()
+        )
+
+    def known_to_former_leaders(self) -> int:
+        """Return what a takeover tells of the instances that former leaders know.
+
+        It repeats what the heartbeat before it tells: if its answer is lost, this
+        instance may still pledge to the former leader. Everybody is known if nobody
+        goes on, nobody if the former leader does not tell.
+        """
+        heartbeat = self.heartbeat
+        if heartbeat is None:
+            return self.registrations.members_version()
+        if heartbeat.members_version is not None:
+            return heartbeat.members_version
+        return self.registrations.members_version() if heartbeat.released else 0
+
     def members_version(self, released: bool = False) -> int | None:
         """Return what our heartbeat tells of the instances that a leader knows.
 
@@ -290,17 +311,14 @@
         The transaction fails if the leader row or the heartbeat has changed meanwhile.
         """
         epoch = (self.leader.epoch if self.leader else 0) + 1
-        self.known_to_former = self.is_known_to_leader()
-        self.former_members_version = None
-        if self.heartbeat is not None and not self.known_to_former:
-            self.former_members_version = self.heartbeat.members_version
+        self.judge_former_leader()
         record = LeaderRecord(self.instance_id, self.incarnation, epoch)
         heartbeat = HeartbeatRecord(
             epoch,
             0,
             waiting=self.heartbeat.waiting if self.heartbeat else {},
             valid_seconds=self.timeout_seconds(),
-            members_version=self.members_version(),
+            members_version=self.known_to_former_leaders(),
         )
         started = self.clock.boottime()
         result = await self.store.commit(
@@ -346,6 +364,8 @@
         if not rows or leader is None or leader.incarnation != self.incarnation:
             return
         if self.term is None and leader.instance_id == self.instance_id:
+            # The attempt that took effect may not be the last one.
+            self.judge_former_leader()
             self.begin_term(leader.epoch, self.leader_version, 0.0, None)
 
     def begin_term(
