--- a/src/egretloft/_internal/fleet/election.py
+++ b/src/egretloft/_internal/fleet/election.py
@@ -65,7 +65,7 @@
 
     The leader's writes require that the leader row still has ``leader_version``.
     ``known_to_former`` tells whether the former leader certainly knew this instance,
-    and thus did not go on without its pledge.
+    and thus did not go on without its pledge, and whether no leader before it does.
     """
 
     epoch: int
@@ -124,6 +124,8 @@
         self.campaigning = False
         # Whether the leader that the last attempt was to replace knew this instance.
         self.known_to_former = True
+        # Whether our term has yet to make sure that no former leader goes on.
+        self.fences_first = False
         # Until when this instance has pledged to a leader not to take over.
         self.pledged_until = 0.0
         self.jitter = generator.uniform(0, CANDIDATE_JITTER_SECONDS)
@@ -230,9 +232,12 @@
         """Return whether the leader that is to be replaced knows this instance.
 
         One that does not may go on without its pledge. A leader that has ended its term
-        does not go on, nor does a former process of this instance.
+        does not go on, nor does a former process of this instance. One before it may,
+        if the leader has not fenced that one yet.
         """
         heartbeat = self.heartbeat
+        if heartbeat is not None and heartbeat.fences_first:
+            return False
         if heartbeat is None or heartbeat.released or self.has_led_before_restart():
             return True
         if heartbeat.members_version is None:
@@ -282,6 +287,7 @@
             waiting=self.heartbeat.waiting if self.heartbeat else {},
             valid_seconds=self.timeout_seconds(),
             members_version=self.registrations.members_version(),
+            fences_first=not self.known_to_former,
         )
         started = self.clock.boottime()
         result = await self.store.commit(
@@ -327,6 +333,9 @@
         if not rows or leader is None or leader.incarnation != self.incarnation:
             return
         if self.term is None and leader.instance_id == self.instance_id:
+            # The last attempt may not be the one that took effect.
+            if self.heartbeat is not None:
+                self.known_to_former = not self.heartbeat.fences_first
             self.begin_term(leader.epoch, self.leader_version, 0.0, None)
 
     def begin_term(
@@ -337,6 +346,7 @@
         ``silent_for`` is how many seconds the former leader's heartbeat was unchanged.
         """
         self.term = Term(epoch, version, self.known_to_former)
+        self.fences_first = not self.known_to_former
         self.confirmed_at = self.last_heartbeat_at = (
             -math.inf if sent_at is None else sent_at
         )
@@ -368,6 +378,7 @@
             successor,
             self.timeout_seconds(),
             self.registrations.members_version(),
+            self.fences_first,
         )
         sent_at = self.clock.boottime()
         self.last_heartbeat_at = sent_at
--- a/src/egretloft/_internal/fleet/leader.py
+++ b/src/egretloft/_internal/fleet/leader.py
@@ -584,7 +584,7 @@
         ]
         if silent and now < self.recovery_deadline:
             return
-        self.fences_first = False
+        self.fences_first = self.election.fences_first = False
         if not silent:
             self.recovery_deadline = now + self.max_unrenewed_seconds()
         log.info(
--- a/src/egretloft/_internal/fleet/records.py
+++ b/src/egretloft/_internal/fleet/records.py
@@ -86,7 +86,8 @@
     other instance takes over sooner. A leader that ends its term sets ``released``;
     ``successor`` is the instance that should take over, or empty.
     The leader knows all instances that registered up to ``members_version``; a leader
-    of an earlier release does not tell.
+    of an earlier release does not tell. While it ``fences_first``, a leader before it
+    may still go on, and its successor has to fence that one too.
     """
 
     epoch: int
@@ -96,6 +97,7 @@
     successor: str = ""
     valid_seconds: float = HEARTBEAT_TIMEOUT_SECONDS
     members_version: int | None = None
+    fences_first: bool = False
 
 
 @dataclass(slots=True, frozen=True)
--- a/tests/unit/fleet/test_unknown_instances.py
+++ b/tests/unit/fleet/test_unknown_instances.py
@@ -117,3 +117,33 @@
         await finish(world)
 
     run_virtual(main())
+
+
+@pytest.mark.parametrize("successor", [NEW, "instance-8"])
+@pytest.mark.parametrize("seed", range(4))
+def test_successor_of_a_new_instance_does_not_act_beside_the_first_leader(
+    seed: int, successor: str
+) -> None:
+    """Guards against a second takeover that forgets whom the first one was to fence.
+
+    The new instance knows its successor, which may be its own next process.
+    """
+
+    async def main() -> None:
+        world = await start_world(seed)
+        world.cuts.zones.add("zone-a")
+        await asyncio.sleep(PLEDGED_SECONDS)
+        for name in (NEW, successor):
+            world.cuts.zone_of[name] = "zone-b"
+        await world.start_instance(NEW)
+        if successor != NEW:
+            await world.start_instance(successor)
+        await asyncio.sleep(PLEDGED_SECONDS)
+        await world.kill(world.leader_name() or "")
+        if successor == NEW:
+            await world.start_instance(NEW)
+        await asyncio.sleep(8.0)
+        world.cuts.zones.discard("zone-a")
+        await finish(world)
+
+    run_virtual(main())
