--- a/src/egretloft/_internal/fleet/sessions.py
+++ b/src/egretloft/_internal/fleet/sessions.py
@@ -163,7 +163,7 @@
             if not self.needs_renewal():
                 await self.idle()
                 continue
-            if not await self.renew_once():
+            if not await self.renew_once() or self.acknowledges_nothing():
                 await asyncio.sleep(RETRY_SECONDS)
 
     def needs_renewal(self) -> bool:
@@ -189,6 +189,13 @@
             return True
         return self.is_watched() and not self.target.runs
 
+    def acknowledges_nothing(self) -> bool:
+        """Return whether ends stay listed, so that no call waits for the next one."""
+        target = self.target
+        if not target.has_answered:
+            return False
+        return self.owner.fences_first or not target.is_readable
+
     async def idle(self) -> None:
         """Wait until the session is woken, at most ``IDLE_WAIT_SECONDS``."""
         self.wake.clear()
--- a/tests/unit/fleet/test_unknown_instances.py
+++ b/tests/unit/fleet/test_unknown_instances.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+from typing import Any
 
 import pytest
-from returns.result import Success
+from returns.result import Failure, Success
 
-from egretloft._internal.fleet.models import EndKind, JobState
+from egretloft._internal.fleet.models import EndKind, JobState, TargetFailure
 from lib.fleet_builders import build_world, job_id, single_step
 from lib.virtual_time import run_virtual
 from standins.fleet.world import FleetWorld
@@ -19,6 +20,9 @@
 WORK_SECONDS = 8.0
 # A leader finds out that the store is lost, and collects pledges.
 PLEDGED_SECONDS = 3.0
+WAITING_SECONDS = 6.0
+# As many as a target gets that is watched, and twice as many to spare.
+MAX_CALLS_PER_SECOND = 10
 
 
 async def start_world(seed: int) -> FleetWorld:
@@ -147,3 +151,32 @@
         await finish(world)
 
     run_virtual(main())
+
+
+def test_new_instance_does_not_call_targets_without_a_pause_while_it_waits() -> None:
+    """Guards against calls that each return at once, as ends are not acknowledged."""
+
+    async def main() -> int:
+        world = await start_world(1)
+        for name in list(world.processes):
+            await world.kill(name)
+        [silent, *others] = [t for t in world.targets.values() if t.runs]
+        silent.silent = True
+        calls = 0
+
+        def count(*values: Any) -> Failure[TargetFailure] | None:
+            nonlocal calls
+            calls += 1
+            return renew(*values)
+
+        target = others[0]
+        for run in list(target.runs.values()):
+            target.end(run, EndKind.DONE)
+        renew = target.renew
+        target.renew = count  # type: ignore[method-assign]
+        await world.start_instance(NEW)
+        await asyncio.sleep(WAITING_SECONDS)
+        await world.stop()
+        return calls
+
+    assert run_virtual(main()) <= WAITING_SECONDS * MAX_CALLS_PER_SECOND
