--- a/src/egretloft/_internal/fleet/leader.py
+++ b/src/egretloft/_internal/fleet/leader.py
@@ -171,7 +171,23 @@
 
     def may_issue_orders(self) -> bool:
         """Return whether the leader may send orders and renew leases."""
-        return self.current_authority() is not Authority.NONE
+        return self.noted_authority() is not Authority.NONE
+
+    def noted_authority(self) -> Authority:
+        """Return why the leader may send orders, as far as ticks have acted on it.
+
+        A tick has to begin a recovery before the leader relies on a pledge of an
+        instance that may have led meanwhile.
+        """
+        authority = self.current_authority()
+        is_new = authority is not self.authority
+        if (
+            authority is Authority.PLEDGED
+            and is_new
+            and self.pledges.forgetful(self.epoch)
+        ):
+            return Authority.NONE
+        return authority
 
     def current_authority(self) -> Authority:
         """Return why the leader may send orders now, if it may.
@@ -195,7 +211,7 @@
         It has to know what operators ask for and what targets say of themselves, unless
         no instance reaches the store, as nobody can know then.
         """
-        authority = self.current_authority()
+        authority = self.noted_authority()
         if authority is Authority.CONFIRMED:
             return self.knowledge_age() <= MAX_KNOWLEDGE_AGE_SECONDS
         return authority is Authority.PLEDGED
