--- a/src/egretloft/_internal/fleet/election.py
+++ b/src/egretloft/_internal/fleet/election.py
@@ -124,6 +124,8 @@
         self.campaigning = False
         # Whether the leader that the last attempt was to replace knew this instance.
         self.known_to_former = True
+        # Whether our term is being released, so that another may have begun.
+        self.releasing = False
         # Whether our term has yet to make sure that no former leader goes on.
         self.fences_first = False
         # Until when this instance has pledged to a leader not to take over.
@@ -256,6 +258,8 @@
 
     def is_confirmed(self) -> bool:
         """Return whether our last confirmed heartbeat still excludes a takeover."""
+        if self.releasing:
+            return False
         return self.clock.boottime() - self.confirmed_at <= self.confirmed_for
 
     def confirmed_age(self) -> float | None:
@@ -347,6 +351,7 @@
         """
         self.term = Term(epoch, version, self.known_to_former)
         self.fences_first = not self.known_to_former
+        self.releasing = False
         self.confirmed_at = self.last_heartbeat_at = (
             -math.inf if sent_at is None else sent_at
         )
@@ -431,8 +436,10 @@
     async def release(self, successor: str = "") -> None:
         """End the term so that another instance, preferably ``successor``, takes over.
 
-        Up to three heartbeats try to announce the release.
+        Up to three heartbeats try to announce the release. One whose answer is lost may
+        have let another instance in, so the leader may not act from the first one on.
         """
+        self.releasing = True
         for _ in range(3):
             if self.term is None or await self.send_heartbeat(True, successor):
                 break
--- a/src/egretloft/_internal/fleet/leader.py
+++ b/src/egretloft/_internal/fleet/leader.py
@@ -195,7 +195,7 @@
         It may while its last heartbeat excludes a takeover, and also while the pledges
         of all other instances do.
         """
-        if self.election.term is not self.term:
+        if self.election.term is not self.term or self.election.releasing:
             return Authority.NONE
         if self.election.confirmed_at < self.confirmation_needed_since:
             return Authority.NONE
