--- a/src/egretloft/_internal/fleet/election.py
+++ b/src/egretloft/_internal/fleet/election.py
@@ -68,7 +68,7 @@
 
     The leader's writes require that the leader row still has ``leader_version``.
     ``known_to_former`` tells whether the former leader certainly knew this instance,
-    and thus did not go on without its pledge.
+    and thus did not go on without its pledge, and whether no leader before it does.
     """
 
     epoch: int
@@ -129,6 +129,8 @@
         self.known_to_former = True
         # What a former leader that may still go on has read of the instances' rows.
         self.former_members_version: int | None = None
+        # Whether our term is being released, so that another may have begun.
+        self.releasing = False
         # Until when this instance has pledged to a leader not to take over.
         self.pledged_until = 0.0
         self.jitter = generator.uniform(0, CANDIDATE_JITTER_SECONDS)
@@ -288,6 +290,8 @@
 
     def is_confirmed(self) -> bool:
         """Return whether our last confirmed heartbeat still excludes a takeover."""
+        if self.releasing:
+            return False
         return self.clock.boottime() - self.confirmed_at <= self.confirmed_for
 
     def confirmed_age(self) -> float | None:
@@ -376,6 +380,7 @@
         ``silent_for`` is how many seconds the former leader's heartbeat was unchanged.
         """
         self.term = Term(epoch, version, self.known_to_former)
+        self.releasing = False
         self.confirmed_at = self.last_heartbeat_at = (
             -math.inf if sent_at is None else sent_at
         )
@@ -459,8 +464,10 @@
     async def release(self, successor: str = "") -> None:
         """End the term so that another instance, preferably ``successor``, takes over.
 
-        Up to three heartbeats try to announce the release.
+        Up to three heartbeats try to announce the release. One whose answer is lost may
+        have let another instance in, so the leader may not act from the first one on.
         """
+        self.releasing = True
         for _ in range(3):
             if self.term is None or await self.send_heartbeat(True, successor):
                 break
--- a/tests/unit/fleet/test_unknown_instances.py
+++ b/tests/unit/fleet/test_unknown_instances.py
@@ -253,3 +253,33 @@
         return max(renewals.values()) / WORK_SECONDS
 
     assert run_virtual(main()) <= 1 / RETRY_SECONDS
+
+
+@pytest.mark.parametrize("successor", [NEW, NEWER])
+@pytest.mark.parametrize("seed", range(4))
+def test_successor_of_a_new_instance_does_not_act_beside_the_first_leader(
+    seed: int, successor: str
+) -> None:
+    """Guards against a second takeover that forgets whom the first one was to fence.
+
+    The new instance knows its successor, which may be its own next process.
+    """
+
+    async def main() -> None:
+        world = await start_world(seed)
+        world.cuts.zones.add("zone-a")
+        await asyncio.sleep(PLEDGED_SECONDS)
+        for name in (NEW, successor):
+            world.cuts.zone_of[name] = "zone-b"
+        await world.start_instance(NEW)
+        if successor != NEW:
+            await world.start_instance(successor)
+        await asyncio.sleep(PLEDGED_SECONDS)
+        await world.kill(world.leader_name() or "")
+        if successor == NEW:
+            await world.start_instance(NEW)
+        await asyncio.sleep(8.0)
+        world.cuts.zones.discard("zone-a")
+        await finish(world)
+
+    run_virtual(main())
