Expect no lease of starts that a target answered before it restarted

A target that restarts and is lost again kept its tasks for up to 22 s, the time of a lease of any start of the last seconds.

--- a/src/egretloft/_internal/fleet/late_starts.py
+++ b/src/egretloft/_internal/fleet/late_starts.py
@@ -49,12 +49,20 @@
         """Note that the copy was answered; ``former`` holds for the earlier ones."""
         self.arrive_until[start] = max(now, former)
 
-    def before_restart(self, target_id: str, incarnation_ms: int) -> list[SentStart]:
-        """Return the orders that were sent to other incarnations of a target."""
+    def before_restart(
+        self, target_id: str, incarnation_ms: int, alive_at: float
+    ) -> list[SentStart]:
+        """Return the orders that a new incarnation of a target may have carried out.
+
+        They were sent to other incarnations. The last one still answered at
+        ``alive_at``, so it carried out itself what was answered before.
+        """
         return [
             start
-            for start in self.arrive_until
-            if start.target_id == target_id and start.incarnation_ms != incarnation_ms
+            for start, until in self.arrive_until.items()
+            if start.target_id == target_id
+            and start.incarnation_ms != incarnation_ms
+            and until >= alive_at
         ]
 
     def may_arrive(self, start: SentStart, now: float) -> bool:
--- a/src/egretloft/_internal/fleet/sessions.py
+++ b/src/egretloft/_internal/fleet/sessions.py
@@ -410,7 +410,9 @@
         now = self.clock.boottime()
         late_starts = self.owner.late_starts
         sent_before = late_starts.before_restart(
-            target.report.target_id, answer.incarnation_ms
+            target.report.target_id,
+            answer.incarnation_ms,
+            target.last_answer - RENEWAL_TIMEOUT_SECONDS,
         )
         late = {s.run for s in sent_before if late_starts.may_arrive(s, now)}
         for run in list(target.runs.values()):
