--- a/tests/lib/fleet_faults.py
+++ b/tests/lib/fleet_faults.py
@@ -189,10 +189,14 @@
             return JobSpec("payload", (gang,))
         return JobSpec("payload", (StepSpec(3, SMALL), StepSpec(2, SMALL, after=(0,))))
 
+    def draw_work_seconds(self) -> float:
+        """Return how long each task of a job runs."""
+        return self.generator.uniform(0.3, 3.0)
+
     async def submit_later(self, number: int) -> None:
         """Submit a job at a random time, at several instances if needed."""
         spec = self.draw_spec()
-        work_seconds = self.generator.uniform(0.3, 3.0)
+        work_seconds = self.draw_work_seconds()
         queue = self.generator.choice(["urgent", "normal", "patient"])
         # A gang fails as often as its members together, so these would use up the
         # attempts of a whole gang.
--- a/tests/lib/peer_fakes.py
+++ b/tests/lib/peer_fakes.py
@@ -24,6 +24,7 @@
     PeerFailure,
     PeerFailureKind,
 )
+from standins.fleet.store import TIME_RESOLUTION_SECONDS
 
 HEARTBEAT_SECONDS = TICK_SECONDS * TICKS_PER_HEARTBEAT
 
@@ -183,7 +184,7 @@
         self.hub.tasks.add(task)
         task.add_done_callback(self.hub.tasks.discard)
         try:
-            async with asyncio.timeout(timeout_seconds):
+            async with asyncio.timeout(max(timeout_seconds, TIME_RESOLUTION_SECONDS)):
                 await self.wait_for_answer(instance_id, answer)
         except TimeoutError:
             pass
--- a/tests/unit/fleet/test_unreadable_rows.py
+++ b/tests/unit/fleet/test_unreadable_rows.py
@@ -3,21 +3,13 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass, replace
 
 import pytest
-from returns.result import Result, Success
+from returns.result import Success
 
-from egretloft._internal.fleet.interfaces import Targets
-from egretloft._internal.fleet.models import (
-    JobState,
-    RenewalAnswer,
-    RunKey,
-    StartOrder,
-    TargetFailure,
-    TargetReport,
-)
+from egretloft._internal.fleet.models import JobState
 from lib.fleet_builders import build_world, job_id, single_step
+from lib.garbled_targets import GarbledTargets, Garbler
 from lib.virtual_time import run_virtual
 from standins.fleet.world import FleetWorld
 
@@ -27,63 +19,6 @@
 FINISH_SECONDS = 20.0
 
 
-@dataclass(slots=True)
-class Garbler:
-    """Tells which rows of the targets' lists arrive unreadable."""
-
-    hides_runs: bool = False
-    hides_ends: bool = False
-
-
-@dataclass(slots=True)
-class GarbledTargets:
-    """Targets of whose answers some rows cannot be decoded."""
-
-    inner: Targets
-    garbler: Garbler
-
-    @property
-    def max_lease_seconds(self) -> float:
-        return self.inner.max_lease_seconds
-
-    async def start(
-        self, target: TargetReport, order: StartOrder, timeout_seconds: float
-    ) -> Result[int, TargetFailure]:
-        return await self.inner.start(target, order, timeout_seconds)
-
-    async def stop(
-        self, target: TargetReport, run: RunKey, epoch: int, timeout_seconds: float
-    ) -> Result[int, TargetFailure]:
-        return await self.inner.stop(target, run, epoch, timeout_seconds)
-
-    async def renew(
-        self,
-        target: TargetReport,
-        epoch: int,
-        last_recorded_end: int,
-        expires_at_ms: int | None,
-        wait_seconds: float,
-        timeout_seconds: float,
-    ) -> Result[RenewalAnswer, TargetFailure]:
-        result = await self.inner.renew(
-            target,
-            epoch,
-            last_recorded_end,
-            expires_at_ms,
-            wait_seconds,
-            timeout_seconds,
-        )
-        return result.map(self.garble)
-
-    def garble(self, answer: RenewalAnswer) -> RenewalAnswer:
-        """Make the first row of a list unreadable."""
-        if self.garbler.hides_runs and answer.active:
-            return replace(answer, active=answer.active[1:], unreadable=1)
-        if self.garbler.hides_ends and answer.ends:
-            return replace(answer, ends=answer.ends[1:], unreadable=1)
-        return answer
-
-
 async def check_once(world: FleetWorld) -> None:
     assert await world.wait_for_state(job_id(1), JobState.COMPLETE, FINISH_SECONDS)
     await asyncio.sleep(2.0)
--- a/tools/standins/fleet/targets.py
+++ b/tools/standins/fleet/targets.py
@@ -419,7 +419,8 @@
     """Target client of one instance.
 
     ``wait_until_thawed`` blocks while the instance is frozen. Calls to a target of
-    ``cut_from``, or one for which ``is_separated`` holds, get no answer.
+    ``cut_from``, or one for which ``is_separated`` holds, get no answer. Calls to a
+    target of ``unheard`` are carried out, and their answers are lost.
 
     ``late_order_share`` is the share of starts and stops that get no answer and are
     carried out seconds later, ``lost_answer_share`` that of starts that are carried out
@@ -434,6 +435,7 @@
     late_orders_outlive_crashes: bool = False
     lost_answer_share: float = 0.0
     cut_from: set[str] = field(default_factory=set)
+    unheard: set[str] = field(default_factory=set)
     is_separated: Callable[[str], bool] = never_separated
     max_lease_seconds: float = MAX_LEASE_SECONDS
     late_orders: set[asyncio.Task[None]] = field(default_factory=set)
@@ -497,7 +499,10 @@
             await asyncio.sleep(timeout_seconds)
             return no_answer()
         result = reached.start(order)
-        if self.lost_answer_share and self.generator.random() < self.lost_answer_share:
+        is_lost = target.target_id in self.unheard
+        if self.lost_answer_share:
+            is_lost |= self.generator.random() < self.lost_answer_share
+        if is_lost:
             await asyncio.sleep(timeout_seconds)
             return no_answer()
         delay_seconds = ONE_WAY_DELAY_SECONDS + reached.start_answer_delay_seconds
@@ -519,6 +524,9 @@
             await asyncio.sleep(timeout_seconds)
             return no_answer()
         result = reached.stop(run, epoch)
+        if target.target_id in self.unheard:
+            await asyncio.sleep(timeout_seconds)
+            return no_answer()
         await asyncio.sleep(ONE_WAY_DELAY_SECONDS)
         await self.wait_until_thawed()
         return result
@@ -540,6 +548,9 @@
         if reached is None:
             return no_answer()
         refusal = reached.renew(epoch, last_recorded_end, expires_at_ms)
+        if target.target_id in self.unheard:
+            await asyncio.sleep(timeout_seconds)
+            return no_answer()
         if refusal is not None:
             return refusal
         if wait_seconds and not reached.ends:
