--- a/tests/unit/fleet/test_unreadable_rows.py
+++ b/tests/unit/fleet/test_unreadable_rows.py
@@ -3,16 +3,13 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass, replace
-from typing import Any
 
 import pytest
-from returns.result import Result, Success
+from returns.result import Success
 
-from egretloft._internal.fleet.interfaces import Targets
-from egretloft._internal.fleet.models import JobState, RenewalAnswer, TargetFailure
+from egretloft._internal.fleet.models import JobState
 from lib.fleet_builders import build_world, job_id, single_step
-from lib.forwarding_targets import ForwardingTargets
+from lib.garbled_targets import GarbledTargets, Garbler
 from lib.virtual_time import run_virtual
 from standins.fleet.world import FleetWorld
 
@@ -22,34 +19,6 @@
 FINISH_SECONDS = 20.0
 
 
-@dataclass(slots=True)
-class Garbler:
-    """Tells which rows of the targets' lists arrive unreadable."""
-
-    hides_runs: bool = False
-    hides_ends: bool = False
-
-
-class GarbledTargets(ForwardingTargets):
-    """Targets of whose answers some rows cannot be decoded."""
-
-    def __init__(self, targets: Targets, garbler: Garbler) -> None:
-        super().__init__(targets)
-        self.garbler = garbler
-
-    async def renew(self, *call: Any) -> Result[RenewalAnswer, TargetFailure]:
-        result = await super().renew(*call)
-        return result.map(self.garble)
-
-    def garble(self, answer: RenewalAnswer) -> RenewalAnswer:
-        """Make the first row of a list unreadable."""
-        if self.garbler.hides_runs and answer.active:
-            return replace(answer, active=answer.active[1:], unreadable=1)
-        if self.garbler.hides_ends and answer.ends:
-            return replace(answer, ends=answer.ends[1:], unreadable=1)
-        return answer
-
-
 async def check_once(world: FleetWorld) -> None:
     assert await world.wait_for_state(job_id(1), JobState.COMPLETE, FINISH_SECONDS)
     await asyncio.sleep(2.0)
