--- a/tools/standins/fleet/checker.py
+++ b/tools/standins/fleet/checker.py
@@ -61,6 +61,8 @@
 
 # A task that has crashed this many targets may be started fewer times more than this.
 CRASHES_LIMIT = 3
+# No task of a job starts later than this after the job was shown as complete.
+SHOWN_COMPLETE_SLACK_SECONDS = 1.0
 
 
 class Checker:
@@ -73,6 +75,7 @@
         self.acknowledged_done: set[TaskKey] = set()
         self.done_runs: dict[TaskKey, list[RunKey]] = {}
         self.started_after_done: dict[RunKey, list[RunKey]] = {}
+        self.shown_complete_at: dict[str, float] = {}
         self.done: set[TaskKey] = set()
         self.failures: dict[TaskKey, int] = {}
         self.acknowledged_failures: dict[TaskKey, int] = {}
@@ -89,9 +92,10 @@
         """Check a run that starts on a target.
 
         Its job must have been submitted (UNASKED) and not refused (REFUSED). The task
-        must have no other active run and no acknowledged completion (TWICE), and
-        attempts left (BUDGET). All steps that it depends on must be done (ORDER). A
-        start after an end as done that is acknowledged later is reported then.
+        must have no other active run and no acknowledged completion, and its job must
+        not have been shown as complete a while ago (TWICE). It must have attempts left
+        (BUDGET), and all steps that it depends on must be done (ORDER). A start after
+        an end as done that is acknowledged later is reported then.
         """
         self.starts += 1
         task = run.key.task
@@ -107,6 +111,9 @@
             self.report("TWICE", f"{task} runs on {where} and {run.target_id}", at)
         if task in self.acknowledged_done:
             self.report("TWICE", f"{task} started after its end was acknowledged", at)
+        shown_at = self.shown_complete_at.get(task.step.job_id, at)
+        if at - shown_at > SHOWN_COMPLETE_SLACK_SECONDS:
+            self.report("TWICE", f"{task} started after it was shown as complete", at)
         if self.acknowledged_failures.get(task, 0) >= truth.attempts:
             self.report("BUDGET", f"{task}", at)
         if self.crashes[task] >= CRASHES_LIMIT:
@@ -142,6 +149,10 @@
             indexes = range(step.tasks) if step.gang else (task.index,)
             self.done.update(TaskKey(task.step, index) for index in indexes)
 
+    def on_shown_complete(self, job_id: str, at: float) -> None:
+        """Record that a caller was told that a job is complete."""
+        self.shown_complete_at.setdefault(job_id, at)
+
     def on_acknowledged(self, end: RunEnd, lease_expired: bool, at: float) -> None:
         """Record that the scheduler acknowledged the end of a run.
 
