--- a/tests/unit/adapter/test_calls.py
+++ b/tests/unit/adapter/test_calls.py
@@ -175,3 +175,20 @@
     )
     assert isinstance(result, Failure)
     assert result.failure().kind is TargetFailureKind.UNKNOWN
+
+
+async def test_target_of_a_zone_without_the_store_is_removed_and_returns(
+    platform: HttpPlatform,
+) -> None:
+    key = RowKey("servers", "", "i-1")
+
+    async def wait_for_row(present: bool) -> None:
+        async with asyncio.timeout(10):
+            while (platform.store.get(key).value is not None) is not present:
+                await asyncio.sleep(0.05)
+
+    await wait_for_row(True)
+    platform.unregistered_zones["zone"] += 1
+    await wait_for_row(False)
+    platform.unregistered_zones["zone"] -= 1
+    await wait_for_row(True)
--- a/tools/soak/programs.py
+++ b/tools/soak/programs.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import os
+import random
 import signal
 import socket
 import sys
@@ -16,14 +17,20 @@
 ROOT = Path(__file__).resolve().parents[2]
 PROGRAM = ROOT / "deploy" / "egretloft_platform.py"
 READY_TIMEOUT_SECONDS = 15.0
+# Below the ports that the system gives to connections, and of five digits all.
+PORTS = range(10_000, 32_768)
 
 
 def free_port() -> int:
-    """Return a port that is free now; another process may still take it."""
-    with socket.socket() as listener:
-        listener.bind(("127.0.0.1", 0))
-        port: int = listener.getsockname()[1]
-        return port
+    """Return a port that is free now and that no outgoing connection is given.
+
+    So it stays free while the process that uses it is restarted.
+    """
+    while True:
+        port = random.SystemRandom().choice(PORTS)
+        with socket.socket() as listener, contextlib.suppress(OSError):
+            listener.bind(("127.0.0.1", port))
+            return port
 
 
 @dataclass(slots=True)
--- a/tools/soak/proxy.py
+++ b/tools/soak/proxy.py
@@ -12,18 +12,26 @@
 class LinkMode(StrEnum):
     """Which bytes a proxy forwards.
 
-    ``ONE_WAY`` forwards to the server only, ``SILENT`` drops both directions.
+    ``ONE_WAY`` forwards to the server only, ``ANSWERS_ONLY`` from the server only, and
+    ``SILENT`` drops both directions.
     """
 
     PASSES = "passes"
     SILENT = "silent"
     ONE_WAY = "one_way"
+    ANSWERS_ONLY = "answers_only"
+
+
+DROPS_REQUESTS = frozenset({LinkMode.SILENT, LinkMode.ANSWERS_ONLY})
+DROPS_ANSWERS = frozenset({LinkMode.SILENT, LinkMode.ONE_WAY})
 
 
 class Proxy:
     """Forwards connections from one listening port to one server.
 
     A connection on which bytes were dropped stays silent when the mode changes again.
+    One that is opened or closed while the link is silent is held: neither side learns
+    of the other.
     """
 
     def __init__(self, host: str, port: int) -> None:
@@ -48,6 +56,8 @@
     ) -> None:
         """Forward the bytes of one connection in both directions."""
         self.writers.add(writer)
+        if self.mode is LinkMode.SILENT:
+            return
         try:
             server_reader, server_writer = await asyncio.open_connection(
                 self.host, self.port
@@ -75,15 +85,13 @@
             while data := await source.read(CHUNK_BYTES):
                 if self.delay_seconds:
                     await asyncio.sleep(self.delay_seconds)
-                dropped = self.mode is LinkMode.SILENT or (
-                    self.mode is LinkMode.ONE_WAY and from_server
-                )
-                if dropped:
+                if self.mode in (DROPS_ANSWERS if from_server else DROPS_REQUESTS):
                     self.silenced.add(sink)
                 if sink not in self.silenced:
                     sink.write(data)
                     await sink.drain()
-            sink.close()
+            if self.mode is not LinkMode.SILENT:
+                sink.close()
 
     def silence_connections(self) -> None:
         """Silence all open connections permanently; new ones work."""
--- a/tools/standins/fleet/http.py
+++ b/tools/standins/fleet/http.py
@@ -5,6 +5,7 @@
 import asyncio
 import base64
 import random
+from collections import Counter
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 
@@ -46,7 +47,16 @@
 CALL_TIMEOUT_SECONDS = 5.0
 LINK_CHUNK_BYTES = 16 * 1024
 REASONS = {refusal: reason for reason, refusal in REFUSAL_REASONS.items()}
+# A target that cannot register for this many periods is removed from the store.
+MISSED_REGISTRATIONS = 3
 Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
+# Returns the value of a row as one caller is to see it.
+View = Callable[[RowKey, bytes], bytes]
+
+
+def unchanged(key: RowKey, value: bytes) -> bytes:
+    """Return the value of a row as it is stored."""
+    return value
 
 
 def json_answer(status: int, body: msgspec.Struct) -> web.Response:
@@ -94,9 +104,9 @@
     return web.Response(status=500)
 
 
-def wire_row(row: StoredRow) -> WireRow:
-    """Return a row in the platform's wire format."""
-    value = base64.b64encode(row.value or b"").decode("ascii")
+def wire_row(row: StoredRow, view: View = unchanged) -> WireRow:
+    """Return a row, seen through ``view``, in the platform's wire format."""
+    value = base64.b64encode(view(row.key, row.value or b"")).decode("ascii")
     return WireRow(
         row.key.table, row.key.part, row.key.key, value, row.version, row.value is None
     )
@@ -105,11 +115,13 @@
 class StoreServer:
     """Serves the emulated store, with a client (and its faults) per caller address.
 
-    With a ``link``, reads and feeds are answered as fast as it carries them.
+    With a ``link``, reads and feeds are answered as fast as it carries them. All rows
+    are served as seen through ``view``.
     """
 
-    def __init__(self, store: EmulatedStore) -> None:
+    def __init__(self, store: EmulatedStore, view: View = unchanged) -> None:
         self.store = store
+        self.view = view
         self.link: Link | None = None
         self.clients: dict[str, StoreClient] = {}
 
@@ -141,7 +153,7 @@
         if isinstance(page, Failure):
             return self.failure(request, page.failure())
         found = page.unwrap()
-        rows = [wire_row(row) for row in found.rows]
+        rows = [wire_row(row, self.view) for row in found.rows]
         answer = WireRows(rows, found.version, found.has_more)
         if self.link is not None:
             return await self.link.answer(request, msgspec.json.encode(answer))
@@ -155,7 +167,7 @@
         A failure with an unknown outcome resets the connection.
         """
         if failure.kind is StoreFailureKind.CONFLICT:
-            rows = [wire_row(row) for row in failure.rows]
+            rows = [wire_row(row, self.view) for row in failure.rows]
             return json_answer(412, WireRows(rows, self.store.version))
         if failure.kind is StoreFailureKind.HISTORY_LOST:
             return json_answer(410, WireRows())
@@ -306,7 +318,11 @@
 
 @dataclass(slots=True)
 class HttpPlatform:
-    """The emulated store and targets, each on a loopback port."""
+    """The emulated store and targets, each on a loopback port.
+
+    The targets of ``unregistered_zones`` do not reach the store: they do not register,
+    and lose their rows after a while.
+    """
 
     store: EmulatedStore
     targets: dict[str, EmulatedTarget]
@@ -315,6 +331,8 @@
     registrations: list[asyncio.Task[None]] = field(default_factory=list)
     store_address: str = ""
     store_server: StoreServer | None = None
+    target_addresses: dict[str, str] = field(default_factory=dict)
+    unregistered_zones: Counter[str] = field(default_factory=Counter)
     registration_period_seconds: float = 0.5
 
     async def start(self) -> None:
@@ -323,9 +341,17 @@
         self.store_address = await self.listen(self.store_server.handle)
         for target in self.targets.values():
             address = await self.listen(TargetServer(target, self.generator).handle)
+            self.target_addresses[target.target_id] = address
             task = asyncio.create_task(self.register_periodically(target, address))
             self.registrations.append(task)
 
+    async def open_store(self, view: View) -> str:
+        """Serve the store, seen through ``view``, on another port; return its address.
+
+        A caller of that port is subject to faults of the whole store only.
+        """
+        return await self.listen(StoreServer(self.store, view).handle)
+
     def limit_link(self, bytes_per_second: float) -> None:
         """Limit the speed at which the store's answers reach the callers."""
         assert self.store_server is not None, "the platform has not been started"
@@ -344,8 +370,14 @@
 
     async def register_periodically(self, target: EmulatedTarget, address: str) -> None:
         """Register as often as the platform asks, unless target or store is down."""
+        missed = 0
         while True:
-            if not target.cut and self.store.mode is StoreMode.WORKS:
+            if self.unregistered_zones[target.zone]:
+                missed += 1
+                if missed == MISSED_REGISTRATIONS:
+                    self.store.put("servers", target.target_id, None)
+            elif not target.cut and self.store.mode is StoreMode.WORKS:
+                missed = 0
                 entry = msgspec.json.encode(wire_server(target, address))
                 self.store.put("servers", target.target_id, entry)
             await asyncio.sleep(self.registration_period_seconds)
