--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -10,6 +10,7 @@
 
 import click
 
+from soak.cuts import CutSoak
 from soak.run import Soak
 
 
@@ -23,6 +24,11 @@
 )
 @click.option("--instances", type=int, default=3, help="Number of instances.")
 @click.option("--targets", type=int, default=8, help="Number of targets.")
+@click.option(
+    "--cuts",
+    is_flag=True,
+    help="Three zones with links between all processes, and cuts among the faults.",
+)
 @click.option("--logs", type=click.Path(path_type=Path), default=None)
 def main(
     seed: int | None,
@@ -30,22 +36,30 @@
     seconds: float,
     instances: int,
     targets: int,
+    cuts: bool,
     logs: Path | None,
 ) -> None:
     """Run seeded soak tests of the real programs and report the violations."""
     first = random.SystemRandom().randrange(1, 1_000_000) if seed is None else seed
     failed = 0
     for number in range(first, first + seeds):
-        directory = logs or Path(tempfile.mkdtemp(prefix=f"soak-{number}-"))
+        directory = (
+            logs / str(number)
+            if logs
+            else Path(tempfile.mkdtemp(prefix=f"soak-{number}-"))
+        )
         directory.mkdir(parents=True, exist_ok=True)
-        soak = Soak(number, seconds, directory, instances, targets)
+        kind = CutSoak if cuts else Soak
+        soak = kind(number, seconds, directory, instances, targets)
         report = asyncio.run(soak.run())
         click.echo(report.line())
         for violation in report.violations[:10]:
             click.echo(f"  {violation}")
         if report.violations:
             failed += 1
-            click.echo(f"  logs: {directory}; faults: {report.faults}")
+            click.echo(f"  logs: {directory}; faults:")
+            for fault in report.faults:
+                click.echo(f"    {fault}")
     sys.exit(1 if failed else 0)
 
 
--- a/tools/soak/run.py
+++ b/tools/soak/run.py
@@ -33,11 +33,8 @@
 KEY = "soak-key"
 HOST = "soak.example"
 SERVICE = "service"
-JOB_INTERVAL_SECONDS = 0.25
-FAULT_INTERVAL_SECONDS = (0.4, 1.8)
 # All accepted jobs must end within this time after the last fault.
 FINISH_TIMEOUT_SECONDS = 40.0
-ZONES = ("zone-a", "zone-b")
 
 
 @dataclass(slots=True)
@@ -66,6 +63,10 @@
 class Soak:
     """An emulated platform, instances with proxies to its store, load and faults."""
 
+    zones: tuple[str, ...] = ("zone-a", "zone-b")
+    job_interval_seconds = 0.25
+    fault_interval_seconds = (0.4, 1.8)
+
     def __init__(
         self, seed: int, seconds: float, directory: Path, instances: int, targets: int
     ) -> None:
@@ -81,7 +82,7 @@
             self.targets[name] = EmulatedTarget(
                 name,
                 SERVICE,
-                ZONES[number % 2],
+                self.zones[number % len(self.zones)],
                 f"r-{number // 4}",
                 Resources(64_000, 262_144, 8),
                 self.checker,
@@ -103,16 +104,8 @@
         """Run the soak and return its report."""
         await self.platform.start()
         self.put_configuration(1)
-        host, port = self.platform.store_address.split(":")
-        for number in range(self.instances):
-            proxy = Proxy(host, int(port))
-            await proxy.start()
-            self.proxies.append(proxy)
-            name = f"instance-{number}"
-            program = Program(name, ZONES[number % 2], self.directory, proxy.address)
-            self.programs.append(program)
-            await program.start()
         try:
+            await self.start_programs()
             async with aiohttp.ClientSession() as session:
                 for program in self.programs:
                     if not await program.wait_ready(session):
@@ -128,6 +121,26 @@
         self.report.violations.extend(self.checker.violations)
         return self.report
 
+    def new_program(self, number: int, store_address: str = "") -> Program:
+        """Return an instance whose process has not been started."""
+        zone = self.zones[number % len(self.zones)]
+        return Program(f"instance-{number}", zone, self.directory, store_address)
+
+    async def start_programs(self) -> None:
+        """Start all instances, each with a proxy to the store."""
+        host, port = self.platform.store_address.split(":")
+        for number in range(self.instances):
+            proxy = Proxy(host, int(port))
+            await proxy.start()
+            self.proxies.append(proxy)
+            program = self.new_program(number, proxy.address)
+            self.programs.append(program)
+            await program.start()
+
+    def work_seconds(self) -> float:
+        """Return how long the tasks of a new job work."""
+        return self.generator.uniform(0.2, 2.0)
+
     def record_violation(self, what: str) -> None:
         """Add a violation to the report."""
         self.report.violations.append(what)
@@ -151,7 +164,7 @@
         loop = asyncio.get_running_loop()
         until = loop.time() + self.seconds
         while loop.time() < until:
-            await asyncio.sleep(self.generator.uniform(*FAULT_INTERVAL_SECONDS))
+            await asyncio.sleep(self.generator.uniform(*self.fault_interval_seconds))
             await self.inject()
         await self.end_faults()
         load.cancel()
@@ -167,7 +180,7 @@
             task = asyncio.create_task(self.send_job(session))
             pending.add(task)
             task.add_done_callback(pending.discard)
-            await asyncio.sleep(JOB_INTERVAL_SECONDS)
+            await asyncio.sleep(self.job_interval_seconds)
 
     async def send_job(self, session: aiohttp.ClientSession) -> None:
         """Submit one job, and retry up to five times while its outcome is unknown."""
@@ -175,7 +188,7 @@
         job_id = f"{self.report.seed & 0xFFFF:04x}{self.sent:012x}"
         queue = self.generator.randrange(3)
         body = self.random_job()
-        truth = JobTruth(decode_job(body).unwrap(), self.generator.uniform(0.2, 2.0))
+        truth = JobTruth(decode_job(body).unwrap(), self.work_seconds())
         self.checker.jobs[job_id] = truth
         path = f"/queue-{queue}/{job_id}"
         maybe_accepted = False
@@ -245,7 +258,12 @@
 
     async def inject(self) -> None:
         """Inject one random fault; most end on a timer, so faults may overlap."""
-        faults: list[Callable[[], Awaitable[str]]] = [
+        name = await self.generator.choice(self.fault_kinds())()
+        self.report.faults.append(name)
+
+    def fault_kinds(self) -> list[Callable[[], Awaitable[str]]]:
+        """Return the kinds of faults, of which each is equally likely."""
+        return [
             self.kill,
             self.pause,
             self.terminate,
@@ -256,8 +274,10 @@
             self.lose_answers,
             self.silence_connections,
         ]
-        name = await self.generator.choice(faults)()
-        self.report.faults.append(name)
+
+    def victim(self) -> Program:
+        """Return the instance that a fault hits."""
+        return self.generator.choice(self.programs)
 
     def call_after(self, seconds: float, action: Callable[[], object]) -> None:
         """Call an action after some seconds."""
@@ -265,7 +285,7 @@
 
     async def kill(self) -> str:
         """Kill a process with SIGKILL and restart it."""
-        program = self.generator.choice(self.programs)
+        program = self.victim()
         await program.end_process(signal.SIGKILL)
         await asyncio.sleep(self.generator.uniform(0.1, 1.0))
         await program.start()
@@ -273,7 +293,7 @@
 
     async def pause(self) -> str:
         """Suspend a process for some seconds."""
-        program = self.generator.choice(self.programs)
+        program = self.victim()
         program.send_signal(signal.SIGSTOP)
         seconds = self.generator.uniform(0.5, 5.0)
         self.call_after(seconds, lambda: program.send_signal(signal.SIGCONT))
@@ -284,7 +304,7 @@
 
         A suspended process is resumed first, so that it can handle the signal.
         """
-        program = self.generator.choice(self.programs)
+        program = self.victim()
         program.send_signal(signal.SIGCONT)
         await program.end_process(signal.SIGTERM)
         # Before the process serves its addresses, SIGTERM may end it directly.
@@ -380,6 +400,7 @@
         truth = self.accepted[job_id]
         if state == "complete":
             self.report.complete += 1
+            self.checker.on_shown_complete(job_id, asyncio.get_running_loop().time())
         elif state == "failed" or (state == "cancelled" and not truth.cancel_sent):
             self.record_violation(f"LOST: job {job_id} is shown as {state}")
         return state in ("complete", "failed", "cancelled")
