--- a/Makefile
+++ b/Makefile
@@ -31,6 +31,7 @@
 
 soak: $(STAMP)
 	PYTHONPATH=src:tools $(PYTHON) -m soak --seeds 5
+	PYTHONPATH=src:tools $(PYTHON) -m soak --cuts --instances 6 --targets 9 --seeds 5
 
 bench: $(STAMP)
 	PYTHONPATH=tools $(PYTHON) -m bench
--- a/tests/functional/test_soak.py
+++ b/tests/functional/test_soak.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from soak.cuts import CutSoak
 from soak.run import Soak
 
 SECONDS = 6.0
@@ -19,6 +20,9 @@
 # 324: members of an incomplete gang ended; the leader was killed and one target was
 #   cut off.
 SEEDS = (1, 2, 201, 231, 311, 324)
+CUT_SECONDS = 8.0
+# 51, 52: tasks ran twice; a leader that was cut off started them again.
+CUT_SEEDS = (51, 52)
 
 
 @pytest.mark.parametrize("seed", SEEDS)
@@ -30,3 +34,14 @@
     report = await soak.run()
     assert report.violations == []
     assert report.accepted > 0
+
+
+@pytest.mark.parametrize("seed", CUT_SEEDS)
+async def test_no_task_runs_twice_when_the_zone_of_the_leader_is_cut_off(
+    seed: int, tmp_path: Path
+) -> None:
+    """Guards against a leader that goes on beside its successor."""
+    soak = CutSoak(seed, CUT_SECONDS, tmp_path, instances=6, targets=9)
+    report = await soak.run()
+    assert report.violations == [], report.faults
+    assert report.accepted > 0
