--- a/src/egretloft/_internal/fleet/leader.py
+++ b/src/egretloft/_internal/fleet/leader.py
@@ -79,7 +79,7 @@
 RUN_REVIEW_SECONDS = 0.25
 # A leader that the former one did not know waits at most this long for the targets that
 # it cannot reach. The former one may still use them in an outage of the store.
-FENCE_FIRST_SECONDS = 60.0
+MAX_FENCE_WAIT_SECONDS = 60.0
 # A log line names at most this many instances or targets.
 LISTED_INSTANCES = 4
 # A task that has not ended this long after it was cancelled is cancelled again.
@@ -145,9 +145,9 @@
         self.wake = asyncio.Event()
         self.recovery_deadline = clock.boottime() + self.max_unrenewed_seconds()
         self.recovering = True
-        self.fences_first = not term.known_to_former
-        if self.fences_first:
-            self.recovery_deadline = clock.boottime() + FENCE_FIRST_SECONDS
+        self.awaits_fences = not term.known_to_former
+        if self.awaits_fences:
+            self.recovery_deadline = clock.boottime() + MAX_FENCE_WAIT_SECONDS
         # The instances that have pledged and may have led before, as far as examined.
         self.examined_instances: set[Incarnation] = set()
         # Those of the targets when the examination began; ``None`` outside of one.
@@ -479,7 +479,7 @@
         self.remove_unused_targets()
         self.remove_expired_jobs()
         self.note_authority(now)
-        if self.authority is Authority.NONE or self.fences_first:
+        if self.authority is Authority.NONE or self.awaits_fences:
             return
         if now - self.runs_reviewed_at >= RUN_REVIEW_SECONDS:
             self.runs_reviewed_at = now
@@ -594,7 +594,7 @@
         """
         if not self.recovering:
             return
-        self.update_fences_first(now)
+        self.check_fences(now)
         unfenced = [
             target
             for target in self.tables.targets.values()
@@ -612,12 +612,12 @@
                 self.tables.touch(job)
             log.info("recovered", epoch=self.epoch, unfenced=len(unfenced))
 
-    def update_fences_first(self, now: float) -> None:
+    def check_fences(self, now: float) -> None:
         """Begin to act once all used targets have answered, and refuse older epochs.
 
         Some may have more ends than they list: these have to be acknowledged first.
         """
-        if not self.fences_first:
+        if not self.awaits_fences:
             return
         silent = [
             target_id
@@ -626,7 +626,7 @@
         ]
         if silent and now < self.recovery_deadline:
             return
-        self.fences_first = False
+        self.awaits_fences = False
         self.election.on_former_leader_fenced()
         if not silent:
             self.recovery_deadline = now + self.max_unrenewed_seconds()
--- a/src/egretloft/_internal/fleet/sessions.py
+++ b/src/egretloft/_internal/fleet/sessions.py
@@ -94,7 +94,7 @@
     recovering: bool
     # Whether all used targets have to answer before any lease is renewed, any run
     # started or any end acknowledged: the former leader may go on until then.
-    fences_first: bool
+    awaits_fences: bool
     late_starts: LateStarts
 
     def may_issue_orders(self) -> bool:
@@ -191,7 +191,7 @@
 
     def withholds_acknowledgement(self) -> bool:
         """Return whether the target's ends may not be acknowledged yet."""
-        return self.owner.fences_first or not self.target.is_readable
+        return self.owner.awaits_fences or not self.target.is_readable
 
     async def idle(self) -> None:
         """Wait until the session is woken, at most ``IDLE_WAIT_SECONDS``."""
@@ -215,7 +215,7 @@
         target = self.target
         if target.clock is None or target.failed_renewals or not target.runs:
             return None
-        if not target.is_readable or self.owner.fences_first:
+        if not target.is_readable or self.owner.awaits_fences:
             return None
         if now - target.last_answer > HEARD_SECONDS:
             return None
@@ -281,7 +281,7 @@
         listed them: the numbers then stand for other ends, which nobody has heard of.
         """
         target = self.target
-        if target.failed_renewals or self.owner.fences_first:
+        if target.failed_renewals or self.owner.awaits_fences:
             return 0
         if target.last_recorded_end <= target.last_acknowledged_end:
             return 0
--- a/tests/lib/term_owner.py
+++ b/tests/lib/term_owner.py
@@ -13,7 +13,7 @@
 
     epoch = 1
     recovering = False
-    fences_first = False
+    awaits_fences = False
 
     def __init__(self, confirmed: bool) -> None:
         self.confirmed = confirmed
--- a/tests/unit/fleet/test_unknown_instances.py
+++ b/tests/unit/fleet/test_unknown_instances.py
@@ -140,7 +140,7 @@
         await world.start_instance(NEW)
         started = world.clock.boottime()
         leader = None
-        while leader is None or leader.fences_first or leader.recovering:
+        while leader is None or leader.awaits_fences or leader.recovering:
             await asyncio.sleep(0.05)
             leader = world.processes[NEW].instance.leader
         took = world.clock.boottime() - started
