--- a/src/egretloft/_internal/fleet/sessions.py
+++ b/src/egretloft/_internal/fleet/sessions.py
@@ -84,7 +84,9 @@
 
 def is_in_doubt(run: RunRow) -> bool:
     """Return whether the run may not be there, which the next answer tells."""
-    return bool(run.times_missing) or (run.in_doubt and not run.confirmed)
+    if run.times_missing or run.sent_before_restart:
+        return True
+    return run.in_doubt and not run.confirmed
 
 
 class TermOwner(Protocol):
@@ -418,9 +420,9 @@
         for run in list(target.runs.values()):
             if run.key in listed_runs or (run.confirmed and run.confirmed_at >= sent):
                 run.order_expires_ms = start_expires_ms
-            elif run.confirmed and run.key not in late:
+            elif run.confirmed:
                 self.lose_run(run, "target restarted", crashed=True)
-            elif run.order_expires_ms or run.confirmed:
+            elif run.order_expires_ms:
                 self.stop_unconfirmed_start(run, answer)
         for key in late - listed_runs - target.runs.keys():
             run = add_late_start(self.tables, target, key, now)
@@ -444,7 +446,6 @@
         """
         is_stop_under_way = run.phase is RunPhase.STOPPING and not run.stop_confirmed_at
         run.sent_before_restart = True
-        run.confirmed = False
         run.stop_confirmed_at = 0.0
         # While the target is unreachable, the order counts as sent just now.
         run.order_expires_ms = answer.target_time_ms + START_EXPIRY_MS
