--- a/tools/soak/programs.py
+++ b/tools/soak/programs.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import itertools
 import os
 import random
 import signal
@@ -19,15 +20,17 @@
 READY_TIMEOUT_SECONDS = 15.0
 # Below the ports that the system gives to connections, and of five digits all.
 PORTS = range(10_000, 32_768)
+# In random order, so that soaks beside each other do not take the same ports.
+SHUFFLED_PORTS = itertools.cycle(random.SystemRandom().sample(PORTS, len(PORTS)))
 
 
 def free_port() -> int:
-    """Return a port that is free now and that no outgoing connection is given.
+    """Return a free port that was not returned before.
 
-    So it stays free while the process that uses it is restarted.
+    No outgoing connection is given it, so it stays free during a restart.
     """
     while True:
-        port = random.SystemRandom().choice(PORTS)
+        port = next(SHUFFLED_PORTS)
         with socket.socket() as listener, contextlib.suppress(OSError):
             listener.bind(("127.0.0.1", port))
             return port
