--- a/tests/unit/fleet/test_unknown_instances.py
+++ b/tests/unit/fleet/test_unknown_instances.py
@@ -38,6 +38,13 @@
 JOBS = 3
 TASKS = 4
 WORK_SECONDS = 8.0
+LONG_WORK_SECONDS = 100.0
+# Longer than a leader waits for the targets of a former one.
+LONG_CUT_SECONDS = 75.0
+# The row of an instance that is down has been removed by then.
+REMOVED_SECONDS = 6.0
+# The users expect a deployment to recover within 15 s.
+RECOVERY_SECONDS = 15.0
 # A leader finds out that the store is lost, and collects pledges.
 PLEDGED_SECONDS = 3.0
 # The timeout of a heartbeat, the delay of an unknown candidate, and the recovery.
@@ -65,11 +72,11 @@
     return world
 
 
-async def start_work(world: FleetWorld) -> None:
+async def start_work(world: FleetWorld, seconds: float = WORK_SECONDS) -> None:
     await world.start()
     for number in range(JOBS):
         spec = single_step(TASKS)
-        accepted = await world.submit(job_id(number), spec, WORK_SECONDS)
+        accepted = await world.submit(job_id(number), spec, seconds)
         assert isinstance(accepted, Success)
     await asyncio.sleep(1.0)
 
@@ -283,3 +290,48 @@
         await finish(world)
 
     run_virtual(main())
+
+
+def test_new_instance_never_acts_beside_a_leader_however_long_it_is_cut_off() -> None:
+    """Guards against a wait for targets that ends before the outage does."""
+
+    async def main() -> None:
+        world = build_world(1, 2, 6, zones=ZONES)
+        await start_work(world, LONG_WORK_SECONDS)
+        world.cuts.zones.add("zone-a")
+        await asyncio.sleep(PLEDGED_SECONDS)
+        world.cuts.zone_of[NEW] = "zone-b"
+        await world.start_instance(NEW)
+        await asyncio.sleep(LONG_CUT_SECONDS)
+        world.cuts.zones.discard("zone-a")
+        await asyncio.sleep(WORK_SECONDS)
+        await world.stop()
+        assert world.checker.violations == []
+
+    run_virtual(main())
+
+
+def test_last_instance_that_was_down_does_not_wait_for_a_dead_target() -> None:
+    """Guards against a deployment that stands still, as the leader is dead as well."""
+
+    async def main() -> float:
+        world = build_world(1, 2, 4, zones=ZONES)
+        await start_work(world)
+        leading = world.leader_name() or ""
+        other = next(name for name in world.instance_names if name != leading)
+        await world.kill(other)
+        await asyncio.sleep(REMOVED_SECONDS)
+        used = next(target for target in world.targets.values() if target.runs)
+        used.crash_for(LONG_CUT_SECONDS)
+        await world.kill(leading)
+        await world.start_instance(other)
+        started = world.clock.boottime()
+        leader = None
+        while leader is None or leader.recovering:
+            await asyncio.sleep(0.05)
+            leader = world.processes[other].instance.leader
+        took = world.clock.boottime() - started
+        await world.stop()
+        return took
+
+    assert run_virtual(main()) <= RECOVERY_SECONDS
