Log changes of the leader's authority again

Evidence: test_change_of_authority_is_logged_with_the_instances_that_have_not_pledged; before, no such line was logged in an outage of 3 s. Nothing but the log changes.

--- a/src/egretloft/_internal/fleet/leader.py
+++ b/src/egretloft/_internal/fleet/leader.py
@@ -478,7 +478,7 @@
         self.update_recovery(now)
         self.remove_unused_targets()
         self.remove_expired_jobs()
-        self.note_authority(now)
+        self.note_authority()
         if self.authority is Authority.NONE or self.awaits_fences:
             return
         if now - self.runs_reviewed_at >= RUN_REVIEW_SECONDS:
@@ -496,11 +496,20 @@
         if self.decision_needed or now >= self.decide_at:
             self.decide(now)
 
-    def note_authority(self, now: float) -> None:
+    def note_authority(self) -> None:
         """Update why the leader may send orders, and log a change."""
         former, self.authority = self.authority, self.current_authority()
         if self.authority is former or not self.is_current():
             return
+        log.warning(
+            "leader's authority changed",
+            epoch=self.epoch,
+            authority=self.authority.value,
+            confirmed_age=self.election.confirmed_age(),
+            silent_members=len(self.store.silent_members()),
+            missing_pledges=sorted(self.pledges.missing(self.epoch))[:LISTED_INSTANCES],
+            newest_claim=self.pledges.newest_claimed_epoch(),
+        )
         if self.authority is Authority.PLEDGED:
             self.examine_pledges()
         elif self.authority is Authority.CONFIRMED:
--- a/tests/unit/fleet/test_pledges.py
+++ b/tests/unit/fleet/test_pledges.py
@@ -4,11 +4,13 @@
 
 import asyncio
 import random
+from collections.abc import MutableMapping
 from dataclasses import dataclass, field
 from typing import Any
 
 import pytest
 from returns.result import Success
+from structlog.testing import capture_logs
 
 from egretloft._internal.fleet.election import Term
 from egretloft._internal.fleet.leader import Authority
@@ -35,6 +37,7 @@
 from standins.fleet.world import FleetWorld
 
 EPOCH = 3
+AUTHORITY_CHANGED = "leader's authority changed"
 # How long a leader takes to learn that no instance reaches the store.
 NOTICE_SECONDS = 3.0
 OUTAGE_SECONDS = 12.0
@@ -266,3 +269,25 @@
         assert world.checker.starts == 6
 
     run_virtual(main())
+
+
+def test_change_of_authority_is_logged_with_the_instances_that_have_not_pledged() -> (
+    None
+):
+    """Guards against a leader of which no log tells why it acts, or does not."""
+
+    async def main() -> list[MutableMapping[str, Any]]:
+        world = build_world(instance_count=3)
+        await world.start()
+        with capture_logs() as logs:
+            world.store.mode = StoreMode.SILENT
+            await asyncio.sleep(NOTICE_SECONDS)
+        await world.stop()
+        return [line for line in logs if line["event"] == AUTHORITY_CHANGED]
+
+    lost, pledged = run_virtual(main())
+    assert lost["authority"] == "none"
+    assert set(lost["missing_pledges"]) == {"instance-1", "instance-2"}
+    assert pledged["authority"] == "pledged"
+    assert pledged["missing_pledges"] == []
+    assert pledged["confirmed_age"] > PLEDGE_SECONDS
