--- a/tests/unit/fleet/test_forgotten_terms.py
+++ b/tests/unit/fleet/test_forgotten_terms.py
@@ -21,6 +21,23 @@
 TASKS = 8
 
 
+async def cut_off_leader(world: FleetWorld, seconds: float) -> tuple[str, str]:
+    """Start a job, and cut the leader's zone off; return its successor and the zone.
+
+    Each task of the job works for ``seconds``.
+    """
+    await world.start()
+    accepted = await world.submit(job_id(1), single_step(TASKS), seconds)
+    assert isinstance(accepted, Success)
+    await asyncio.sleep(1.0)
+    former = world.leader_name()
+    assert former is not None
+    successor = next(name for name in world.instance_names if name != former)
+    zone = world.cuts.zone_of[former]
+    world.cuts.zones.add(zone)
+    return successor, zone
+
+
 async def wait_until_recorded(world: FleetWorld, name: str) -> None:
     """Wait until an instance has led, and the store holds that the job is complete."""
     async with asyncio.timeout(30.0):
@@ -44,15 +61,7 @@
 
     async def main() -> None:
         world = build_world(seed, 2, 4, zones=ZONES, spreads_instances=True)
-        await world.start()
-        accepted = await world.submit(job_id(1), single_step(TASKS), WORK_SECONDS)
-        assert isinstance(accepted, Success)
-        await asyncio.sleep(1.0)
-        former = world.leader_name()
-        assert former is not None
-        successor = next(name for name in world.instance_names if name != former)
-        zone = world.cuts.zone_of[former]
-        world.cuts.zones.add(zone)
+        successor, zone = await cut_off_leader(world, WORK_SECONDS)
         await asyncio.sleep(cut_seconds)
         assert world.processes[successor].instance.election.term is not None
         world.store.mode = StoreMode.SILENT
@@ -78,15 +87,7 @@
 
     async def main() -> None:
         world = build_world(seed, 2, 4, zones=ZONES, spreads_instances=True)
-        await world.start()
-        accepted = await world.submit(job_id(1), single_step(TASKS), SHORT_SECONDS)
-        assert isinstance(accepted, Success)
-        await asyncio.sleep(1.0)
-        former = world.leader_name()
-        assert former is not None
-        successor = next(name for name in world.instance_names if name != former)
-        zone = world.cuts.zone_of[former]
-        world.cuts.zones.add(zone)
+        successor, zone = await cut_off_leader(world, SHORT_SECONDS)
         await wait_until_recorded(world, successor)
         await asyncio.sleep(TAKEOVER_SECONDS)
         world.store.mode = StoreMode.SILENT
--- a/tests/unit/fleet/test_unknown_instances.py
+++ b/tests/unit/fleet/test_unknown_instances.py
@@ -81,6 +81,15 @@
     await asyncio.sleep(1.0)
 
 
+async def cut_off_and_join(world: FleetWorld, *names: str) -> None:
+    """Cut all known instances off, and start new ones outside."""
+    world.cuts.zones.add("zone-a")
+    await asyncio.sleep(PLEDGED_SECONDS)
+    for name in names:
+        world.cuts.zone_of[name] = "zone-b"
+        await world.start_instance(name)
+
+
 async def finish(world: FleetWorld) -> None:
     for number in range(JOBS):
         assert await world.wait_for_state(job_id(number), JobState.COMPLETE, 40.0)
@@ -100,10 +109,7 @@
 
     async def main() -> None:
         world = await start_world(seed)
-        world.cuts.zones.add("zone-a")
-        await asyncio.sleep(PLEDGED_SECONDS)
-        world.cuts.zone_of[NEW] = "zone-b"
-        await world.start_instance(NEW)
+        await cut_off_and_join(world, NEW)
         await asyncio.sleep(cut_seconds)
         world.cuts.zones.discard("zone-a")
         await finish(world)
@@ -120,11 +126,7 @@
 
     async def main() -> None:
         world = await start_world(seed)
-        world.cuts.zones.add("zone-a")
-        await asyncio.sleep(PLEDGED_SECONDS)
-        for name in (NEW, NEWER):
-            world.cuts.zone_of[name] = "zone-b"
-            await world.start_instance(name)
+        await cut_off_and_join(world, NEW, NEWER)
         await asyncio.sleep(PLEDGED_SECONDS)
         leading = world.leader_name()
         assert leading in (NEW, NEWER)
@@ -248,10 +250,7 @@
 
         world = build_world(seed, 2, 6, zones=ZONES, wrap_targets=wrap)
         await start_work(world)
-        world.cuts.zones.add("zone-a")
-        await asyncio.sleep(PLEDGED_SECONDS)
-        world.cuts.zone_of[NEW] = "zone-b"
-        await world.start_instance(NEW)
+        await cut_off_and_join(world, NEW)
         await asyncio.sleep(WORK_SECONDS)
         renewals = clients[-1].renewals
         renewals.clear()
@@ -298,10 +297,7 @@
     async def main() -> None:
         world = build_world(1, 2, 6, zones=ZONES)
         await start_work(world, LONG_WORK_SECONDS)
-        world.cuts.zones.add("zone-a")
-        await asyncio.sleep(PLEDGED_SECONDS)
-        world.cuts.zone_of[NEW] = "zone-b"
-        await world.start_instance(NEW)
+        await cut_off_and_join(world, NEW)
         await asyncio.sleep(LONG_CUT_SECONDS)
         world.cuts.zones.discard("zone-a")
         await asyncio.sleep(WORK_SECONDS)
