Log what is known of a target whose crash is held against a task

The lines as found have only the count of crashes. An end that a target lists for an attempt held as a crash is marked, and a job that is given up names the task and its attempts. No decision changes.

--- a/src/egretloft/_internal/fleet/crash_trials.py
+++ b/src/egretloft/_internal/fleet/crash_trials.py
@@ -107,8 +107,9 @@
         """Note that the target of a run failed just after the run's start."""
         if run.job is None or run.task is None or run.job.is_final():
             return
+        target = self.tables.targets[run.target_id]
         if not run.trial:
-            self.count(run)
+            self.count(run, target)
             return
         run.task.unresolved.add(run.key.attempt)
         run.task.in_evaluation = True
@@ -116,7 +117,6 @@
         step = run.job.step(run.key.task.step)
         for task in step.tasks if step.spec.gang else [run.task]:
             task.alone_until = evaluate_at + ALONE_PATIENCE_SECONDS
-        target = self.tables.targets[run.target_id]
         latest_at = now + MAX_EVALUATION_SECONDS
         trial = LostTrial(run, target, target.failed_at, evaluate_at, latest_at)
         self.lost.append(trial)
@@ -148,7 +148,7 @@
             if len(task.unresolved) >= MIN_UNRESOLVED:
                 task.crashed |= task.unresolved
                 task.unresolved.clear()
-            self.count(trial.run)
+            self.count(trial.run, trial.target)
             return
         self.metrics.count("crash_trials_inconclusive")
         log.info(
@@ -160,7 +160,7 @@
             crashed=crashed,
         )
 
-    def count(self, run: RunRow) -> None:
+    def count(self, run: RunRow, target: TargetRow) -> None:
         """Count a crash against the task of a run, which may end its job."""
         if run.job is None or run.task is None or run.job.is_final():
             return
@@ -174,6 +174,13 @@
             attempt=run.key.attempt,
             target=run.target_id,
             crashes=len(run.task.crashed),
+            trial=run.trial,
+            restarted=target.incarnation_ms != run.incarnation_ms,
+            replaced=target.replaced,
+            listed=target.listed,
+            reachable=target.reachable,
+            ran=round(target.last_answer - run.started_at, 3),
+            unresolved=sorted(run.task.unresolved),
         )
         update_state(run.job)
         self.on_job_changed(run.job)
--- a/src/egretloft/_internal/fleet/lifecycle.py
+++ b/src/egretloft/_internal/fleet/lifecycle.py
@@ -4,6 +4,8 @@
 
 from collections.abc import Iterator
 
+import structlog
+
 from egretloft._internal.fleet.crash_suspects import is_given_up
 from egretloft._internal.fleet.models import (
     EndKind,
@@ -24,6 +26,8 @@
 )
 from egretloft._internal.fleet.target_health import FULL_PERCENT, percent_seconds
 
+log = structlog.get_logger(__name__)
+
 # A gang is stopped if not all its members have confirmed their start within this time.
 # It is shorter than the time after which the targets themselves end members that wait
 # for the others (``GANG_INCOMPLETE``).
@@ -88,8 +92,18 @@
     """Set the job's final state once it is determined."""
     if job.is_final():
         return
-    if any_task_exhausted(job) or any_task_crashes_targets(job):
+    given_up = find_exhausted_task(job) or find_crashing_task(job)
+    if given_up is not None:
         job.state = JobState.FAILED
+        log.warning(
+            "job given up",
+            request_id=job.accepted.job_id,
+            step=given_up.key.step.step,
+            task=given_up.key.index,
+            failed=sorted(given_up.failed),
+            crashed=sorted(given_up.crashed),
+            allowed=job.accepted.attempts,
+        )
         return
     if job.cancelled:
         job.state = JobState.CANCELLED
@@ -102,26 +116,27 @@
     job.state = JobState.COMPLETE
 
 
-def any_task_exhausted(job: JobRow) -> bool:
-    """Return whether a task or gang has used up the attempts that its queue allows."""
+def find_exhausted_task(job: JobRow) -> TaskRow | None:
+    """Return a task that, or whose gang, has used up the attempts of its queue."""
     attempts = job.accepted.attempts
     for step in job.steps.values():
         if step.spec.lasting:
             continue
         for task in step.tasks:
             if task.failed and not task.done and step.failures(task) >= attempts:
-                return True
-    return False
+                return task
+    return None
 
 
-def any_task_crashes_targets(job: JobRow) -> bool:
-    """Return whether a task has crashed so many targets that it is given up."""
-    return any(
-        is_given_up(task)
-        for step in job.steps.values()
-        if step.suspected
-        for task in step.tasks
-    )
+def find_crashing_task(job: JobRow) -> TaskRow | None:
+    """Return a task that has crashed so many targets that it is given up."""
+    for step in job.steps.values():
+        if not step.suspected:
+            continue
+        for task in step.tasks:
+            if is_given_up(task):
+                return task
+    return None
 
 
 def open_steps(job: JobRow, wall_ms: float, now: float) -> Iterator[StepRow]:
--- a/src/egretloft/_internal/fleet/sessions.py
+++ b/src/egretloft/_internal/fleet/sessions.py
@@ -501,6 +501,10 @@
             run = self.target.runs.get(end.run)
             if run is not None and end.kind is EndKind.DONE:
                 self.owner.on_run_done(run)
+            task = self.tables.task(end.run.task)
+            held = task is not None and end.run.attempt in (
+                task.crashed | task.unresolved
+            )
             job = apply_end(self.tables, self.target, end)
             # A lasting task may fail at any time through no fault of its target, so its
             # ends are not held against the target.
@@ -524,6 +528,7 @@
                 outcome=end.kind.value,
                 lost_work=round(lost, 1),
                 why=run.stop_reason if run is not None else "",
+                held_as_crash=held,
             )
             if job is not None:
                 self.owner.on_job_changed(job)
