--- a/src/egretloft/_internal/fleet/crash_suspects.py
+++ b/src/egretloft/_internal/fleet/crash_suspects.py
@@ -1,14 +1,15 @@
 """Tasks that may have crashed the targets on which they started.
 
 A task that crashes every target which starts it must not take down one after the other.
-The crash of a target does not tell which of its runs is to blame, or whether any is: a
-rack may have lost power. What sets such a task apart is that the target crashes at its
-start, and that this happens again elsewhere. So only runs that have just started are
-suspected, and a suspect is then started alone on a steady target, as a trial. Some
-targets nearby are watched meanwhile: if they fail too, the trial is inconclusive. A run
-that survives its start clears its task.
-
-Answers crashes of single targets, racks and zones while jobs start all the time.
+That a target falls silent just after a start raises a suspicion, and no more: the
+target may be cut off, paused, or without power like its rack. A suspect is started
+alone on a steady target, as a trial, while some targets nearby are watched. A run that
+survives its start clears its task, and a target that is heard from again in the same
+incarnation withdraws the suspicion. Only known crashes are held against the task, those
+that may have another cause at less weight; after several of them it is given up.
+
+Answers crashes and cuts of single targets, racks and zones while jobs start all the
+time.
 """
 
 from __future__ import annotations
@@ -24,11 +25,13 @@
 # A run that its target still knew this long after the start has survived it. Targets
 # are heard from about once a second.
 SURVIVAL_SECONDS = 1.5
-# A task is given up after this many crashes at its start: the first suspicion, which
-# others may share, and two trials.
-MAX_CRASHES = 3
+# Weights of a crash without another explanation, and of one that may have one.
+CRASH_WEIGHT = 2
+INCONCLUSIVE_WEIGHT = 1
+# A task is given up at this weight, if one of its crashes has no other explanation.
+GIVE_UP_WEIGHT = 5
 # A target that came back less than this ago may be about to fail again by itself.
-STEADY_SECONDS = 5.0
+STEADY_SECONDS = 2.5
 # After a trial, a suspect waits this long for another target that it has to itself. At
 # first it does not wait, as most suspects did not cause the crash.
 ALONE_PATIENCE_SECONDS = 2.0
@@ -50,22 +53,39 @@
     The failure is explained if a run may have crashed the target.
     """
     target.failed_at = now
+    target.failed_incarnation_ms = target.incarnation_ms
     target.failure_explained = any(
         is_suspect_of_crash(target, run) for run in target.runs.values()
     )
 
 
-def has_stayed_away(target: TargetRow) -> bool:
-    """Return whether the target was lost, or restarted, when it last failed.
+def note_return(target: TargetRow, now: float) -> None:
+    """Note that a target has restarted, or can be reached again.
 
-    A single call that failed is no more than that.
+    One that is watched stays so until it is steady: nobody else asks an idle target.
     """
-    return not target.reachable or target.returned_at >= target.failed_at
+    target.returned_at = now
+    if target.watched_until > now:
+        target.watched_until = max(target.watched_until, now + STEADY_SECONDS)
+
+
+def may_have_crashed(target: TargetRow) -> bool:
+    """Return whether the target may have crashed when it last failed.
+
+    One that has answered since in the same incarnation has not.
+    """
+    if not target.reachable:
+        return True
+    return target.incarnation_ms != target.failed_incarnation_ms
 
 
 def is_given_up(task: TaskRow) -> bool:
     """Return whether the task has crashed too many targets."""
-    return not task.done and len(task.crashed) >= MAX_CRASHES
+    if task.done or not task.crashed:
+        return False
+    weight = CRASH_WEIGHT * len(task.crashed)
+    weight += INCONCLUSIVE_WEIGHT * len(task.inconclusive)
+    return weight >= GIVE_UP_WEIGHT
 
 
 def has_survived(run: RunRow, now: float) -> bool:
@@ -78,7 +98,7 @@
     if not step.suspected:
         return []
     waiting = step.waiting()
-    found = [task for task in waiting if task.crashed]
+    found = [task for task in waiting if task.is_suspected()]
     return waiting if found and step.spec.gang else found
 
 
--- a/src/egretloft/_internal/fleet/leader.py
+++ b/src/egretloft/_internal/fleet/leader.py
@@ -399,6 +399,7 @@
             await asyncio.sleep(FEED_RETRY_SECONDS)
         for job in self.tables.jobs.values():
             job.known_before_term = True
+        self.crash_trials.restore(self.clock.boottime())
         self.state_loaded = True
         # Sessions start last: an end that arrives before its job has been read would
         # be acknowledged without effect.
@@ -651,7 +652,7 @@
         A reachable target is kept until the leader has acknowledged all of its ends.
         """
         for target_id, target in list(self.tables.targets.items()):
-            if target.listed or target.runs:
+            if target.listed or target.runs or self.crash_trials.awaits(target):
                 continue
             if not target.fenced and self.recovering:
                 continue
--- a/src/egretloft/_internal/fleet/lifecycle.py
+++ b/src/egretloft/_internal/fleet/lifecycle.py
@@ -59,6 +59,8 @@
     job.started = True
     if end.kind in (EndKind.DONE, EndKind.FAILED):
         tables.clear_suspicion(task)
+    else:
+        task.withdraw_suspicion(end.run.attempt)
     if end.checkpoint and not task.done:
         save_checkpoint(step, task, end.checkpoint)
     if end.kind is EndKind.DONE and not step.spec.lasting:
@@ -102,6 +104,7 @@
             task=given_up.key.index,
             failed=sorted(given_up.failed),
             crashed=sorted(given_up.crashed),
+            inconclusive=sorted(given_up.inconclusive),
             allowed=job.accepted.attempts,
         )
         return
--- a/src/egretloft/_internal/fleet/records.py
+++ b/src/egretloft/_internal/fleet/records.py
@@ -34,13 +34,29 @@
     spec: JobSpec
 
 
+@dataclass(slots=True, frozen=True)
+class RunPlace:
+    """The incarnation of a target to which a start was sent."""
+
+    target_id: str
+    address: str
+    incarnation_ms: int
+
+
+# Where a start was sent that an earlier release has stored.
+UNKNOWN_PLACE = RunPlace("", "", 0)
+
+
 @dataclass(slots=True)
 class StepProgress:
     """Progress of one step of one occurrence.
 
     ``done`` holds the indexes of completed tasks. ``failed`` maps a task's index to the
     attempts that failed, ``saved`` to its newest checkpoint, ``crashed`` to the
-    attempts at whose start the target crashed, ``unresolved`` to those that may have.
+    attempts whose crashes are held against it, ``inconclusive`` to those whose crashes
+    may have had another cause, ``suspected`` to those at whose start the target may
+    have crashed, with their places. ``unresolved`` has such attempts of
+    an earlier release, which did not store the places.
     """
 
     occurrence: int
@@ -50,6 +66,13 @@
     saved: dict[int, str] = field(default_factory=dict)
     crashed: dict[int, list[int]] = field(default_factory=dict)
     unresolved: dict[int, list[int]] = field(default_factory=dict)
+    inconclusive: dict[int, list[int]] = field(default_factory=dict)
+    suspected: dict[int, dict[int, RunPlace]] = field(default_factory=dict)
+
+    def holds_progress(self) -> bool:
+        """Return whether the step has anything to be stored."""
+        held = self.crashed or self.inconclusive or self.suspected
+        return bool(self.done or self.failed or self.saved or held)
 
 
 @dataclass(slots=True)
--- a/src/egretloft/_internal/fleet/run_control.py
+++ b/src/egretloft/_internal/fleet/run_control.py
@@ -8,6 +8,7 @@
 
 import structlog
 
+from egretloft._internal.fleet.crash_suspects import is_steady
 from egretloft._internal.fleet.decisions import Placement, ReclaimDecision
 from egretloft._internal.fleet.departures import runs_to_move
 from egretloft._internal.fleet.interfaces import FleetClock
@@ -141,6 +142,7 @@
                 started_at=now,
                 percent_changed_at=now,
                 incarnation_ms=target.incarnation_ms,
+                on_steady_target=is_steady(target, now),
                 checkpoint=(
                     task.checkpoint if gang_checkpoint is None else gang_checkpoint
                 ),
@@ -151,7 +153,7 @@
             )
             task.run = run
             self.tables.add_run(target, run)
-            if task.crashed:
+            if task.is_suspected():
                 self.owner.on_trial_started(run)
             self.owner.wake_session(run.target_id)
             self.owner.spawn(self.orders.start(target, run))
--- a/src/egretloft/_internal/fleet/service_tick.py
+++ b/src/egretloft/_internal/fleet/service_tick.py
@@ -116,28 +116,41 @@
         step = waiting.step
         priority = waiting.job.accepted.priority
         spread = self.spread_policy.may_spread(step)
-        tasks = step.waiting()
+        waiting_tasks = step.waiting()
         suspected = suspects(step)
+        tasks = [task for task in waiting_tasks if task not in suspected]
+        stuck: list[TaskRow] = []
         if suspected:
-            tasks = self.schedule_alone(waiting, spread, suspected, decisions)
-        if not tasks:
+            stuck = self.schedule_alone(waiting, spread, suspected, decisions)
+        if not tasks and not stuck:
+            return
+        if tasks and self.place_sound(waiting, tasks, spread, decisions):
+            return
+        # A reclaim is for all waiting tasks, also for those that may not start now.
+        if len(tasks) + len(stuck) < len(waiting_tasks):
             return
+        if suspected or not self.overtake(waiting, spread, decisions):
+            self.reclaim_or_reserve(waiting, priority, spread, decisions)
+
+    def place_sound(
+        self,
+        waiting: WaitingStep,
+        tasks: list[TaskRow],
+        spread: bool,
+        decisions: Decisions,
+    ) -> bool:
+        """Start as many of the tasks as fit; return whether any of them did."""
+        step = waiting.step
+        priority = waiting.job.accepted.priority
         demand = demand_of(step, spread, self.requires_healthy_targets(step))
         plan: Plan | None = None
         if not self.unplaceable.rules_out(demand):
             plan = self.place(step, tasks, spread)
             if add_placement(step, priority, plan, decisions) and plan is not None:
                 self.note_taken(plan)
-            if plan is not None and len(plan.entries) == len(tasks):
-                return
-            self.unplaceable.add(step, demand)
-        if plan is not None and plan.entries:
-            return
-        # A reclaim is for all waiting tasks, also for those that may not start now.
-        if len(tasks) < len(step.waiting()):
-            return
-        if suspected or not self.overtake(waiting, spread, decisions):
-            self.reclaim_or_reserve(waiting, priority, spread, decisions)
+            if plan is None or len(plan.entries) < len(tasks):
+                self.unplaceable.add(step, demand)
+        return plan is not None and bool(plan.entries)
 
     def overtake(
         self, waiting: WaitingStep, spread: bool, decisions: Decisions
@@ -160,20 +173,21 @@
         """Start tasks that are suspected of a crash on targets of their own.
 
         If there are none for a while, other targets will do, those in quarantine last,
-        but none that runs another suspect. Nothing else is started there in this tick.
-        Returns the tasks that may start on any target now: those that are not
-        suspected, and suspects that could not be started although their patience has
-        ended.
+        but none that runs another suspect, and for a task that has a crash held against
+        it only steady ones. Nothing else is started there in this tick. Returns the
+        suspects that could not be started although their patience has ended.
         """
         ready = ready_suspects(waiting.step, suspected)
-        healthy = self.healthy_capacities
-        alone = [free for free in healthy if self.is_idle_and_steady(free.target)]
-        left = self.start_alone(waiting, ready, alone, spread, decisions)
+        healthy = self.steady(self.healthy_capacities)
+        idle = [free for free in healthy if self.is_idle(free.target)]
+        left = self.start_alone(waiting, ready, idle, spread, decisions)
         left = [task for task in left if self.context.now > task.alone_until]
-        for capacities in (healthy, self.allowed_capacities(waiting.step)):
+        allowed = self.allowed_capacities(waiting.step)
+        if any(task.has_crashed() for task in ready):
+            allowed = self.steady(allowed)
+        for capacities in (healthy, allowed):
             left = self.start_alone(waiting, left, capacities, spread, decisions)
-        skipped = set(suspected)
-        return left + [task for task in waiting.step.waiting() if task not in skipped]
+        return left
 
     def start_alone(
         self,
@@ -194,10 +208,14 @@
         started = {task for task, _ in plan.entries}
         return [task for task in tasks if task not in started]
 
-    def is_idle_and_steady(self, target: TargetRow) -> bool:
-        """Return whether nothing runs on a target, which has not come back lately."""
-        is_taken = target.report.target_id in self.reserved
-        return not target.runs and not is_taken and is_steady(target, self.context.now)
+    def steady(self, capacities: list[FreeCapacity]) -> list[FreeCapacity]:
+        """Return the capacities of targets that have not come back lately."""
+        now = self.context.now
+        return [free for free in capacities if is_steady(free.target, now)]
+
+    def is_idle(self, target: TargetRow) -> bool:
+        """Return whether nothing runs on a target or is about to."""
+        return not target.runs and target.report.target_id not in self.reserved
 
     def withhold(self, plan: Plan) -> None:
         """Keep all steps later in the order from the targets of a plan."""
--- a/src/egretloft/_internal/fleet/sessions.py
+++ b/src/egretloft/_internal/fleet/sessions.py
@@ -24,6 +24,7 @@
     has_survived,
     is_suspect_of_crash,
     note_failure,
+    note_return,
 )
 from egretloft._internal.fleet.interfaces import FleetClock, Targets
 from egretloft._internal.fleet.late_starts import LateStarts
@@ -356,7 +357,7 @@
         if not target.reachable:
             log.info("target regained", target=target.report.target_id)
             target.reachable = True
-            target.returned_at = now
+            note_return(target, now)
             self.owner.on_target_regained(target)
         target.failed_renewals = 0
         target.last_answer = now
@@ -391,6 +392,7 @@
         longest lease from then on.
         """
         target = self.target
+        now = self.clock.boottime()
         # A former leader may have renewed the lease until now.
         target.lease_ends_ms = answer.target_time_ms + LEASE_MS
         if target.incarnation_ms:
@@ -399,9 +401,9 @@
                 target=target.report.target_id,
                 born=answer.incarnation_ms,
             )
-            target.returned_at = self.clock.boottime()
             if not target.failed_renewals:
-                note_failure(target, target.returned_at)
+                note_failure(target, now)
+            note_return(target, now)
         target.incarnation_ms = answer.incarnation_ms
         target.clock = None
         target.last_recorded_end = target.last_applied_end = (
@@ -409,7 +411,6 @@
         ) = 0
         listed_runs = {active.run for active in answer.active}
         start_expires_ms = answer.target_time_ms + START_EXPIRY_MS
-        now = self.clock.boottime()
         late_starts = self.owner.late_starts
         sent_before = late_starts.before_restart(
             target.report.target_id,
@@ -481,7 +482,9 @@
 
     def clear_suspicion(self, run: RunRow, now: float) -> None:
         """Clear the task of a run that has survived its start."""
-        if run.task is None or not run.task.crashed or not has_survived(run, now):
+        if run.task is None or not has_survived(run, now):
+            return
+        if not run.task.is_suspected():
             return
         self.tables.clear_suspicion(run.task)
         if run.job is not None:
@@ -502,9 +505,7 @@
             if run is not None and end.kind is EndKind.DONE:
                 self.owner.on_run_done(run)
             task = self.tables.task(end.run.task)
-            held = task is not None and end.run.attempt in (
-                task.crashed | task.unresolved
-            )
+            held = task is not None and task.is_held_as_crash(end.run.attempt)
             job = apply_end(self.tables, self.target, end)
             # A lasting task may fail at any time through no fault of its target, so its
             # ends are not held against the target.
--- a/src/egretloft/_internal/fleet/tables.py
+++ b/src/egretloft/_internal/fleet/tables.py
@@ -18,7 +18,13 @@
     TargetReport,
     TaskKey,
 )
-from egretloft._internal.fleet.records import AcceptedJob, JobProgress, StepProgress
+from egretloft._internal.fleet.records import (
+    UNKNOWN_PLACE,
+    AcceptedJob,
+    JobProgress,
+    RunPlace,
+    StepProgress,
+)
 
 MILLISECONDS = 1000.0
 
@@ -45,11 +51,11 @@
     ``incarnation_ms`` is that of the target when the start was decided. ``in_doubt``
     marks a start whose calls all had no answer, ``sent_before_restart`` one without a
     confirmation whose target has restarted since, so that the expiry of the order no
-    longer bounds it. ``trial`` marks the start of a suspect, during which the
-    ``watched_targets`` are watched. ``times_missing`` counts the target's consecutive
-    answers that do not list the run. ``stop_reason`` is why the leader stops it, and
-    ``stopping_since`` the boot time at which it decided to. ``job`` and ``task`` are
-    ``None`` for a run of an unknown task.
+    longer bounds it. ``trial`` marks the start of a suspect, ``on_steady_target`` one
+    on a target that had not come back lately. ``times_missing`` counts the target's
+    consecutive answers that do not list the run. ``stop_reason`` is why the leader
+    stops it, and ``stopping_since`` the boot time at which it decided to. ``job`` and
+    ``task`` are ``None`` for a run of an unknown task.
     """
 
     key: RunKey
@@ -67,7 +73,7 @@
     in_doubt: bool = False
     sent_before_restart: bool = False
     trial: bool = False
-    watched_targets: tuple[TargetRow, ...] = ()
+    on_steady_target: bool = True
     percent: int = 0
     percent_changed_at: float = 0.0
     reported_at: float = 0.0
@@ -92,10 +98,11 @@
     """One task of a step.
 
     ``failed`` holds the attempts that failed, ``failed_on`` the targets to avoid.
-    ``crashed`` holds the attempts at whose start the target crashed, ``unresolved``
-    those of a suspect that have not survived yet, or of which an earlier leader did not
-    learn. While it is ``in_evaluation``, the task waits to learn whether the last one
-    counts; until ``alone_until``, it waits for a target without other runs.
+    ``crashed`` holds the attempts whose crashes are held against the task,
+    ``inconclusive`` those whose crashes may have had another cause. ``unresolved`` are
+    those at whose start the target may have crashed, with their places: a trial from
+    its start on. While it is ``in_evaluation``, the task waits to learn whether the
+    last one counts; until ``alone_until``, it waits for a target without other runs.
     ``run`` is the newest run that may still be present on a target.
     """
 
@@ -104,12 +111,34 @@
     failed: set[int] = field(default_factory=set)
     failed_on: set[str] = field(default_factory=set)
     crashed: set[int] = field(default_factory=set)
-    unresolved: set[int] = field(default_factory=set)
+    inconclusive: set[int] = field(default_factory=set)
+    unresolved: dict[int, RunPlace] = field(default_factory=dict)
     in_evaluation: bool = False
     alone_until: float = 0.0
     checkpoint: str = ""
     run: RunRow | None = None
 
+    def is_suspected(self) -> bool:
+        """Return whether a start of the task may have crashed its target."""
+        return self.has_crashed() or bool(self.unresolved)
+
+    def has_crashed(self) -> bool:
+        """Return whether a target is known to have crashed at a start of the task."""
+        return bool(self.crashed or self.inconclusive)
+
+    def is_held_as_crash(self, attempt: int) -> bool:
+        """Return whether an attempt is thought to have crashed its target."""
+        return any(
+            attempt in attempts
+            for attempts in (self.crashed, self.inconclusive, self.unresolved)
+        )
+
+    def withdraw_suspicion(self, attempt: int) -> None:
+        """Take back that an attempt has crashed its target."""
+        self.crashed.discard(attempt)
+        self.inconclusive.discard(attempt)
+        self.unresolved.pop(attempt, None)
+
 
 @dataclass(slots=True, eq=False)
 class StepRow:
@@ -232,9 +261,11 @@
                     entry.saved[task.key.index] = task.checkpoint
                 if task.crashed:
                     entry.crashed[task.key.index] = sorted(task.crashed)
+                if task.inconclusive:
+                    entry.inconclusive[task.key.index] = sorted(task.inconclusive)
                 if task.unresolved:
-                    entry.unresolved[task.key.index] = sorted(task.unresolved)
-            if entry.done or entry.failed or entry.saved or entry.crashed:
+                    entry.suspected[task.key.index] = dict(task.unresolved)
+            if entry.holds_progress():
                 steps.append(entry)
         return JobProgress(self.state, self.started, self.finished_at_ms, steps)
 
@@ -257,8 +288,15 @@
             for index, attempts in entry.crashed.items():
                 row.tasks[index].crashed = set(attempts)
                 row.suspected = True
+            for index, attempts in entry.inconclusive.items():
+                row.tasks[index].inconclusive = set(attempts)
+                row.suspected = True
             for index, attempts in entry.unresolved.items():
-                row.tasks[index].unresolved = set(attempts)
+                row.tasks[index].unresolved = dict.fromkeys(attempts, UNKNOWN_PLACE)
+                row.suspected = True
+            for index, places in entry.suspected.items():
+                row.tasks[index].unresolved.update(places)
+                row.suspected = True
 
 
 @dataclass(slots=True, eq=False)
@@ -282,9 +320,9 @@
     ``returned_at`` is the boot time at which a target that is new, or was lost, was
     first heard of; minus infinity for one that was there when the term began.
     ``replaced`` tells that another target answers at its address. ``failed_at`` is when
-    it last failed to answer, or restarted; the failure is explained if a run that had
-    just started may have caused it. Until ``watched_until`` the target is asked even if
-    it has no runs.
+    it last failed to answer, or restarted, as ``failed_incarnation_ms``; the failure is
+    explained if a run that had just started may have caused it. Until ``watched_until``
+    the target is asked even if it has no runs.
     ``in_use`` is the sum of the resources of ``runs``, including runs that are being
     stopped; both are changed by ``FleetTables`` only.
     """
@@ -317,6 +355,7 @@
     returned_at: float = -math.inf
     replaced: bool = False
     failed_at: float = -math.inf
+    failed_incarnation_ms: int = 0
     failure_explained: bool = False
     watched_until: float = -math.inf
 
@@ -407,7 +446,7 @@
             self.orphans[run.key] = run
             return
         run.job.runs[run.key] = run
-        if run.task is not None and run.task.crashed:
+        if run.task is not None and run.task.is_suspected():
             self.trials[run.key] = run
         self.touch(run.job)
 
@@ -418,7 +457,7 @@
         target.in_use = target.in_use.minus(run.room)
         self.trials.pop(run.key, None)
         if run.task is not None:
-            run.task.unresolved.discard(run.key.attempt)
+            run.task.unresolved.pop(run.key.attempt, None)
         if run.task is not None and run.task.run is run:
             run.task.run = None
         if run.job is None:
@@ -430,6 +469,7 @@
     def clear_suspicion(self, task: TaskRow) -> None:
         """Forget the crashes of a task, a run of which has survived its start."""
         task.crashed.clear()
+        task.inconclusive.clear()
         task.unresolved.clear()
         if task.run is not None:
             self.trials.pop(task.run.key, None)
