--- a/tests/unit/fleet/test_random_faults.py
+++ b/tests/unit/fleet/test_random_faults.py
@@ -12,6 +12,7 @@
 from lib.cancel_storm import play_cancel_storm
 from lib.crash_storm import play_crash_storm
 from lib.fleet_faults import failure_text, play_storm
+from lib.lapse_storm import play_lapse_storm
 from lib.virtual_time import run_virtual
 from lib.wide_storm import play_wide_storm
 from lib.zone_storm import play_zone_storm
@@ -77,3 +78,11 @@
     report = run_virtual(play_cancel_storm(seed))
     assert not report.violations, failure_text(report)
     assert not report.unfinished, failure_text(report)
+
+
+@pytest.mark.parametrize("seed", chosen_seeds())
+def test_random_lapses_break_no_promise(seed: int) -> None:
+    report = run_virtual(play_lapse_storm(seed))
+    assert not report.violations, failure_text(report)
+    assert not report.unfinished, failure_text(report)
+    assert report.accepted
