--- a/src/egretloft/_internal/fleet/crash_suspects.py
+++ b/src/egretloft/_internal/fleet/crash_suspects.py
@@ -28,8 +28,12 @@
 # Weights of a crash without another explanation, and of one that may have one.
 CRASH_WEIGHT = 2
 INCONCLUSIVE_WEIGHT = 1
-# A task is given up at this weight, if one of its crashes has no other explanation.
+# A task is given up at this weight, if so many of its crashes have no other cause.
 GIVE_UP_WEIGHT = 5
+MIN_CONCLUSIVE_CRASHES = 2
+# A task waits while so many targets have been silent since a start of it: it may have
+# taken all of them down.
+MAX_SILENT_TARGETS = 4
 # A target that came back less than this ago may be about to fail again by itself.
 STEADY_SECONDS = 2.5
 # After a trial, a suspect waits this long for another target that it has to itself. At
@@ -44,7 +48,10 @@
     """
     if run.adopted or run.task is None:
         return False
-    return target.last_answer - run.started_at <= SURVIVAL_SECONDS
+    last_answer = target.last_answer
+    if run.incarnation_ms != target.incarnation_ms:
+        last_answer = target.former_answer
+    return last_answer - run.started_at <= SURVIVAL_SECONDS
 
 
 def note_failure(target: TargetRow, now: float) -> None:
@@ -54,6 +61,7 @@
     """
     target.failed_at = now
     target.failed_incarnation_ms = target.incarnation_ms
+    target.reports_since_failure = 0
     target.failure_explained = any(
         is_suspect_of_crash(target, run) for run in target.runs.values()
     )
@@ -69,25 +77,34 @@
         target.watched_until = max(target.watched_until, now + STEADY_SECONDS)
 
 
+def has_restarted(target: TargetRow) -> bool:
+    """Return whether the target is known to have crashed when it last failed."""
+    failed_incarnation_ms = target.failed_incarnation_ms
+    return 0 < failed_incarnation_ms != target.incarnation_ms
+
+
 def may_have_crashed(target: TargetRow) -> bool:
     """Return whether the target may have crashed when it last failed.
 
     One that has answered since in the same incarnation has not.
     """
-    if not target.reachable:
-        return True
-    return target.incarnation_ms != target.failed_incarnation_ms
+    return not target.reachable or has_restarted(target)
 
 
 def is_given_up(task: TaskRow) -> bool:
     """Return whether the task has crashed too many targets."""
-    if task.done or not task.crashed:
+    if task.done or len(task.crashed) < MIN_CONCLUSIVE_CRASHES:
         return False
     weight = CRASH_WEIGHT * len(task.crashed)
     weight += INCONCLUSIVE_WEIGHT * len(task.inconclusive)
     return weight >= GIVE_UP_WEIGHT
 
 
+def has_silenced_targets(task: TaskRow) -> bool:
+    """Return whether the task may have taken down too many targets to go on now."""
+    return len(task.unresolved) >= MAX_SILENT_TARGETS
+
+
 def has_survived(run: RunRow, now: float) -> bool:
     """Return whether the run, which its target lists now, has survived its start."""
     return now - run.started_at > SURVIVAL_SECONDS
--- a/src/egretloft/_internal/fleet/leader.py
+++ b/src/egretloft/_internal/fleet/leader.py
@@ -268,7 +268,7 @@
 
     def on_crash_suspected(self, run: RunRow) -> None:
         """Note that the target of a run may have crashed because of its start."""
-        self.crash_trials.on_lost(run, self.clock.boottime())
+        self.crash_trials.on_lost(run, self.clock.boottime(), self.clock.wall())
 
     def on_target_changed(self, target: TargetRow) -> None:
         """Wake the session of a target that restarted or moved."""
@@ -399,7 +399,7 @@
             await asyncio.sleep(FEED_RETRY_SECONDS)
         for job in self.tables.jobs.values():
             job.known_before_term = True
-        self.crash_trials.restore(self.clock.boottime())
+        self.crash_trials.restore(self.clock.boottime(), self.clock.wall())
         self.state_loaded = True
         # Sessions start last: an end that arrives before its job has been read would
         # be acknowledged without effect.
--- a/src/egretloft/_internal/fleet/orders.py
+++ b/src/egretloft/_internal/fleet/orders.py
@@ -157,7 +157,7 @@
             target=run.target_id,
         )
         self.metrics.count("starts_not_sent")
-        self.tables.remove_run(target, run)
+        self.tables.remove_harmless_run(target, run)
         self.owner.wake_scheduler()
 
     def may_start(self, target: TargetRow, run: RunRow) -> bool:
@@ -249,7 +249,7 @@
         if may_have_started:
             self.avoid_silent_target(target, run)
             return
-        self.tables.remove_run(target, run)
+        self.tables.remove_harmless_run(target, run)
         now = self.clock.boottime()
         target.quarantined_until = max(
             target.quarantined_until, now + REFUSAL_BACKOFF_SECONDS
--- a/src/egretloft/_internal/fleet/records.py
+++ b/src/egretloft/_internal/fleet/records.py
@@ -36,17 +36,32 @@
 
 @dataclass(slots=True, frozen=True)
 class RunPlace:
-    """The incarnation of a target to which a start was sent."""
+    """The incarnation of a target to which a start was sent.
+
+    ``conclusive`` tells that a crash of the target would have no other explanation, as
+    far as is known. ``lost_at`` is when the run was given up, in seconds of the time of
+    day; 0 if it was not.
+    """
 
     target_id: str
     address: str
     incarnation_ms: int
+    conclusive: bool = False
+    lost_at: float = 0.0
 
 
 # Where a start was sent that an earlier release has stored.
 UNKNOWN_PLACE = RunPlace("", "", 0)
 
 
+@dataclass(slots=True)
+class SuspectedStarts:
+    """Starts at one place that may have crashed the target: attempts by task index."""
+
+    place: RunPlace
+    attempts: list[tuple[int, int]] = field(default_factory=list)
+
+
 @dataclass(slots=True)
 class StepProgress:
     """Progress of one step of one occurrence.
@@ -54,9 +69,9 @@
     ``done`` holds the indexes of completed tasks. ``failed`` maps a task's index to the
     attempts that failed, ``saved`` to its newest checkpoint, ``crashed`` to the
     attempts whose crashes are held against it, ``inconclusive`` to those whose crashes
-    may have had another cause, ``suspected`` to those at whose start the target may
-    have crashed, with their places. ``unresolved`` has such attempts of
-    an earlier release, which did not store the places.
+    may have had another cause. ``suspected`` has those at whose start the target may
+    have crashed, ``unresolved`` such attempts of an earlier release, which did not
+    store their places.
     """
 
     occurrence: int
@@ -67,7 +82,7 @@
     crashed: dict[int, list[int]] = field(default_factory=dict)
     unresolved: dict[int, list[int]] = field(default_factory=dict)
     inconclusive: dict[int, list[int]] = field(default_factory=dict)
-    suspected: dict[int, dict[int, RunPlace]] = field(default_factory=dict)
+    suspected: list[SuspectedStarts] = field(default_factory=list)
 
     def holds_progress(self) -> bool:
         """Return whether the step has anything to be stored."""
--- a/src/egretloft/_internal/fleet/service_tick.py
+++ b/src/egretloft/_internal/fleet/service_tick.py
@@ -2,7 +2,11 @@
 
 from __future__ import annotations
 
-from egretloft._internal.fleet.crash_suspects import is_steady, suspects
+from egretloft._internal.fleet.crash_suspects import (
+    has_silenced_targets,
+    is_steady,
+    suspects,
+)
 from egretloft._internal.fleet.decisions import (
     RECLAIMING_PRIORITY,
     Decisions,
@@ -58,11 +62,15 @@
 
 
 def ready_suspects(step: StepRow, suspected: list[TaskRow]) -> list[TaskRow]:
-    """Return the suspects whose last crash is not being evaluated.
+    """Return the suspects that need not wait for what becomes of their targets.
 
     The members of a gang start together, so they wait for each other.
     """
-    ready = [task for task in suspected if not task.in_evaluation]
+    ready = [
+        task
+        for task in suspected
+        if not task.in_evaluation and not has_silenced_targets(task)
+    ]
     return ready if len(ready) == len(suspected) or not step.spec.gang else []
 
 
--- a/src/egretloft/_internal/fleet/sessions.py
+++ b/src/egretloft/_internal/fleet/sessions.py
@@ -314,6 +314,10 @@
             log.info(
                 "target replaced by another incarnation", target=target.report.target_id
             )
+            now = self.clock.boottime()
+            if not target.failed_renewals:
+                note_failure(target, now)
+            target.restarted_at = now
             self.lose_all_runs("target replaced by another incarnation")
             target.listed = False
             target.replaced = True
@@ -404,6 +408,8 @@
             if not target.failed_renewals:
                 note_failure(target, now)
             note_return(target, now)
+            target.restarted_at = now
+            target.former_answer = target.last_answer
         target.incarnation_ms = answer.incarnation_ms
         target.clock = None
         target.last_recorded_end = target.last_applied_end = (
@@ -475,9 +481,11 @@
             failed_renewals=self.target.failed_renewals,
         )
         self.metrics.count("runs_lost")
-        self.tables.remove_run(self.target, run)
         if crashed and is_suspect_of_crash(self.target, run):
+            self.tables.remove_run(self.target, run)
             self.owner.on_crash_suspected(run)
+        else:
+            self.tables.remove_harmless_run(self.target, run)
         self.owner.wake_scheduler()
 
     def clear_suspicion(self, run: RunRow, now: float) -> None:
--- a/src/egretloft/_internal/fleet/state_reader.py
+++ b/src/egretloft/_internal/fleet/state_reader.py
@@ -147,6 +147,8 @@
             self.owner.wake_scheduler()
             return
         restarted = 0 < target.incarnation_ms < report.incarnation_ms
+        if report.incarnation_ms == target.incarnation_ms:
+            target.reports_since_failure += 1
         if target.listed and target.report == report and not restarted:
             return
         if report.draining and not target.report.draining:
--- a/src/egretloft/_internal/fleet/suspicions.py
+++ b/src/egretloft/_internal/fleet/suspicions.py
@@ -2,21 +2,24 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Set
+from collections.abc import Callable, Set
 from dataclasses import dataclass
 from enum import StrEnum
 
-from egretloft._internal.fleet.crash_suspects import may_have_crashed
+from egretloft._internal.fleet.crash_suspects import has_restarted, may_have_crashed
 from egretloft._internal.fleet.records import RunPlace
 from egretloft._internal.fleet.tables import FleetTables, JobRow, TargetRow, TaskRow
 
-# Failures that are noticed within this time of each other may have one cause: a call
-# to a target that does not answer takes up to 1.6 s to fail.
+# Events that are noticed within this time of each other may have one cause: a call to a
+# target that does not answer takes up to 1.6 s to fail.
 SIMULTANEOUS_SECONDS = 2.0
 # More targets than this do not fail at once through tasks of their own, and neither
 # does a larger share of all targets.
 MAX_UNRELATED_FAILURES = 1
 MAX_UNRELATED_SHARE = 0.05
+# A target that has registered so often since it failed is up: a single row may have
+# been written before.
+MIN_REPORTS = 2
 
 
 class TargetFate(StrEnum):
@@ -24,9 +27,9 @@
 
     # Silent, or not listed: cut off, paused or crashed.
     UNKNOWN = "unknown"
-    # It has answered again in the same incarnation.
+    # It has answered or registered again in the same incarnation.
     SURVIVED = "survived"
-    # A later incarnation is there, or another one has its address.
+    # Another incarnation is there, or another target has its address.
     CRASHED = "crashed"
 
 
@@ -36,10 +39,7 @@
 
     ``failed_at`` is when the failure was noticed, ``noted_at`` when the run was lost,
     in seconds on the local boot-time clock; both are the begin of the term for a start
-    of an earlier leader, which is ``inherited``. ``steady`` tells whether the target
-    had been up for a while, ``leaving`` whether it had said that it leaves.
-    ``has_other_cause`` tells whether other targets failed with it; it is ``None`` until
-    their failures have been noticed.
+    of an earlier leader, which is ``inherited``.
     """
 
     job: JobRow
@@ -49,14 +49,13 @@
     failed_at: float
     noted_at: float
     trial: bool
-    steady: bool = True
-    leaving: bool = False
     inherited: bool = False
-    has_other_cause: bool | None = None
 
     def is_open(self) -> bool:
         """Return whether the attempt is still suspected."""
-        return not self.job.is_final() and self.attempt in self.task.unresolved
+        if self.job.is_final() or self.task.done:
+            return False
+        return self.attempt in self.task.unresolved
 
 
 def fate_of_target(tables: FleetTables, suspicion: Suspicion) -> TargetFate:
@@ -68,27 +67,40 @@
     place = suspicion.place
     target = tables.targets.get(place.target_id)
     if target is not None:
-        if target.replaced:
-            return TargetFate.CRASHED
-        born = max(target.incarnation_ms, target.report.incarnation_ms)
-        if born > place.incarnation_ms:
+        if is_other_incarnation(target, place):
             return TargetFate.CRASHED
-        if has_answered_since(target, suspicion):
+        if has_been_heard_since(target, suspicion):
             return TargetFate.SURVIVED
+        if target.replaced:
+            return TargetFate.CRASHED
+        if target.listed:
+            return TargetFate.UNKNOWN
     if any(has_taken_address(other, place) for other in tables.targets.values()):
         return TargetFate.CRASHED
     return TargetFate.UNKNOWN
 
 
-def has_answered_since(target: TargetRow, suspicion: Suspicion) -> bool:
-    """Return whether a target has answered since the start was lost.
+def is_other_incarnation(target: TargetRow, place: RunPlace) -> bool:
+    """Return whether the target has answered, or registered, as another incarnation.
+
+    A row of the list may be an old one, an answer is not.
+    """
+    if target.incarnation_ms and target.incarnation_ms != place.incarnation_ms:
+        return True
+    return target.report.incarnation_ms > place.incarnation_ms
+
+
+def has_been_heard_since(target: TargetRow, suspicion: Suspicion) -> bool:
+    """Return whether a target has answered or registered since the start was lost.
 
     A trial of an earlier leader that is still active has not survived its start yet.
     """
-    if not target.reachable or target.last_answer <= suspicion.failed_at:
-        return False
     run = suspicion.task.run
-    return run is None or run.key.attempt != suspicion.attempt
+    if run is not None and run.key.attempt == suspicion.attempt:
+        return False
+    if target.reports_since_failure >= MIN_REPORTS and not target.replaced:
+        return True
+    return target.reachable and target.last_answer > suspicion.failed_at
 
 
 def has_taken_address(target: TargetRow, place: RunPlace) -> bool:
@@ -102,32 +114,62 @@
     )
 
 
+def is_leaving(tables: FleetTables, suspicion: Suspicion) -> bool:
+    """Return whether the target has said that it leaves."""
+    target = tables.targets.get(suspicion.place.target_id)
+    return target is not None and target.report.draining
+
+
+def has_known_other_cause(
+    tables: FleetTables, suspicion: Suspicion, suspected_ids: Set[str]
+) -> bool:
+    """Return whether other targets are known to have crashed with that of a start."""
+    return has_unrelated_failures(tables, suspicion, suspected_ids, has_restarted)
+
+
 def has_other_cause(
     tables: FleetTables, suspicion: Suspicion, suspected_ids: Set[str]
 ) -> bool:
-    """Return whether other targets failed with that of a suspected start.
+    """Return whether other targets may have crashed with that of a suspected start.
 
     A few of them may have been crashed by tasks that had just started there, among them
     those of other suspicions, on ``suspected_ids``.
     """
-    failed = simultaneous_failures(tables.targets.values(), suspicion)
+    return has_unrelated_failures(tables, suspicion, suspected_ids, may_have_crashed)
+
+
+def has_unrelated_failures(
+    tables: FleetTables,
+    suspicion: Suspicion,
+    suspected_ids: Set[str],
+    is_crash: Callable[[TargetRow], bool],
+) -> bool:
+    """Return whether too many other targets failed, or restarted, at the same time."""
+    others = [
+        other
+        for other in tables.targets.values()
+        if other.report.target_id != suspicion.place.target_id
+    ]
+    failed = [
+        other
+        for other in others
+        if is_simultaneous(other.failed_at, suspicion.failed_at) and is_crash(other)
+    ]
+    target = tables.targets.get(suspicion.place.target_id)
+    restarted = [
+        other
+        for other in others
+        if target and is_simultaneous(other.restarted_at, target.restarted_at)
+    ]
     if any(
-        not target.failure_explained and target.report.target_id not in suspected_ids
-        for target in failed
+        not other.failure_explained and other.report.target_id not in suspected_ids
+        for other in [*failed, *restarted]
     ):
         return True
     share = int(MAX_UNRELATED_SHARE * len(tables.targets))
     return len(failed) > max(MAX_UNRELATED_FAILURES, share)
 
 
-def simultaneous_failures(
-    targets: Iterable[TargetRow], suspicion: Suspicion
-) -> list[TargetRow]:
-    """Return the other targets that may have crashed at the same time."""
-    return [
-        target
-        for target in targets
-        if target.report.target_id != suspicion.place.target_id
-        and abs(target.failed_at - suspicion.failed_at) <= SIMULTANEOUS_SECONDS
-        and may_have_crashed(target)
-    ]
+def is_simultaneous(at: float, other_at: float) -> bool:
+    """Return whether two events that have happened may have one cause."""
+    return abs(at - other_at) <= SIMULTANEOUS_SECONDS
--- a/src/egretloft/_internal/fleet/tables.py
+++ b/src/egretloft/_internal/fleet/tables.py
@@ -24,6 +24,7 @@
     JobProgress,
     RunPlace,
     StepProgress,
+    SuspectedStarts,
 )
 
 MILLISECONDS = 1000.0
@@ -178,6 +179,17 @@
             attempts |= member.failed
         return len(attempts)
 
+    def suspected_starts(self) -> list[SuspectedStarts]:
+        """Return the starts that may have crashed their targets, by place."""
+        by_place: dict[RunPlace, SuspectedStarts] = {}
+        for task in self.tasks if self.suspected else ():
+            if task.done:
+                continue
+            for attempt, place in task.unresolved.items():
+                starts = by_place.setdefault(place, SuspectedStarts(place))
+                starts.attempts.append((task.key.index, attempt))
+        return list(by_place.values())
+
     def waiting(self) -> list[TaskRow]:
         """Return the tasks that are neither done nor running."""
         return [task for task in self.tasks if not task.done and task.run is None]
@@ -263,8 +275,7 @@
                     entry.crashed[task.key.index] = sorted(task.crashed)
                 if task.inconclusive:
                     entry.inconclusive[task.key.index] = sorted(task.inconclusive)
-                if task.unresolved:
-                    entry.suspected[task.key.index] = dict(task.unresolved)
+            entry.suspected = row.suspected_starts()
             if entry.holds_progress():
                 steps.append(entry)
         return JobProgress(self.state, self.started, self.finished_at_ms, steps)
@@ -294,8 +305,9 @@
             for index, attempts in entry.unresolved.items():
                 row.tasks[index].unresolved = dict.fromkeys(attempts, UNKNOWN_PLACE)
                 row.suspected = True
-            for index, places in entry.suspected.items():
-                row.tasks[index].unresolved.update(places)
+            for starts in entry.suspected:
+                for index, attempt in starts.attempts:
+                    row.tasks[index].unresolved[attempt] = starts.place
                 row.suspected = True
 
 
@@ -321,7 +333,10 @@
     first heard of; minus infinity for one that was there when the term began.
     ``replaced`` tells that another target answers at its address. ``failed_at`` is when
     it last failed to answer, or restarted, as ``failed_incarnation_ms``; the failure is
-    explained if a run that had just started may have caused it. Until ``watched_until``
+    explained if a run that had just started may have caused it.
+    ``reports_since_failure`` counts what the target has registered since, in the same
+    incarnation. ``restarted_at`` is when a later incarnation was first heard of, and
+    ``former_answer`` the last answer of the one before. Until ``watched_until``
     the target is asked even if it has no runs.
     ``in_use`` is the sum of the resources of ``runs``, including runs that are being
     stopped; both are changed by ``FleetTables`` only.
@@ -356,6 +371,9 @@
     replaced: bool = False
     failed_at: float = -math.inf
     failed_incarnation_ms: int = 0
+    reports_since_failure: int = 0
+    restarted_at: float = -math.inf
+    former_answer: float = 0.0
     failure_explained: bool = False
     watched_until: float = -math.inf
 
@@ -456,8 +474,6 @@
             return
         target.in_use = target.in_use.minus(run.room)
         self.trials.pop(run.key, None)
-        if run.task is not None:
-            run.task.unresolved.pop(run.key.attempt, None)
         if run.task is not None and run.task.run is run:
             run.task.run = None
         if run.job is None:
@@ -466,6 +482,15 @@
         run.job.runs.pop(run.key, None)
         self.touch(run.job)
 
+    def remove_harmless_run(self, target: TargetRow, run: RunRow) -> None:
+        """Remove a run that certainly has not crashed its target.
+
+        What becomes of a late copy of a start says nothing of the start itself.
+        """
+        self.remove_run(target, run)
+        if run.task is not None and not run.adopted:
+            run.task.unresolved.pop(run.key.attempt, None)
+
     def clear_suspicion(self, task: TaskRow) -> None:
         """Forget the crashes of a task, a run of which has survived its start."""
         task.crashed.clear()
