Show that three inconclusive crashes and one other fail a job (LOST)

What callers see: as before. One crash without another explanation is enough, if three others, each with one, come to it.

--- a/tests/unit/fleet/test_power_losses_of_a_quiet_zone.py
+++ b/tests/unit/fleet/test_power_losses_of_a_quiet_zone.py
@@ -16,6 +16,7 @@
     assert_completes,
     next_target,
 )
+from unit.fleet.test_suspicions import LostStart, restart
 
 
 @pytest.mark.parametrize("down_seconds", [0.6, 1.5, 3.0])
@@ -41,3 +42,12 @@
 
     for seed in SEEDS:
         run_virtual(main(seed))
+
+
+def test_losses_of_power_beside_one_other_crash_do_not_fail_the_job() -> None:
+    """Guards against inconclusive crashes that decide with a single other one."""
+    lost = LostStart(attempt=9)
+    lost.task.inconclusive = {2, 3, 4}
+    restart(lost)
+    lost.review()
+    assert not lost.job.is_final()
