Show trials that are forgotten as the next leader adopts them (BUDGET)

What callers see: a crashing task takes down nine targets and more. Sequence: a trial starts, the leader hands over, the next one adopts the run, the target crashes. remove_run takes the attempt out of unresolved, and adopted runs are no suspects.

--- a/tests/unit/fleet/test_suspects_over_handovers.py
+++ b/tests/unit/fleet/test_suspects_over_handovers.py
@@ -9,6 +9,7 @@
 
 from lib.fleet_builders import build_world, job_id, single_step
 from lib.virtual_time import run_virtual
+from standins.fleet import targets as emulated_targets
 from standins.fleet.world import FleetWorld
 from unit.fleet.test_failed_without_cause import JOB, SEEDS, next_target
 
@@ -62,3 +63,33 @@
 
     for seed in SEEDS:
         run_virtual(main(seed))
+
+
+@pytest.mark.parametrize("delay_seconds", [0.5, 1.0])
+def test_trial_that_the_next_leader_adopts_still_counts(
+    delay_seconds: float, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a trial that is forgotten as its adopted run is lost."""
+    monkeypatch.setattr(emulated_targets, "CRASH_DELAY_SECONDS", delay_seconds)
+
+    async def main(seed: int) -> None:
+        world = build_world(seed, instance_count=4, target_count=16)
+        await world.start()
+        accepted = await world.submit(
+            job_id(JOB), single_step(1), 8.0, crashing_tasks=(0,)
+        )
+        assert isinstance(accepted, Success)
+        # The first start of a task is no trial, so its crash is left alone.
+        while not any(count >= 2 for count in world.checker.crashes.values()):
+            await asyncio.sleep(0.05)
+        seen: set[int] = set()
+        for _ in range(HANDOVERS):
+            if await next_target(world, seen) is None:
+                break
+            await asyncio.sleep(0.1)
+            await hand_over(world)
+        await world.stop()
+        assert world.checker.violations == []
+
+    for seed in SEEDS:
+        run_virtual(main(seed))
