--- a/tests/unit/fleet/test_forgotten_crashes.py
+++ b/tests/unit/fleet/test_forgotten_crashes.py
@@ -7,10 +7,12 @@
 import pytest
 from returns.result import Success
 
+from egretloft._internal.fleet.lifecycle import add_late_start
 from lib.fleet_builders import build_world, job_id, single_step
 from lib.virtual_time import run_virtual
 from standins.fleet import targets as emulated_targets
 from unit.fleet.test_failed_without_cause import JOB, SEEDS
+from unit.fleet.test_suspicions import BORN_MS, NOW, LostStart
 
 # Longer than the timeout of a start.
 ANSWER_SECONDS = 0.4
@@ -38,3 +40,14 @@
 
     for seed in SEEDS:
         run_virtual(main(seed))
+
+
+def test_late_copy_of_a_lost_start_does_not_withdraw_the_suspicion() -> None:
+    """Guards against a crash that is forgotten with a copy of its start."""
+    lost = LostStart()
+    lost.target.reachable = True
+    lost.target.incarnation_ms = BORN_MS + 1
+    copy = add_late_start(lost.tables, lost.target, lost.run.key, NOW + 4.0)
+    lost.tables.remove_run(lost.target, copy)
+    lost.review()
+    assert lost.task.crashed == {1}
