Show a suspicion of an hour ago that the next leader decides (LOST)

What callers see: a restart long after counts as a crash at the start. After 60 s a suspicion is dropped, but its attempt stays in the row; the next leader opens it again.

--- /dev/null
+++ b/tests/unit/fleet/test_inherited_suspicions.py
@@ -0,0 +1,52 @@
+"""Suspicions that a leader takes over from an earlier one."""
+
+from __future__ import annotations
+
+from egretloft._internal import codec
+from egretloft._internal.fleet.crash_trials import CrashTrials, create_crash_trials
+from egretloft._internal.fleet.records import JobProgress
+from egretloft._internal.fleet.tables import TargetRow, TaskRow
+from egretloft._internal.metrics import create_metrics
+from lib.fleet_builders import (
+    add_job,
+    build_tables,
+    build_target,
+    first_task,
+    single_step,
+)
+from unit.fleet.test_suspicions import BORN_MS, NOW, LostStart
+
+
+class NextTerm:
+    """The next leader, which begins at ``now`` and has yet to hear from the targets."""
+
+    def __init__(self, lost: LostStart, now: float) -> None:
+        row = codec.encode(lost.job.progress())
+        self.now = now
+        self.targets: list[TargetRow] = [build_target(0), build_target(1)]
+        tables = build_tables(*self.targets)
+        job = add_job(tables, 1, single_step(1))
+        job.restore(codec.decode(row, JobProgress).unwrap())
+        self.task: TaskRow = first_task(job)
+        self.trials: CrashTrials = create_crash_trials(
+            tables, create_metrics(), lambda _: None, lambda _: None
+        )
+        self.trials.restore(now)
+
+    def hear_restarted(self) -> None:
+        """Let all targets answer as later incarnations, and decide."""
+        for target in self.targets:
+            target.incarnation_ms = BORN_MS + 10_000
+            target.last_answer = self.now + 1.0
+        self.trials.review(self.now + 5.0)
+
+
+def test_next_leader_does_not_decide_what_was_given_up_long_before() -> None:
+    """Guards against a restart an hour later that is held against a start."""
+    lost = LostStart()
+    lost.review()
+    lost.trials.review(NOW + 70.0)
+    assert not lost.trials.open
+    term = NextTerm(lost, NOW + 3600.0)
+    term.hear_restarted()
+    assert not term.task.has_crashed()
