Show a loss of power that counts in full after a takeover (LOST)

What callers see: a sound job is closer to failed, as the row does not say that other targets failed with it.

--- a/tests/unit/fleet/test_inherited_suspicions.py
+++ b/tests/unit/fleet/test_inherited_suspicions.py
@@ -14,7 +14,7 @@
     first_task,
     single_step,
 )
-from unit.fleet.test_suspicions import BORN_MS, NOW, LostStart
+from unit.fleet.test_suspicions import BORN_MS, LATER, NOW, LostStart
 
 
 class NextTerm:
@@ -50,3 +50,16 @@
     term = NextTerm(lost, NOW + 3600.0)
     term.hear_restarted()
     assert not term.task.has_crashed()
+
+
+def test_next_leader_knows_that_other_targets_failed_at_the_same_time() -> None:
+    """Guards against a loss of power that counts in full after a takeover."""
+    lost = LostStart()
+    lost.other.failed_at = lost.target.failed_at
+    lost.other.failed_incarnation_ms = BORN_MS
+    lost.other.incarnation_ms = BORN_MS + 1
+    lost.review()
+    assert lost.trials.open[0].has_other_cause
+    term = NextTerm(lost, LATER)
+    term.hear_restarted()
+    assert not term.task.crashed
