--- a/tests/unit/fleet/test_inherited_suspicions.py
+++ b/tests/unit/fleet/test_inherited_suspicions.py
@@ -63,3 +63,12 @@
     term = NextTerm(lost, LATER)
     term.hear_restarted()
     assert not term.task.crashed
+
+
+def test_next_leader_knows_that_the_target_was_not_steady() -> None:
+    """Guards against a flapping target that counts in full after a takeover."""
+    lost = LostStart()
+    lost.trials.open[0].steady = False
+    term = NextTerm(lost, LATER)
+    term.hear_restarted()
+    assert not term.task.crashed
