--- a/tests/unit/fleet/test_inherited_suspicions.py
+++ b/tests/unit/fleet/test_inherited_suspicions.py
@@ -72,3 +72,12 @@
     term = NextTerm(lost, LATER)
     term.hear_restarted()
     assert not term.task.crashed
+
+
+def test_next_leader_knows_that_the_target_was_leaving() -> None:
+    """Guards against a planned leave that is taken for a crash after a takeover."""
+    lost = LostStart()
+    lost.trials.open[0].leaving = True
+    term = NextTerm(lost, LATER)
+    term.hear_restarted()
+    assert not term.task.has_crashed()
