Show a leave behind a cut that counts as a crash (LOST)

What callers see: a planned leave or scale-in counts against a sound job. leaving is read only as the run is lost; a target that announces its leave later, and whose address is used again, counts in full.

--- /dev/null
+++ b/tests/unit/fleet/test_suspicion_evidence.py
@@ -0,0 +1,21 @@
+"""What is taken for evidence of a crash, or of none, and proves something else."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+from unit.fleet.test_suspicions import (
+    LATER,
+    LostStart,
+    replace_at_address,
+)
+
+
+def test_leave_that_is_announced_after_the_run_was_lost_is_no_crash() -> None:
+    """Guards against a planned leave behind a cut that is taken for a crash."""
+    lost = LostStart()
+    lost.target.report = replace(lost.target.report, draining=True)
+    lost.review()
+    replace_at_address(lost)
+    lost.trials.review(LATER + 10.0)
+    assert not lost.task.has_crashed()
