Show an address used again that proves crashes for ever (LOST)

What callers see: each later cut of a target counts as a crash. replaced is never taken back and is looked at before the answers of the target.

--- a/tests/unit/fleet/test_suspicion_evidence.py
+++ b/tests/unit/fleet/test_suspicion_evidence.py
@@ -19,3 +19,14 @@
     replace_at_address(lost)
     lost.trials.review(LATER + 10.0)
     assert not lost.task.has_crashed()
+
+
+def test_target_that_answers_at_a_new_address_was_not_replaced() -> None:
+    """Guards against the new owner of an address that proves crashes for ever."""
+    lost = LostStart()
+    lost.target.replaced = True
+    lost.target.report = replace(lost.target.report, address="address-new")
+    lost.target.reachable = True
+    lost.target.last_answer = LATER
+    lost.review()
+    assert not lost.task.has_crashed()
