--- a/tests/unit/fleet/test_suspicion_evidence.py
+++ b/tests/unit/fleet/test_suspicion_evidence.py
@@ -5,12 +5,23 @@
 from dataclasses import replace
 
 from unit.fleet.test_suspicions import (
+    BORN_MS,
     LATER,
     LostStart,
     replace_at_address,
 )
 
 
+def test_restart_with_a_clock_that_stepped_back_is_a_restart() -> None:
+    """Guards against a crash that withdraws the suspicion, as born is a wall time."""
+    lost = LostStart()
+    lost.target.reachable = True
+    lost.target.incarnation_ms = BORN_MS - 1
+    lost.target.last_answer = LATER
+    lost.review()
+    assert lost.task.has_crashed()
+
+
 def test_leave_that_is_announced_after_the_run_was_lost_is_no_crash() -> None:
     """Guards against a planned leave behind a cut that is taken for a crash."""
     lost = LostStart()
