Show a crash that is excused by a cut elsewhere (BUDGET)

What callers see: a crashing task goes on while targets elsewhere are cut off for longer than 1.5 s: silence counts as a failure, and the decision is kept.

--- a/tests/unit/fleet/test_suspicion_evidence.py
+++ b/tests/unit/fleet/test_suspicion_evidence.py
@@ -9,6 +9,7 @@
     LATER,
     LostStart,
     replace_at_address,
+    restart,
 )
 
 
@@ -41,3 +42,17 @@
     lost.target.last_answer = LATER
     lost.review()
     assert not lost.task.has_crashed()
+
+
+def test_cut_elsewhere_that_ends_later_does_not_excuse_a_crash() -> None:
+    """Guards against a crashing task that is excused by targets that are cut off."""
+    lost = LostStart()
+    lost.other.failed_at = lost.target.failed_at
+    lost.other.failed_incarnation_ms = BORN_MS
+    lost.other.reachable = False
+    lost.review()
+    lost.other.reachable = True
+    lost.other.last_answer = LATER + 1.0
+    restart(lost)
+    lost.trials.review(LATER + 3.0)
+    assert lost.task.crashed == {1}
