--- a/tests/unit/fleet/test_suspicion_evidence.py
+++ b/tests/unit/fleet/test_suspicion_evidence.py
@@ -4,15 +4,33 @@
 
 from dataclasses import replace
 
+from lib.fleet_builders import SMALL, run_task
 from unit.fleet.test_suspicions import (
     BORN_MS,
     LATER,
+    NOW,
     LostStart,
     replace_at_address,
     restart,
 )
 
 
+def test_older_silent_target_does_not_end_the_evaluation_of_the_last_trial() -> None:
+    """Guards against a suspect that is started before its last crash counts."""
+    lost = LostStart()
+    lost.trials.open[0].trial = True
+    lost.review()
+    now = NOW + 20.0
+    run = run_task(lost.tables, lost.other, lost.task, SMALL, attempt=2, started_at=now)
+    run.incarnation_ms = BORN_MS
+    lost.trials.begin(run, now)
+    lost.other.failed_at = lost.other.last_answer = now
+    lost.tables.remove_run(lost.other, run)
+    lost.trials.on_lost(run, now)
+    lost.trials.review(now + 0.25)
+    assert lost.task.in_evaluation
+
+
 def test_restart_with_a_clock_that_stepped_back_is_a_restart() -> None:
     """Guards against a crash that withdraws the suspicion, as born is a wall time."""
     lost = LostStart()
