Start the tests of egretctl once the instance knows all targets

Cause: the fixture waited for /readyz only. An instance is ready as soon as its last list names a worker or a runner, and it reads the list once a second. The workers register first, the runners one process start later, the list lags by 0.5 s. On this machine a process starts in 0.2 s to 0.3 s, so the first read falls between the two. One run, seconds after the workers' registration: runners registered 0.25, workers in the list 0.51, list read by e1 0.55 (workers only), ready 0.59, runners in the list 0.76, request sent 1.02, refused 1.21, next list read 1.60 (runners known). In a run that passed, the first read came before 0.50; the instance became ready with the second one at 1.45, which named all. With slower process starts the first read comes after the runners are in the list; that this is why arm64 did not show it was not run.

Ruled out: ownership (a request waits up to 6 s for an owner), runner health (not asked before an owner is chosen) and the deadline (10 s).

Change: the fixture waits until the status of e1 counts as many workers and runners as were started. No sleep, no repeat, no assertion less; the first request still has to be served although the runners' partitions may have no owner yet. A new test holds the list back, so that the instance knows workers only: the request is refused with 503, no_target and Retry-After: 1, the wait does not end, and once it ends the request is served. It fails when the wait ends at the first target (three of three runs of such a trial).

Runs of the test, with other work on the machine: before alone 18 of 20 failed (load 4 to 6), beside six busy loops 3 of 10 (load 8 to 14); after, none of 20 (load 8 to 14) and none of 10 (load 10 to 23). All 21 failures are the one above. The other users of the harness were read: all 14 scenarios that send requests, and the demo, wait for the owner of a runner group and then 2 s or more, longer than one period of the reads (make demo passed once); capacity sends no service requests.

--- a/tests/functional/test_egretctl.py
+++ b/tests/functional/test_egretctl.py
@@ -54,6 +54,7 @@
             await platform.start(6, 3, 0.5)
             await platform.start_entry("e1", "rvk-a")
             await platform.wait_until_ready(platform.entries["e1"])
+            await platform.wait_until_targets_known(platform.entries["e1"])
             yield Tool(platform.entries["e1"].address)
         finally:
             platform.stop()
--- a/tests/functional/test_stand_in_processes.py
+++ b/tests/functional/test_stand_in_processes.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import time
+import uuid
 
 import aiohttp
 import pytest
@@ -69,6 +70,65 @@
     assert status.leaving
 
 
+async def test_wait_outlasts_a_list_without_the_runners(tmp_path, session):
+    """Guards against tests that send requests to an instance that knows no runner yet.
+
+    An instance that knows only workers is ready, and refuses requests for the moment.
+    """
+    platform = Platform(DEPLOYMENTS["bureau"], tmp_path, session)
+    try:
+        await platform.start(workers=1, runners=0, lag_seconds=0.0)
+        await platform.start_entry("e1", "kurume")
+        entry = platform.entries["e1"]
+        await platform.wait_until_ready(entry)
+        await put_profile(session, platform, entry)
+        await platform.control("instances", {"down": "refuse"})
+        await platform.start_runners(1)
+        async with send_request(session, platform, entry) as answer:
+            assert (answer.status, answer.headers["Retry-After"]) == (503, "1")
+            assert (await answer.json())["reason"] == "no_target"
+        waiting = asyncio.create_task(platform.wait_until_targets_known(entry))
+        assert await asyncio.wait({waiting}, timeout=0.5) == (set(), {waiting})
+        await platform.control("instances", {"down": "no"})
+        await waiting
+        async with send_request(session, platform, entry) as answer:
+            assert answer.status == 200, await answer.text()
+    finally:
+        platform.stop()
+
+
+async def put_profile(session, platform, entry):
+    """Let an organisation use the service in the zone of the entry."""
+    body = {
+        "organisation": "groomers",
+        "region": platform.deployment.region,
+        "zones": [entry.zone],
+        "guarantees": [],
+        "limits": {},
+        "services": [platform.deployment.service],
+        "expected_version": 0,
+    }
+    url = f"http://{entry.address}/v1/profiles/desk"
+    async with session.put(url, json=body) as answer:
+        assert answer.status == 200, await answer.text()
+
+
+def send_request(session, platform, entry):
+    """Send an idempotent request under the profile of ``put_profile``."""
+    body = {
+        "organisation": "groomers",
+        "profile": "desk",
+        "deadline_ms": 10_000,
+        "idempotency_key": uuid.uuid4().hex,
+        "idempotent": True,
+        "payload": "tally",
+    }
+    service = platform.deployment.service
+    return session.post(
+        f"http://{entry.address}/v1/services/{service}/requests", json=body
+    )
+
+
 async def test_crashed_worker_comes_back_empty_at_its_address(platform, session):
     """Guards against a crash that ends more, or less, than one target.
 
--- a/tests/lib/deployment.py
+++ b/tests/lib/deployment.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+import asyncio
 import base64
 import itertools
 import math
+import time
+from collections import Counter
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
@@ -18,6 +21,8 @@
     InstanceState,
 )
 from lib.processes import (
+    POLL_SECONDS,
+    READY_TIMEOUT_SECONDS,
     ManagedProcess,
     ProcessError,
     choose_port,
@@ -25,6 +30,12 @@
     create_standin,
 )
 
+# Kind in the instance list of the targets of each stand-in process.
+TARGET_KINDS = {
+    "workers": InstanceKind.WORKER.value,
+    "runners": InstanceKind.RUNNER.value,
+}
+
 
 @dataclass(slots=True, frozen=True)
 class Deployment:
@@ -104,15 +115,10 @@
         await self._start_standin(
             "instances", "instances", "--lag-seconds", str(lag_seconds)
         )
-        common = ["--region", deployment.region]
-        common += ["--instances-address", self.addresses["instances"]]
-        for zone in deployment.zones:
-            common += ["--zone", zone]
         if workers:
-            await self._start_standin(
+            await self._start_targets(
                 "workers",
                 "worker",
-                *common,
                 *("--count", str(workers)),
                 *("--cores", str(deployment.cores)),
                 *("--memory-gb", str(deployment.memory_gb)),
@@ -120,15 +126,26 @@
                 *("--per-rack", str(deployment.per_rack)),
             )
         if runners:
-            await self._start_standin(
-                "runners",
-                "runner",
-                *common,
-                *("--count", str(runners)),
-                *("--service", deployment.service),
-                *("--slots", str(deployment.slots)),
-                *("--connections", str(deployment.connections)),
-            )
+            await self.start_runners(runners)
+
+    async def start_runners(self, count: int) -> None:
+        """Start the runners; they register with the instance list."""
+        deployment = self.deployment
+        await self._start_targets(
+            "runners",
+            "runner",
+            *("--count", str(count)),
+            *("--service", deployment.service),
+            *("--slots", str(deployment.slots)),
+            *("--connections", str(deployment.connections)),
+        )
+
+    async def _start_targets(self, name: str, module: str, *options: str) -> None:
+        common = ["--region", self.deployment.region]
+        common += ["--instances-address", self.addresses["instances"]]
+        for zone in self.deployment.zones:
+            common += ["--zone", zone]
+        await self._start_standin(name, module, *common, *options)
 
     async def _start_standin(self, name: str, module: str, *options: str) -> None:
         process = create_standin(name, module, self.directory, options)
@@ -176,6 +193,33 @@
         )
         entry.ready = True
 
+    async def wait_until_targets_known(self, entry: Entry) -> None:
+        """Wait until an entry instance knows every worker and runner that was started.
+
+        The instance list lags, so an instance can be ready with a part of the targets.
+        """
+        expected = Counter(
+            TARGET_KINDS[process]
+            for process in self.targets.values()
+            if process in TARGET_KINDS
+        )
+        deadline = time.monotonic() + READY_TIMEOUT_SECONDS
+        while (known := await self._known_targets(entry)) != expected:
+            if time.monotonic() > deadline:
+                raise ProcessError(
+                    f"{entry.instance_id} knows {known}, expected {expected}\n"
+                    f"{entry.process.last_log_lines()}"
+                )
+            await asyncio.sleep(POLL_SECONDS)
+
+    async def _known_targets(self, entry: Entry) -> Counter[str]:
+        status = await self._call("GET", entry.address, "/v1/status")
+        known: Counter[str] = Counter()
+        for row in status["targets"]:
+            if row["kind"] in TARGET_KINDS.values():
+                known[row["kind"]] += row["live"]
+        return known
+
     async def list_entry(self, entry: Entry, state: InstanceState) -> None:
         """Add an entry instance to the instance list, or change its state there."""
         record = InstanceRecord(
