Judge jobs shown as failed by the true ends of their tasks in the soak

It looked at states only after the end of all faults.

Change: Checker.on_shown judges a shown state in one place. 'failed' breaks LOST unless a task has ended as failed as often as its queue allows, or has itself crashed three targets; 'cancelled' breaks it unless a caller asked for that; 'complete' breaks MIXED while a task has not ended as done. The states of accepted jobs are polled during the run too. A 410 is judged after the end of the faults only, as before: an instance that is out of touch may answer so.

--- a/tools/soak/run.py
+++ b/tools/soak/run.py
@@ -6,14 +6,19 @@
 import contextlib
 import random
 import signal
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Coroutine
 from dataclasses import dataclass, field
 from pathlib import Path
 
 import aiohttp
 import msgspec
 
-from egretloft._internal.fleet.models import Resources
+from egretloft._internal.fleet.models import (
+    TERMINAL_STATES,
+    JobSpec,
+    JobState,
+    Resources,
+)
 from egretloft.platform.decoding import decode_job
 from egretloft.platform.wire import (
     WireConfig,
@@ -35,6 +40,9 @@
 SERVICE = "service"
 # All accepted jobs must end within this time after the last fault.
 FINISH_TIMEOUT_SECONDS = 40.0
+# The state of one accepted job is asked for this often during the run.
+POLL_INTERVAL_SECONDS = 0.1
+QUEUE_ATTEMPTS = 4
 
 
 @dataclass(slots=True)
@@ -46,6 +54,7 @@
     refused: int = 0
     unknown: int = 0
     complete: int = 0
+    failed: int = 0
     cancelled: int = 0
     excused: int = 0
     faults: list[str] = field(default_factory=list)
@@ -56,8 +65,8 @@
         verdict = "FAILED" if self.violations else "passed"
         return (
             f"seed {self.seed}: {verdict}; accepted {self.accepted}, complete "
-            f"{self.complete}, cancelled {self.cancelled}, refused {self.refused}, "
-            f"unknown {self.unknown}, excused {self.excused}, "
+            f"{self.complete}, failed {self.failed}, cancelled {self.cancelled}, "
+            f"refused {self.refused}, unknown {self.unknown}, excused {self.excused}, "
             f"faults {len(self.faults)}"
         )
 
@@ -73,6 +82,8 @@
         self, seed: int, seconds: float, directory: Path, instances: int, targets: int
     ) -> None:
         self.generator = random.Random(seed)
+        # Polls draw from a generator of their own and do not change the faults.
+        self.poll_generator = random.Random(seed)
         self.seconds = seconds
         self.directory = directory
         self.report = SoakReport(seed)
@@ -100,6 +111,7 @@
         self.programs: list[Program] = []
         self.proxies: list[Proxy] = []
         self.accepted: dict[str, JobTruth] = {}
+        self.ended: set[str] = set()
         self.sent = 0
 
     async def run(self) -> SoakReport:
@@ -150,7 +162,16 @@
     def put_configuration(self, version: int) -> None:
         """Write a configuration with three queues to the store."""
         routes = [
-            WireRoute(f"queue-{p}", HOST, f"/queue-{p}/", SERVICE, p, 4, 3.0, 1000)
+            WireRoute(
+                f"queue-{p}",
+                HOST,
+                f"/queue-{p}/",
+                SERVICE,
+                p,
+                QUEUE_ATTEMPTS,
+                3.0,
+                1000,
+            )
             for p in range(3)
         ]
         config = WireConfig(
@@ -162,17 +183,24 @@
 
     async def run_load(self, session: aiohttp.ClientSession) -> None:
         """Send load and inject faults, then end all faults and check the jobs."""
-        load = asyncio.create_task(self.send_load(session))
+        background = [asyncio.create_task(work) for work in self.background(session)]
         loop = asyncio.get_running_loop()
         until = loop.time() + self.seconds
         while loop.time() < until:
             await asyncio.sleep(self.generator.uniform(*self.fault_interval_seconds))
             await self.inject()
         await self.end_faults()
-        load.cancel()
-        await asyncio.gather(load, return_exceptions=True)
+        for task in background:
+            task.cancel()
+        await asyncio.gather(*background, return_exceptions=True)
         await self.finish(session)
 
+    def background(
+        self, session: aiohttp.ClientSession
+    ) -> list[Coroutine[object, object, None]]:
+        """Return what goes on beside the faults until they end."""
+        return [self.send_load(session), self.poll_states(session)]
+
     # Load.
 
     async def send_load(self, session: aiohttp.ClientSession) -> None:
@@ -184,13 +212,27 @@
             task.add_done_callback(pending.discard)
             await asyncio.sleep(self.job_interval_seconds)
 
+    async def poll_states(self, session: aiohttp.ClientSession) -> None:
+        """Check the states that random jobs are shown in until cancelled."""
+        pending: set[asyncio.Task[JobState | int | None]] = set()
+        while True:
+            await asyncio.sleep(POLL_INTERVAL_SECONDS)
+            open_jobs = [job_id for job_id in self.accepted if job_id not in self.ended]
+            if not open_jobs:
+                continue
+            job_id = self.poll_generator.choice(open_jobs)
+            program = self.poll_generator.choice(self.programs)
+            task = asyncio.create_task(self.check_state(session, job_id, program))
+            pending.add(task)
+            task.add_done_callback(pending.discard)
+
     async def send_job(self, session: aiohttp.ClientSession) -> None:
         """Submit one job, and retry up to five times while its outcome is unknown."""
         self.sent += 1
         job_id = f"{self.report.seed & 0xFFFF:04x}{self.sent:012x}"
         queue = self.generator.randrange(3)
         body = self.random_job()
-        truth = JobTruth(decode_job(body).unwrap(), self.work_seconds())
+        truth = self.new_truth(decode_job(body).unwrap())
         self.checker.jobs[job_id] = truth
         path = f"/queue-{queue}/{job_id}"
         maybe_accepted = False
@@ -210,6 +252,10 @@
             await asyncio.sleep(0.2)
         self.report.unknown += 1
 
+    def new_truth(self, spec: JobSpec) -> JobTruth:
+        """Return what really happens to the tasks of a new job."""
+        return JobTruth(spec, self.work_seconds(), QUEUE_ATTEMPTS)
+
     def random_job(self) -> bytes:
         """Return the request body of a random job."""
         gang = self.generator.random() < 0.4
@@ -385,24 +431,37 @@
     async def is_final(self, session: aiohttp.ClientSession, job_id: str) -> bool:
         """Return whether a job has ended; record a violation for a wrong state."""
         program = self.generator.choice(self.programs)
+        answer = await self.check_state(session, job_id, program)
+        if answer == 410:
+            self.record_violation(f"LOST: job {job_id} is not known")
+            return True
+        if answer is JobState.COMPLETE:
+            self.report.complete += 1
+        elif answer is JobState.FAILED:
+            self.report.failed += 1
+        return answer in TERMINAL_STATES
+
+    async def check_state(
+        self, session: aiohttp.ClientSession, job_id: str, program: Program
+    ) -> JobState | int | None:
+        """Ask an instance for a job and check the state that it shows.
+
+        Return the state, the status of an answer without one, or ``None`` without an
+        answer.
+        """
         url = f"http://127.0.0.1:{program.http_port}/queue-0/{job_id}"
         headers = {"Host": HOST, "Authorization": f"Bearer {KEY}"}
         try:
             async with session.get(
                 url, headers=headers, timeout=aiohttp.ClientTimeout(2)
             ) as response:
-                if response.status == 410:
-                    self.record_violation(f"LOST: job {job_id} is not known")
-                    return True
                 if response.status != 200:
-                    return False
-                state = msgspec.json.decode(await response.read())["state"]
+                    return response.status
+                body = msgspec.json.decode(await response.read())
         except (aiohttp.ClientError, TimeoutError):
-            return False
-        truth = self.accepted[job_id]
-        if state == "complete":
-            self.report.complete += 1
-            self.checker.on_shown_complete(job_id, asyncio.get_running_loop().time())
-        elif state == "failed" or (state == "cancelled" and not truth.cancel_sent):
-            self.record_violation(f"LOST: job {job_id} is shown as {state}")
-        return state in ("complete", "failed", "cancelled")
+            return None
+        state = JobState(body["state"])
+        self.checker.on_shown(job_id, state, asyncio.get_running_loop().time())
+        if state in TERMINAL_STATES:
+            self.ended.add(job_id)
+        return state
--- a/tools/standins/fleet/checker.py
+++ b/tools/standins/fleet/checker.py
@@ -10,6 +10,7 @@
 from egretloft._internal.fleet.models import (
     EndKind,
     JobSpec,
+    JobState,
     Resources,
     RunEnd,
     RunKey,
@@ -94,6 +95,7 @@
         self.starts = 0
         self.crashes: Counter[TaskKey] = Counter()
         self.starts_after_crashes: Counter[TaskKey] = Counter()
+        self.shown_wrong: set[str] = set()
 
     def report(self, rule: str, what: str, at: float) -> None:
         """Record a violation of a rule, unless the rule does not hold now."""
@@ -165,6 +167,55 @@
         """Record that a caller was told that a job is complete."""
         self.shown_complete_at.setdefault(job_id, at)
 
+    def on_shown(self, job_id: str, state: JobState, at: float) -> None:
+        """Check the state of an accepted job that a caller was shown.
+
+        It must not be complete while a task has not ended as done (MIXED). It must not
+        be failed unless a task is to blame, nor cancelled unless a caller has asked for
+        that (LOST). Each job is reported once.
+        """
+        if state is JobState.COMPLETE:
+            self.on_shown_complete(job_id, at)
+        wrong = self.find_wrong_state(job_id, state)
+        if wrong is not None and job_id not in self.shown_wrong:
+            self.shown_wrong.add(job_id)
+            counts = self.count_failures(job_id)
+            self.report(wrong, f"job {job_id} is shown as {state.value}; {counts}", at)
+
+    def find_wrong_state(self, job_id: str, state: JobState) -> str | None:
+        """Return the rule that is broken if a job is shown in a state now, if any."""
+        truth = self.jobs[job_id]
+        if state is JobState.COMPLETE:
+            keys = [StepKey(job_id, 0, n) for n in range(len(truth.spec.steps))]
+            is_done = all(self.is_step_done(key, truth) for key in keys)
+            return None if is_done else "MIXED"
+        if state is JobState.FAILED:
+            return "LOST" if not self.blamed_tasks(job_id) else None
+        if state is JobState.CANCELLED:
+            return None if truth.cancel_sent else "LOST"
+        return None
+
+    def blamed_tasks(self, job_id: str) -> list[TaskKey]:
+        """Return the tasks for which a job may be given up.
+
+        These have ended as failed as often as the queue allows, or have crashed
+        ``CRASHES_LIMIT`` targets. Runs that ended in any other way do not count.
+        """
+        attempts = self.jobs[job_id].attempts
+        failed = [task for task, count in self.failures.items() if count >= attempts]
+        crashed = [t for t, count in self.crashes.items() if count >= CRASHES_LIMIT]
+        return [task for task in failed + crashed if task.step.job_id == job_id]
+
+    def count_failures(self, job_id: str) -> str:
+        """Return the most ends as failed and the most crashes of a task of a job."""
+        failed = [n for t, n in self.failures.items() if t.step.job_id == job_id]
+        crashed = [n for t, n in self.crashes.items() if t.step.job_id == job_id]
+        most_failed, most_crashed = max(failed, default=0), max(crashed, default=0)
+        return (
+            f"at most {most_failed} failed ends and {most_crashed} crashes of a task, "
+            f"crashing tasks: {sorted(self.jobs[job_id].crashing_tasks)}"
+        )
+
     def on_acknowledged(self, end: RunEnd, lease_expired: bool, at: float) -> None:
         """Record that the scheduler acknowledged the end of a run.
 
