--- a/tests/functional/test_soak.py
+++ b/tests/functional/test_soak.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+from collections.abc import Awaitable, Callable
 from pathlib import Path
 
 import pytest
 
 from soak.cuts import CutSoak
+from soak.lapses import LapseSoak
 from soak.run import Soak
+from standins.fleet.checker import CRASHES_LIMIT
 
 SECONDS = 6.0
 # A seed that failed once stays here, with a line on its cause.
@@ -23,6 +26,11 @@
 CUT_SECONDS = 8.0
 # 51, 52: tasks ran twice; a leader that was cut off started them again.
 CUT_SEEDS = (51, 52)
+LAPSE_SECONDS = 18.0
+# 2: a job was shown as failed; targets were cut off or paused just after its starts.
+LAPSE_SEEDS = (2,)
+CRASH_SECONDS = 6.0
+CRASH_SEEDS = (2,)
 
 
 @pytest.mark.parametrize("seed", SEEDS)
@@ -45,3 +53,52 @@
     report = await soak.run()
     assert report.violations == [], report.faults
     assert report.accepted > 0
+
+
+class SoundTasksSoak(LapseSoak):
+    """A soak in which runs lapse and no task crashes its target."""
+
+    crashing_share = 0.0
+
+
+class CrashSoak(LapseSoak):
+    """A soak in which a task crashes its targets, and which has no other faults.
+
+    One job at a time has such a task, so that the other targets stay up.
+    """
+
+    chosen_tasks = 0
+    crashing_share = 0.3
+    max_crashing_jobs = 1
+
+    def fault_kinds(self) -> list[Callable[[], Awaitable[str]]]:
+        """Return a fault that changes nothing."""
+        return [self.do_nothing]
+
+    async def do_nothing(self) -> str:
+        """Inject no fault."""
+        return "nothing"
+
+
+@pytest.mark.parametrize("seed", LAPSE_SEEDS)
+async def test_no_job_fails_as_its_runs_lapse(seed: int, tmp_path: Path) -> None:
+    """Guards against runs that lapse being taken for crashes of their targets."""
+    soak = SoundTasksSoak(seed, LAPSE_SECONDS, tmp_path, instances=6, targets=9)
+    report = await soak.run()
+    assert report.violations == [], report.faults
+    assert report.accepted > 0
+
+
+@pytest.mark.parametrize("seed", CRASH_SEEDS)
+async def test_only_a_task_that_crashes_its_targets_is_given_up(
+    seed: int, tmp_path: Path
+) -> None:
+    """Guards against a task that crashes one target after the other.
+
+    The jobs beside it must not be given up.
+    """
+    soak = CrashSoak(seed, CRASH_SECONDS, tmp_path, instances=3, targets=9)
+    report = await soak.run()
+    assert report.violations == []
+    assert max(soak.checker.crashes.values()) >= CRASHES_LIMIT
+    assert report.failed > 0
--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -11,6 +11,7 @@
 import click
 
 from soak.cuts import CutSoak
+from soak.lapses import LapseSoak
 from soak.run import Soak
 
 
@@ -29,6 +30,11 @@
     is_flag=True,
     help="Three zones with links between all processes, and cuts among the faults.",
 )
+@click.option(
+    "--lapses",
+    is_flag=True,
+    help="Like --cuts, with runs of chosen tasks that lapse again and again.",
+)
 @click.option("--logs", type=click.Path(path_type=Path), default=None)
 def main(
     seed: int | None,
@@ -37,6 +43,7 @@
     instances: int,
     targets: int,
     cuts: bool,
+    lapses: bool,
     logs: Path | None,
 ) -> None:
     """Run seeded soak tests of the real programs and report the violations."""
@@ -49,7 +56,7 @@
             else Path(tempfile.mkdtemp(prefix=f"soak-{number}-"))
         )
         directory.mkdir(parents=True, exist_ok=True)
-        kind = CutSoak if cuts else Soak
+        kind = LapseSoak if lapses else CutSoak if cuts else Soak
         soak = kind(number, seconds, directory, instances, targets)
         report = asyncio.run(soak.run())
         click.echo(report.line())
--- a/tools/standins/fleet/http.py
+++ b/tools/standins/fleet/http.py
@@ -198,8 +198,15 @@
         self.client = TargetsClient({target.target_id: target}, generator)
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
-        """Serve a start, stop or renewal; 421 if it is meant for another target."""
+        """Serve a call; neither it nor its answer passes while the target is paused."""
         data = await request.read()
+        await self.target.resumed.wait()
+        answer = await self.serve(request, data)
+        await self.target.resumed.wait()
+        return answer
+
+    async def serve(self, request: web.BaseRequest, data: bytes) -> web.StreamResponse:
+        """Serve a start, stop or renewal; 421 if it is meant for another target."""
         report = self.target.report()
         expected = request.headers.get("Expected-Instance", report.target_id)
         if expected != report.target_id:
@@ -321,7 +328,9 @@
     """The emulated store and targets, each on a loopback port.
 
     The targets of ``unregistered_zones`` do not reach the store: they do not register,
-    and lose their rows after a while.
+    and lose their rows after a while. With ``removes_silent_targets``, so do targets
+    that are cut off or paused. Those of ``removed_in_outages`` lose theirs while the
+    store is down, too.
     """
 
     store: EmulatedStore
@@ -334,6 +343,8 @@
     target_addresses: dict[str, str] = field(default_factory=dict)
     unregistered_zones: Counter[str] = field(default_factory=Counter)
     registration_period_seconds: float = 0.5
+    removes_silent_targets: bool = False
+    removed_in_outages: set[str] = field(default_factory=set)
 
     async def start(self) -> None:
         """Start all servers, and register all targets periodically."""
@@ -372,16 +383,29 @@
         """Register as often as the platform asks, unless target or store is down."""
         missed = 0
         while True:
-            if self.unregistered_zones[target.zone]:
+            if self.misses_registration(target):
                 missed += 1
                 if missed == MISSED_REGISTRATIONS:
                     self.store.put("servers", target.target_id, None)
-            elif not target.cut and self.store.mode is StoreMode.WORKS:
+            elif not self.is_silent(target) and self.store.mode is StoreMode.WORKS:
                 missed = 0
                 entry = msgspec.json.encode(wire_server(target, address))
                 self.store.put("servers", target.target_id, entry)
             await asyncio.sleep(self.registration_period_seconds)
 
+    def is_silent(self, target: EmulatedTarget) -> bool:
+        """Return whether a target is cut off or paused."""
+        return target.cut or target.is_paused()
+
+    def misses_registration(self, target: EmulatedTarget) -> bool:
+        """Return whether a registration that is due now counts as missed."""
+        if self.unregistered_zones[target.zone]:
+            return True
+        if self.removes_silent_targets and self.is_silent(target):
+            return True
+        is_down = self.store.mode is not StoreMode.WORKS
+        return is_down and target.target_id in self.removed_in_outages
+
     async def stop(self) -> None:
         """Stop all registrations and servers."""
         for task in self.registrations:
--- a/tools/standins/fleet/targets.py
+++ b/tools/standins/fleet/targets.py
@@ -60,9 +60,10 @@
     """One target, with its runs, its lease and its faults.
 
     Faults: ``cut`` and ``silent`` let calls time out, and while ``cut`` the target does
-    not register either; with ``fails_all`` every run fails, and with ``stalls_all`` no
-    run makes progress. With ``loses_starts`` no start arrives, while all other calls
-    are answered; starts are answered ``start_answer_delay_seconds`` late.
+    not register either. While it is paused, calls wait and it does not register. With
+    ``fails_all`` every run fails, and with ``stalls_all`` no run makes progress. With
+    ``loses_starts`` no start arrives, while all other calls are answered; starts are
+    answered ``start_answer_delay_seconds`` late.
 
     It lists the first ``max_listed_ends`` of the ends that are not acknowledged.
     """
@@ -96,6 +97,8 @@
         self.reset_state()
         self.cut = False
         self.silent = False
+        self.resumed = asyncio.Event()
+        self.resumed.set()
         self.fails_all = False
         self.stalls_all = False
         self.loses_starts = False
@@ -167,6 +170,18 @@
             self.checker.crashes[run.key.task] += 1
             self.crash_for(CRASHED_SECONDS)
 
+    def pause(self) -> None:
+        """Answer no call and do not register until ``resumed`` is set.
+
+        Calls that arrive meanwhile are handled afterwards, and leases expire. What the
+        runs do meanwhile is known outside only afterwards, so they go on.
+        """
+        self.resumed.clear()
+
+    def is_paused(self) -> bool:
+        """Return whether the target is paused."""
+        return not self.resumed.is_set()
+
     def resize(self, room: Resources) -> None:
         """Change the room; starts are judged by a smaller one only after a while."""
         self.room_before = self.limit()
