--- a/src/egretloft/_internal/fleet/crash_trials.py
+++ b/src/egretloft/_internal/fleet/crash_trials.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable
 from dataclasses import replace
 
@@ -177,27 +178,32 @@
             return True
         waited = now - suspicion.noted_at
         fate = fate_of_target(self.tables, suspicion)
-        if waited >= MAX_EVALUATION_SECONDS and fate is not TargetFate.CRASHED:
-            self.end_evaluation(suspicion)
         if fate is TargetFate.SURVIVED or is_leaving(self.tables, suspicion):
             self.withdraw(suspicion)
             return True
-        if now - self.last_event_at(suspicion) < EVALUATION_DELAY_SECONDS:
-            return False
-        self.note_other_cause(suspicion)
-        if fate is TargetFate.CRASHED:
+        if fate is TargetFate.CRASHED and suspicion.known_at is None:
+            suspicion.known_at = self.restarted_at(suspicion)
+        if fate is TargetFate.UNKNOWN and waited >= MAX_EVALUATION_SECONDS:
             self.end_evaluation(suspicion)
-            self.judge_crash(suspicion)
-            return True
-        if waited >= MAX_SILENCE_SECONDS:
+        if waited >= MAX_SILENCE_SECONDS and fate is TargetFate.UNKNOWN:
             self.withdraw(suspicion)
             return True
-        return False
+        if now - (suspicion.known_at or suspicion.noted_at) < EVALUATION_DELAY_SECONDS:
+            return False
+        self.note_other_cause(suspicion)
+        if fate is not TargetFate.CRASHED:
+            return False
+        self.end_evaluation(suspicion)
+        self.judge_crash(suspicion)
+        return True
 
-    def last_event_at(self, suspicion: Suspicion) -> float:
-        """Return when the run was lost, or its target restarted, if that was later."""
+    def restarted_at(self, suspicion: Suspicion) -> float:
+        """Return when the target restarted, or when the run was lost if that is later.
+
+        It may restart again before the crash is judged.
+        """
         target = self.tables.targets.get(suspicion.place.target_id)
-        restarted_at = suspicion.noted_at if target is None else target.restarted_at
+        restarted_at = -math.inf if target is None else target.restarted_at
         return max(suspicion.noted_at, restarted_at)
 
     def note_other_cause(self, suspicion: Suspicion) -> None:
--- a/src/egretloft/_internal/fleet/sessions.py
+++ b/src/egretloft/_internal/fleet/sessions.py
@@ -311,16 +311,7 @@
             self.owner.on_fenced()
             return
         if failure.refusal is StartRefusal.OTHER_INCARNATION:
-            log.info(
-                "target replaced by another incarnation", target=target.report.target_id
-            )
-            now = self.clock.boottime()
-            if not target.failed_renewals:
-                note_failure(target, now)
-            target.restarted_at = now
-            self.lose_all_runs("target replaced by another incarnation")
-            target.listed = False
-            target.replaced = True
+            self.on_replaced()
             await asyncio.sleep(RETRY_SECONDS)
             return
         target.failed_renewals += 1
@@ -334,6 +325,20 @@
             )
         await asyncio.sleep(RETRY_SECONDS)
 
+    def on_replaced(self) -> None:
+        """Remove the runs of a target whose address another one has."""
+        target = self.target
+        if not target.replaced:
+            log.info(
+                "target replaced by another incarnation", target=target.report.target_id
+            )
+            target.restarted_at = self.clock.boottime()
+            if not target.failed_renewals:
+                note_failure(target, target.restarted_at)
+        self.lose_all_runs("target replaced by another incarnation")
+        target.listed = False
+        target.replaced = True
+
     def on_answer(
         self, answer: RenewalAnswer, sent: float, acknowledged_end: int
     ) -> None:
@@ -364,6 +369,7 @@
             note_return(target, now)
             self.owner.on_target_regained(target)
         target.failed_renewals = 0
+        target.replaced = False
         target.last_answer = now
         target.last_acknowledged_end = max(
             target.last_acknowledged_end, acknowledged_end
--- a/src/egretloft/_internal/fleet/suspicions.py
+++ b/src/egretloft/_internal/fleet/suspicions.py
@@ -39,7 +39,8 @@
 
     ``failed_at`` is when the failure was noticed, ``noted_at`` when the run was lost,
     in seconds on the local boot-time clock; both are the begin of the term for a start
-    of an earlier leader, which is ``inherited``.
+    of an earlier leader, which is ``inherited``. ``known_at`` is when the target
+    was first known to have crashed.
     """
 
     job: JobRow
@@ -50,6 +51,7 @@
     noted_at: float
     trial: bool
     inherited: bool = False
+    known_at: float | None = None
 
     def is_open(self) -> bool:
         """Return whether the attempt is still suspected."""
--- a/tests/unit/fleet/test_sessions.py
+++ b/tests/unit/fleet/test_sessions.py
@@ -8,7 +8,12 @@
 import pytest
 from returns.result import Success
 
-from egretloft._internal.fleet.models import JobState
+from egretloft._internal.fleet.models import (
+    JobState,
+    StartRefusal,
+    TargetFailure,
+    TargetFailureKind,
+)
 from egretloft._internal.fleet.sessions import TargetSession, create_target_session
 from egretloft._internal.metrics import create_metrics
 from lib.fleet_builders import (
@@ -90,3 +95,24 @@
         return world.checker.starts
 
     assert run_virtual(main()) == 2
+
+
+def test_target_that_stays_replaced_has_failed_once() -> None:
+    """Guards against a suspicion that is never decided, and a job that waits for ever.
+
+    In a play of the bench each refused call counted as another restart.
+    """
+    refusal = StartRefusal.OTHER_INCARNATION
+    refused = TargetFailure(TargetFailureKind.REFUSED, "421", refusal)
+
+    async def main() -> None:
+        session = build_session()
+        moments: set[tuple[float, float]] = set()
+        for _ in range(3):
+            await session.on_failure(refused)
+            target = session.target
+            moments.add((target.failed_at, target.restarted_at))
+        assert len(moments) == 1
+        assert math.isfinite(session.target.failed_at)
+
+    run_virtual(main())
--- a/tests/unit/fleet/test_suspicions.py
+++ b/tests/unit/fleet/test_suspicions.py
@@ -244,3 +244,15 @@
     lost.review()
     assert lost.task.inconclusive == {1}
     assert not lost.task.crashed
+
+
+def test_target_that_restarts_again_and_again_is_judged() -> None:
+    """Guards against a suspicion that each further restart keeps open."""
+    lost = LostStart()
+    for number in range(40):
+        restart(lost)
+        lost.target.incarnation_ms += number
+        lost.target.restarted_at = NOW + 4.0 + number / 10
+        lost.trials.review(NOW + 4.0 + number / 10)
+    assert lost.task.has_crashed()
+    assert not lost.task.in_evaluation
