--- a/src/egretloft/_internal/fleet/suspicions.py
+++ b/src/egretloft/_internal/fleet/suspicions.py
@@ -117,9 +117,14 @@
 
 
 def is_leaving(tables: FleetTables, suspicion: Suspicion) -> bool:
-    """Return whether the target has said that it leaves."""
+    """Return whether the target has said that it leaves.
+
+    A used target that the platform does not list has said nothing.
+    """
     target = tables.targets.get(suspicion.place.target_id)
-    return target is not None and target.report.draining
+    if target is None or not target.report.incarnation_ms:
+        return False
+    return target.report.draining
 
 
 def has_known_other_cause(
--- a/tests/unit/fleet/test_inherited_suspicions.py
+++ b/tests/unit/fleet/test_inherited_suspicions.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 from egretloft._internal import codec
 from egretloft._internal.fleet.crash_trials import CrashTrials, create_crash_trials
 from egretloft._internal.fleet.records import JobProgress
@@ -78,3 +80,13 @@
     term = NextTerm(lost, LATER)
     term.hear_restarted()
     assert not term.task.has_crashed()
+
+
+def test_used_target_that_is_not_listed_is_not_leaving() -> None:
+    """Guards against crashes that are forgotten with the term in which they fell."""
+    term = NextTerm(LostStart(), LATER)
+    target = term.targets[0]
+    target.report = replace(target.report, draining=True, incarnation_ms=0)
+    target.listed = False
+    term.trials.review(LATER + 1.0)
+    assert term.task.is_suspected()
