--- a/src/egretloft/_internal/fleet/crash_suspects.py
+++ b/src/egretloft/_internal/fleet/crash_suspects.py
@@ -124,6 +124,11 @@
     return {run.target_id for run in tables.trials.values()}
 
 
+def is_settled(target: TargetRow, now: float) -> bool:
+    """Return whether the target has not restarted lately; a cut does not matter."""
+    return now - target.restarted_at >= STEADY_SECONDS
+
+
 def is_steady(target: TargetRow, now: float) -> bool:
     """Return whether the target has not restarted or come back lately."""
     return now - target.returned_at >= STEADY_SECONDS
--- a/src/egretloft/_internal/fleet/crash_trials.py
+++ b/src/egretloft/_internal/fleet/crash_trials.py
@@ -39,6 +39,9 @@
 # A suspect waits at most this long to learn what has become of the target of its trial.
 # The job must not stand still for 3 s.
 MAX_EVALUATION_SECONDS = 2.5
+# A crash is judged at most this long after the run was lost, while other targets that
+# fell silent with it have not been heard from again.
+MAX_JUDGEMENT_SECONDS = 12.0
 # A target that has not been heard from for this long is not asked any more.
 MAX_SILENCE_SECONDS = 60.0
 
@@ -194,9 +197,20 @@
         if fate is not TargetFate.CRASHED:
             return False
         self.end_evaluation(suspicion)
+        if self.awaits_others(suspicion) and waited < MAX_JUDGEMENT_SECONDS:
+            return False
         self.judge_crash(suspicion)
         return True
 
+    def awaits_others(self, suspicion: Suspicion) -> bool:
+        """Return whether targets that fell silent with that of a start are silent yet.
+
+        They may have been cut off, or have crashed for the same reason.
+        """
+        return suspicion.place.conclusive and has_other_cause(
+            self.tables, suspicion, self.suspected_targets()
+        )
+
     def restarted_at(self, suspicion: Suspicion) -> float:
         """Return when the target restarted, or when the run was lost if that is later.
 
@@ -248,9 +262,7 @@
         """
         task = suspicion.task
         del task.unresolved[suspicion.attempt]
-        conclusive = suspicion.place.conclusive and not has_other_cause(
-            self.tables, suspicion, self.suspected_targets()
-        )
+        conclusive = suspicion.place.conclusive and not self.awaits_others(suspicion)
         held = task.crashed if conclusive else task.inconclusive
         held.add(suspicion.attempt)
         self.metrics.count("crashes_at_start", conclusive=str(conclusive).lower())
--- a/src/egretloft/_internal/fleet/run_control.py
+++ b/src/egretloft/_internal/fleet/run_control.py
@@ -8,7 +8,7 @@
 
 import structlog
 
-from egretloft._internal.fleet.crash_suspects import is_steady
+from egretloft._internal.fleet.crash_suspects import is_settled
 from egretloft._internal.fleet.decisions import Placement, ReclaimDecision
 from egretloft._internal.fleet.departures import runs_to_move
 from egretloft._internal.fleet.interfaces import FleetClock
@@ -142,7 +142,7 @@
                 started_at=now,
                 percent_changed_at=now,
                 incarnation_ms=target.incarnation_ms,
-                on_steady_target=is_steady(target, now),
+                on_steady_target=is_settled(target, now),
                 checkpoint=(
                     task.checkpoint if gang_checkpoint is None else gang_checkpoint
                 ),
--- a/tests/unit/fleet/test_suspicions.py
+++ b/tests/unit/fleet/test_suspicions.py
@@ -8,6 +8,7 @@
 import pytest
 
 from egretloft._internal import codec
+from egretloft._internal.fleet.crash_suspects import is_settled
 from egretloft._internal.fleet.crash_trials import CrashTrials, create_crash_trials
 from egretloft._internal.fleet.lifecycle import apply_end
 from egretloft._internal.fleet.models import EndKind, JobState, RunEnd
@@ -256,3 +257,40 @@
         lost.trials.review(NOW + 4.0 + number / 10)
     assert lost.task.has_crashed()
     assert not lost.task.in_evaluation
+
+
+def lose_beside_silent_target() -> LostStart:
+    """Return a crash beside another target that has fallen silent with it."""
+    lost = LostStart()
+    lost.other.failed_at = lost.target.failed_at
+    lost.other.failed_incarnation_ms = BORN_MS
+    lost.other.reachable = False
+    restart(lost)
+    lost.review()
+    assert not lost.task.has_crashed()
+    assert not lost.task.in_evaluation
+    return lost
+
+
+def test_crash_counts_once_the_silent_targets_beside_it_are_back() -> None:
+    """Guards against a crashing task that goes on beside targets that are cut off."""
+    lost = lose_beside_silent_target()
+    lost.other.reachable = True
+    lost.trials.review(LATER + 2.0)
+    assert lost.task.crashed == {1}
+
+
+def test_crash_beside_targets_that_stay_silent_weighs_less() -> None:
+    """Guards against a loss of power from which others come back later."""
+    lost = lose_beside_silent_target()
+    lost.trials.review(LATER + 20.0)
+    assert lost.task.inconclusive == {1}
+
+
+def test_target_that_was_only_cut_off_is_settled() -> None:
+    """Guards against a cut that excuses a crash soon after it."""
+    target = build_target(0)
+    target.returned_at = NOW
+    assert is_settled(target, NOW)
+    target.restarted_at = NOW
+    assert not is_settled(target, NOW)
