--- a/src/egretloft/_internal/fleet/service_tick.py
+++ b/src/egretloft/_internal/fleet/service_tick.py
@@ -126,7 +126,8 @@
         spread = self.spread_policy.may_spread(step)
         waiting_tasks = step.waiting()
         suspected = suspects(step)
-        tasks = [task for task in waiting_tasks if task not in suspected]
+        skipped = set(suspected)
+        tasks = [task for task in waiting_tasks if task not in skipped]
         stuck: list[TaskRow] = []
         if suspected:
             stuck = self.schedule_alone(waiting, spread, suspected, decisions)
