--- a/review/lib2/runner.py
+++ b/review/lib2/runner.py
@@ -1,6 +1,6 @@
 """Stand-in of one runner, as a process of its own.
 
-Runs tasks under a lease as the page says. A job's ``spec`` is a JSON text that tells how
+Runs tasks under a lease as the page says. A job's ``spec`` is a JSON text: it tells how
 long its tasks work (``ms``; 0 means until they are stopped) and how they end (``how``).
 What is started and ended is written to a log, one JSON line each, in the time of day.
 """
