Review case 8: nothing starts for 60 s after a lost leader (LOST)

Seen: the next leader starts nothing and renews no lease for 60 s, though all instances and seven runners are there. A task that lasts has nothing running, 54 s of it beyond the bounds; 12 small jobs wait.

--- /dev/null
+++ b/review/8/run.sh
@@ -0,0 +1,4 @@
+#!/usr/bin/env bash
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+cd "$(dirname "$0")/../.." || exit 2
+PYTHONPATH=target/deps exec python3 review/8/case.py
