--- a/src/egretloft/_internal/fleet/election.py
+++ b/src/egretloft/_internal/fleet/election.py
@@ -85,6 +85,9 @@
     def known_since(self) -> int | None:
         """Return the version with which this instance registered, if it has."""
 
+    def knows_others(self) -> bool:
+        """Return whether any other instance is registered."""
+
 
 class Election:
     """Watches the leader's rows, takes over after a timeout and sends the heartbeat."""
@@ -129,6 +132,9 @@
         self.known_to_former = True
         # What a former leader that may still go on has read of the instances' rows.
         self.former_members_version: int | None = None
+        # Whether each of our heartbeats that may be the newest in the store announces
+        # that we rely on pledges. A successor does not wait for a leader that does not.
+        self.may_rely_on_pledges = True
         # Whether our term is being released, so that another may have begun.
         self.releasing = False
         # Until when this instance has pledged to a leader not to take over.
@@ -239,7 +245,7 @@
         been removed since it read the instances' rows, if the heartbeat is newer.
         """
         heartbeat = self.heartbeat
-        if heartbeat is None:
+        if heartbeat is None or not heartbeat.relies_on_pledges:
             return True
         if heartbeat.members_version is None:
             return heartbeat.released
@@ -263,7 +269,7 @@
         goes on, nobody if the former leader does not tell.
         """
         heartbeat = self.heartbeat
-        if heartbeat is None:
+        if heartbeat is None or not heartbeat.relies_on_pledges:
             return self.registrations.members_version()
         if heartbeat.members_version is not None:
             return heartbeat.members_version
@@ -279,6 +285,16 @@
             return self.former_members_version
         return None if released else self.registrations.members_version()
 
+    def relies_on_pledges(self) -> bool:
+        """Return whether our heartbeat announces that we may go on without the store.
+
+        A former leader may, as long as it is not fenced. Without other instances that
+        are registered there would be hardly anybody to pledge, so we do not.
+        """
+        return self.former_members_version is not None or (
+            self.registrations.knows_others()
+        )
+
     def is_pledged(self) -> bool:
         """Return whether this instance has pledged to a leader not to take over now."""
         return self.clock.boottime() < self.pledged_until
@@ -323,6 +339,9 @@
             waiting=self.heartbeat.waiting if self.heartbeat else {},
             valid_seconds=self.timeout_seconds(),
             members_version=self.known_to_former_leaders(),
+            relies_on_pledges=(
+                self.heartbeat is None or self.heartbeat.relies_on_pledges
+            ),
         )
         started = self.clock.boottime()
         result = await self.store.commit(
@@ -386,6 +405,7 @@
         )
         if self.heartbeat is not None:
             self.confirmed_for = self.heartbeat.valid_seconds
+            self.may_rely_on_pledges = self.heartbeat.relies_on_pledges
         log.info(
             "leadership taken",
             epoch=epoch,
@@ -412,12 +432,14 @@
             successor,
             self.timeout_seconds(),
             self.members_version(released),
+            self.relies_on_pledges(),
         )
         sent_at = self.clock.boottime()
         self.last_heartbeat_at = sent_at
         # If the answer is lost, other instances may still see this heartbeat and wait
         # only as long as it says.
         self.confirmed_for = min(self.confirmed_for, heartbeat.valid_seconds)
+        self.may_rely_on_pledges &= heartbeat.relies_on_pledges
         if self.unanswered_since is None:
             self.unanswered_since = sent_at
         result = await self.store.commit(
@@ -436,6 +458,7 @@
             self.unanswered_since = None
             self.confirmed_at = sent_at
             self.confirmed_for = heartbeat.valid_seconds
+            self.may_rely_on_pledges = heartbeat.relies_on_pledges
             return True
         failure = result.failure()
         if failure.kind is StoreFailureKind.CONFLICT:
@@ -460,6 +483,7 @@
         self.confirmed_at = max(self.confirmed_at, since)
         if self.heartbeat is not None:
             self.confirmed_for = self.heartbeat.valid_seconds
+            self.may_rely_on_pledges = self.heartbeat.relies_on_pledges
 
     async def release(self, successor: str = "") -> None:
         """End the term so that another instance, preferably ``successor``, takes over.
--- a/src/egretloft/_internal/fleet/instance.py
+++ b/src/egretloft/_internal/fleet/instance.py
@@ -254,6 +254,10 @@
             return None
         return record.known_since or self.member_versions[record.instance_id]
 
+    def knows_others(self) -> bool:
+        """Return whether any other instance is registered."""
+        return bool(self.peer_ids())
+
     async def stay_registered(self) -> None:
         """Register at the start, and again whenever the leader has removed the row."""
         while True:
--- a/src/egretloft/_internal/fleet/pledges.py
+++ b/src/egretloft/_internal/fleet/pledges.py
@@ -123,8 +123,11 @@
         """Return whether every other instance has pledged not to replace this leader.
 
         That includes instances that are heard from and not registered. Without any
-        other instance there is nobody to pledge, and the answer is no.
+        other instance there is nobody to pledge, and the answer is no. It also is if
+        our heartbeat may have told a successor that we do not rely on pledges.
         """
+        if not self.election.may_rely_on_pledges:
+            return False
         return bool(self.needed()) and not self.missing(epoch)
 
     def missing(self, epoch: int) -> set[str]:
--- a/src/egretloft/_internal/fleet/records.py
+++ b/src/egretloft/_internal/fleet/records.py
@@ -125,7 +125,8 @@
     ``successor`` is the instance that should take over, or empty.
     The leader, or a former one that may still go on, knows all instances that
     registered up to ``members_version``. It is ``None`` if nobody goes on after the
-    release of a term, and from a leader of an earlier release.
+    release of a term, and from a leader of an earlier release. Without
+    ``relies_on_pledges`` it stops when it loses the store, so nobody goes on either.
     """
 
     epoch: int
@@ -135,6 +136,7 @@
     successor: str = ""
     valid_seconds: float = HEARTBEAT_TIMEOUT_SECONDS
     members_version: int | None = None
+    relies_on_pledges: bool = True
 
 
 @dataclass(slots=True, frozen=True)
--- a/tests/lib/fleet_builders.py
+++ b/tests/lib/fleet_builders.py
@@ -100,6 +100,9 @@
     def known_since(self) -> int:
         return 1
 
+    def knows_others(self) -> bool:
+        return True
+
 
 def build_election(
     store: RowStore,
--- a/tests/unit/fleet/test_pledges.py
+++ b/tests/unit/fleet/test_pledges.py
@@ -115,6 +115,15 @@
     assert not one.pledges().exclude_takeover(EPOCH)
 
 
+def test_leader_that_announced_to_rely_on_no_pledges_does_not() -> None:
+    """Guards against a leader beside a successor that does not wait for it."""
+    one = OneInstance()
+    pledges = one.pledges()
+    one.hear_pledges()
+    pledges.election.may_rely_on_pledges = False
+    assert not pledges.exclude_takeover(EPOCH)
+
+
 def test_pledge_to_an_older_epoch_does_not_count() -> None:
     one = OneInstance()
     pledges = one.pledges()
--- a/tests/unit/fleet/test_unknown_instances.py
+++ b/tests/unit/fleet/test_unknown_instances.py
@@ -237,6 +237,11 @@
     assert not is_known(heartbeat, 2)
 
 
+def test_leader_that_relies_on_no_pledges_leaves_nobody_behind() -> None:
+    heartbeat = HeartbeatRecord(1, 1, members_version=0, relies_on_pledges=False)
+    assert is_known(heartbeat, 2)
+
+
 @pytest.mark.parametrize("seed", range(2))
 def test_targets_are_not_asked_without_a_pause_while_they_are_fenced(seed: int) -> None:
     """Guards against a target that answers at once, as its ends are kept back."""
@@ -307,27 +312,70 @@
     run_virtual(main())
 
 
-def test_last_instance_that_was_down_does_not_wait_for_a_dead_target() -> None:
+async def recovery_seconds(world: FleetWorld) -> float:
+    """Return how long it takes until a leader has recovered."""
+    started = world.clock.boottime()
+    while True:
+        await asyncio.sleep(0.05)
+        leading = world.processes.get(world.leader_name() or "")
+        leader = leading.instance.leader if leading is not None else None
+        if leader is not None and leader.state_loaded and not leader.recovering:
+            return world.clock.boottime() - started
+
+
+@pytest.mark.parametrize("instance_count", [2, 3])
+def test_last_instance_that_was_down_does_not_wait_for_a_dead_target(
+    instance_count: int,
+) -> None:
     """Guards against a deployment that stands still, as the leader is dead as well."""
 
     async def main() -> float:
-        world = build_world(1, 2, 4, zones=ZONES)
+        world = build_world(1, instance_count, 4, zones=ZONES)
         await start_work(world)
         leading = world.leader_name() or ""
-        other = next(name for name in world.instance_names if name != leading)
-        await world.kill(other)
+        others = [name for name in world.instance_names if name != leading]
+        for name in others:
+            await world.kill(name)
         await asyncio.sleep(REMOVED_SECONDS)
         used = next(target for target in world.targets.values() if target.runs)
         used.crash_for(LONG_CUT_SECONDS)
         await world.kill(leading)
-        await world.start_instance(other)
-        started = world.clock.boottime()
-        leader = None
-        while leader is None or leader.recovering:
-            await asyncio.sleep(0.05)
-            leader = world.processes[other].instance.leader
-        took = world.clock.boottime() - started
+        for name in others:
+            await world.start_instance(name)
+        took = await recovery_seconds(world)
         await world.stop()
         return took
 
     assert run_virtual(main()) <= RECOVERY_SECONDS
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_leader_that_knew_nobody_does_not_act_on_the_pledge_of_a_new_instance(
+    seed: int,
+) -> None:
+    """Guards against two leaders: the other new instance does not wait for the first.
+
+    The leader and a new instance are cut off; nobody else was registered before.
+    """
+
+    async def main() -> None:
+        world = build_world(seed, 2, 6, zones=ZONES)
+        await start_work(world)
+        leading = world.leader_name() or ""
+        for name in world.instance_names:
+            if name != leading:
+                await world.kill(name)
+        await asyncio.sleep(REMOVED_SECONDS)
+        world.cuts.zones.add(world.cuts.zone_of[leading])
+        world.cuts.zone_of[NEWER] = world.cuts.zone_of[leading]
+        world.cuts.zone_of[NEW] = "zone-b"
+        await world.start_instance(NEWER)
+        await asyncio.sleep(PLEDGED_SECONDS)
+        await world.start_instance(NEW)
+        await asyncio.sleep(WORK_SECONDS)
+        assert world.processes[NEW].instance.leader is not None
+        assert world.processes[NEW].instance.leader.term.known_to_former
+        world.cuts.zones.clear()
+        await finish(world)
+
+    run_virtual(main())
