Send orders only to the incarnation that they are for (TWICE)

Callers saw a task run twice: targets restarted under their ids within 0.6 s, and runs on them lasted up to the longest lease, 10 s, after they were cut off, where the next leader expected 3.5 s.

Cause: Expected-Instance names the target, not its incarnation. A call whose connection opens after the restart is carried out by the new incarnation, whose clock starts anew, so an expiry on the former clock is far ahead and the target takes its longest lease. Ruled out: a wrong expiry after the restart was heard of, and a recovery that counts from the wrong moment (postmortem).

Change: only a call without effect opens a connection to a target; its answer tells the incarnation. Starts, renewals and acknowledgements go over a connection on which their incarnation has answered, at once after the answer, or are not sent, which is now told apart from no answer.

--- a/src/egretloft/_internal/fleet/interfaces.py
+++ b/src/egretloft/_internal/fleet/interfaces.py
@@ -10,6 +10,7 @@
 
 from egretloft._internal.fleet.models import (
     Configuration,
+    Renewal,
     RenewalAnswer,
     RunKey,
     StartOrder,
@@ -121,7 +122,9 @@
 class Targets(Protocol):
     """Client for the targets.
 
-    A target shortens longer leases to ``max_lease_seconds``.
+    A target shortens longer leases to ``max_lease_seconds``. What a call says on the
+    clock of one incarnation, or of its ends, does not reach a later one at the same
+    address, unless the call is carried out late.
     """
 
     max_lease_seconds: float
@@ -129,7 +132,10 @@
     async def start(
         self, target: TargetReport, order: StartOrder, timeout_seconds: float
     ) -> Result[int, TargetFailure]:
-        """Start a run and return the time on the target's clock, in milliseconds."""
+        """Start a run and return the time on the target's clock, in milliseconds.
+
+        Another incarnation than that of the order counts as a refusal.
+        """
 
     async def stop(
         self,
@@ -143,17 +149,15 @@
     async def renew(
         self,
         target: TargetReport,
-        epoch: int,
-        last_recorded_end: int,
-        expires_at_ms: int | None,
+        renewal: Renewal,
         wait_seconds: float,
         timeout_seconds: float,
     ) -> Result[RenewalAnswer, TargetFailure]:
         """Renew the lease of all runs on the target and return its lists of runs.
 
-        Acknowledges the ends up to ``last_recorded_end``, which the target then
-        forgets. Without ``expires_at_ms`` no lease is renewed. The target may wait for
-        an end for up to ``wait_seconds`` before it answers.
+        The target forgets the ends that are acknowledged. It may wait for an end for up
+        to ``wait_seconds`` before it answers. Another incarnation than that of the
+        renewal is only asked for its lists.
         """
 
 
--- a/src/egretloft/_internal/fleet/models.py
+++ b/src/egretloft/_internal/fleet/models.py
@@ -246,25 +246,50 @@
     TICKET = "ticket"
     INVALID = "invalid"
     UNHEALTHY = "unhealthy"
+    # Another target has the address.
     OTHER_INCARNATION = "other_life"
+    RESTARTED = "restarted"
 
 
 @dataclass(slots=True, frozen=True)
 class StartOrder:
-    """An order to start a task. ``expires_at_ms`` is on the target's clock."""
+    """An order to start a task on one incarnation of a target.
+
+    ``expires_at_ms`` is on the clock of that incarnation.
+    """
 
     run: RunKey
     payload: str
     expires_at_ms: int
     epoch: int
+    incarnation_ms: int
     checkpoint: str
     ticket: str = ""
 
 
+@dataclass(slots=True, frozen=True)
+class Renewal:
+    """A renewal of the lease of all runs on one incarnation of a target.
+
+    It acknowledges the ends up to ``last_recorded_end``. Without ``expires_at_ms``,
+    which is on the clock of that incarnation, no lease is renewed.
+    """
+
+    epoch: int
+    incarnation_ms: int
+    last_recorded_end: int = 0
+    expires_at_ms: int | None = None
+
+    def asks_only(self) -> bool:
+        """Return whether any incarnation may get it, as it only asks for the lists."""
+        return not self.last_recorded_end and self.expires_at_ms is None
+
+
 class TargetFailureKind(StrEnum):
-    """Whether a failed order was refused or its outcome is unknown."""
+    """Whether a failed call was refused, never sent, or its outcome is unknown."""
 
     REFUSED = "refused"
+    NOT_SENT = "not_sent"
     UNKNOWN = "unknown"
 
 
@@ -276,6 +301,8 @@
     message: str
     refusal: StartRefusal | None = None
     target_time_ms: int | None = None
+    # The call needed an open connection, and there was none.
+    unconnected: bool = False
 
 
 @dataclass(slots=True, frozen=True)
--- a/src/egretloft/_internal/fleet/orders.py
+++ b/src/egretloft/_internal/fleet/orders.py
@@ -69,6 +69,7 @@
         target's list, or removes it once the order has expired.
         """
         may_have_started = False
+        failure: TargetFailure | None = None
         for _ in range(START_ATTEMPTS):
             slot = await self.pacer.acquire(run.target_id, run.priority)
             try:
@@ -95,18 +96,22 @@
             if failure.kind is TargetFailureKind.REFUSED:
                 self.on_refused(target, run, failure, may_have_started)
                 return
-            may_have_started = True
-            self.metrics.count("start_unanswered")
+            may_have_started |= failure.kind is not TargetFailureKind.NOT_SENT
+            self.metrics.count("start_unanswered", kind=failure.kind.value)
         log.warning(
-            "start in doubt",
+            "start in doubt" if may_have_started else "start never sent",
             request_id=run.key.task.step.job_id,
             task=run.key.task.index,
             attempt=run.key.attempt,
             target=run.target_id,
             incarnation=run.incarnation_ms,
             expires_ms=int(run.order_expires_ms),
+            error=failure.message if failure is not None else "",
         )
         self.avoid_silent_target(target, run)
+        if not may_have_started and run.key in target.runs:
+            self.tables.remove_harmless_run(target, run)
+            self.owner.wake_scheduler()
 
     async def send_start(
         self, target: TargetRow, order: StartOrder, sent: float
@@ -121,7 +126,7 @@
         start = SentStart(target.report.target_id, target.incarnation_ms, order.run)
         former = late_starts.note_sent(start, sent + timeout)
         result = await self.targets.start(target.report, order, timeout)
-        if is_answer(result):
+        if is_settled(result):
             late_starts.note_answered(start, self.clock.boottime(), former)
         else:
             until = sent + timeout + MAX_CALL_DELAY_SECONDS
@@ -196,6 +201,7 @@
             payload=job.accepted.spec.payload,
             expires_at_ms=int(run.order_expires_ms),
             epoch=self.owner.epoch,
+            incarnation_ms=target.incarnation_ms,
             checkpoint=run.checkpoint,
         )
 
@@ -246,6 +252,8 @@
         if refusal is StartRefusal.FENCED:
             self.owner.on_fenced()
             return
+        if refusal is StartRefusal.RESTARTED:
+            self.watch_restarted(target)
         if may_have_started:
             self.avoid_silent_target(target, run)
             return
@@ -256,6 +264,12 @@
         )
         self.owner.wake_scheduler()
 
+    def watch_restarted(self, target: TargetRow) -> None:
+        """Let the session ask a target that has restarted, which it may not know."""
+        until = self.clock.boottime() + REFUSAL_BACKOFF_SECONDS
+        target.watched_until = max(target.watched_until, until)
+        self.owner.on_target_changed(target)
+
     async def stop(self, target: TargetRow, run: RunRow) -> None:
         """Send a stop, with retries, until the target confirms it or the run has ended.
 
@@ -293,8 +307,15 @@
             await asyncio.sleep(STOP_RETRY_SECONDS)
 
 
-def is_answer(result: Result[int, TargetFailure]) -> bool:
-    """Return whether the target has certainly carried out or refused the call."""
+def is_settled(result: Result[int, TargetFailure]) -> bool:
+    """Return whether the call certainly will not be carried out any more."""
+    if not isinstance(result, Failure):
+        return True
+    return result.failure().kind is not TargetFailureKind.UNKNOWN
+
+
+def is_answered(result: Result[int, TargetFailure]) -> bool:
+    """Return whether the target has answered the call, be it with a refusal."""
     if not isinstance(result, Failure):
         return True
     return result.failure().kind is TargetFailureKind.REFUSED
--- a/src/egretloft/_internal/fleet/sessions.py
+++ b/src/egretloft/_internal/fleet/sessions.py
@@ -38,6 +38,7 @@
 from egretloft._internal.fleet.models import (
     EndKind,
     JobState,
+    Renewal,
     RenewalAnswer,
     RunEnd,
     StartRefusal,
@@ -130,6 +131,9 @@
     def on_target_regained(self, target: TargetRow) -> None:
         """Note that a target can be reached again."""
 
+    def on_target_changed(self, target: TargetRow) -> None:
+        """Wake the session of a target that restarted or moved."""
+
     def on_fenced(self) -> None:
         """End the term because a target has seen a newer epoch."""
 
@@ -262,9 +266,12 @@
         acknowledged_end = self.end_to_acknowledge()
         result = await self.targets.renew(
             target.report,
-            self.owner.epoch,
-            acknowledged_end,
-            expires_at_ms,
+            Renewal(
+                self.owner.epoch,
+                target.incarnation_ms,
+                acknowledged_end,
+                expires_at_ms,
+            ),
             wait,
             wait + self.owner.extend_timeout(RENEWAL_TIMEOUT_SECONDS),
         )
--- a/src/egretloft/_internal/platform/http_call.py
+++ b/src/egretloft/_internal/platform/http_call.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections.abc import Mapping
 from dataclasses import dataclass
+from types import SimpleNamespace
 
 import aiohttp
 from returns.result import Failure, Result, Success
@@ -38,12 +39,18 @@
 class HttpFailure:
     """A call without a complete answer; ``sent`` is false only if nothing was sent.
 
-    ``too_large`` tells that the answer was not read because of its size.
+    ``too_large`` tells that the answer was not read because of its size,
+    ``unconnected`` that the call needed an open connection and there was none.
     """
 
     sent: bool
     message: str
     too_large: bool = False
+    unconnected: bool = False
+
+
+class NoOpenConnectionError(aiohttp.ClientConnectionError):
+    """Raised if a call that must not open a connection finds none that is idle."""
 
 
 async def send_request(
@@ -54,12 +61,14 @@
     body: bytes | None = None,
     headers: Mapping[str, str] | None = None,
     max_answer_bytes: int = MAX_ANSWER_BYTES,
+    opens_connection: bool = True,
 ) -> Result[HttpResponse, HttpFailure]:
     """Send one request and read the whole answer.
 
     The answer has to begin within ``timeout_seconds``; a large one may take longer to
     arrive, as long as no gap is longer than that. A connection whose answer did not
-    arrive completely is closed, never reused.
+    arrive completely is closed, never reused. Without ``opens_connection`` nothing is
+    sent if no idle connection is left, provided that the session traces that.
     """
     if timeout_seconds <= 0:
         return Failure(HttpFailure(False, "no time left to send the request"))
@@ -82,6 +91,7 @@
                 headers=headers,
                 timeout=timeout,
                 allow_redirects=False,
+                trace_request_ctx=opens_connection,
             ) as response,
         ):
             length = response.content_length
@@ -99,6 +109,8 @@
             return Success(
                 HttpResponse(response.status, response.headers, b"".join(chunks))
             )
+    except NoOpenConnectionError:
+        return Failure(HttpFailure(False, f"{url}: no connection", unconnected=True))
     except (
         aiohttp.ClientConnectorError,
         aiohttp.ConnectionTimeoutError,
@@ -123,13 +135,33 @@
     return str(error) or type(error).__name__
 
 
-def create_http_session(connections_per_target: int = 0) -> aiohttp.ClientSession:
+async def refuse_new_connection(
+    session: aiohttp.ClientSession,
+    context: SimpleNamespace,
+    params: aiohttp.TraceConnectionCreateStartParams,
+) -> None:
+    """Fail a call that is about to open a connection and must not."""
+    if context.trace_request_ctx is False:
+        raise NoOpenConnectionError("no idle connection")
+
+
+def connection_trace() -> aiohttp.TraceConfig:
+    """Return the trace of a session whose calls may need an open connection."""
+    trace = aiohttp.TraceConfig()
+    trace.on_connection_create_start.append(refuse_new_connection)
+    return trace
+
+
+def create_http_session(
+    connections_per_target: int = 0, traces_connections: bool = False
+) -> aiohttp.ClientSession:
     """Return a session for calls to the platform; 0 connections means no limit.
 
     Needs a running event loop. Cookies and proxy settings of the environment are not
     used. The session sends each request once: aiohttp would otherwise repeat GET, PUT
     and DELETE after a lost connection, and a repeated PUT would report an object that
-    the first attempt stored as one that had existed before.
+    the first attempt stored as one that had existed before. If it
+    ``traces_connections``, calls can do without opening one.
     """
     session = aiohttp.ClientSession(
         connector=aiohttp.TCPConnector(
@@ -138,6 +170,7 @@
             keepalive_timeout=KEEPALIVE_SECONDS,
         ),
         cookie_jar=aiohttp.DummyCookieJar(),
+        trace_configs=[connection_trace()] if traces_connections else None,
     )
     session._retry_connection = False
     return session
@@ -155,8 +188,9 @@
     the same age may be affected too, so the next call opens a new one.
     """
 
-    def __init__(self) -> None:
-        self.session = create_http_session()
+    def __init__(self, traces_connections: bool) -> None:
+        self.traces_connections = traces_connections
+        self.session = create_http_session(traces_connections=traces_connections)
 
     async def send_request(
         self,
@@ -166,20 +200,30 @@
         body: bytes | None = None,
         headers: Mapping[str, str] | None = None,
         max_answer_bytes: int = MAX_ANSWER_BYTES,
+        opens_connection: bool = True,
     ) -> Result[HttpResponse, HttpFailure]:
         """Send one request and read the whole answer."""
         session = self.session
         result = await send_request(
-            session, method, url, timeout_seconds, body, headers, max_answer_bytes
+            session,
+            method,
+            url,
+            timeout_seconds,
+            body,
+            headers,
+            max_answer_bytes,
+            opens_connection,
         )
-        if isinstance(result, Failure) and session is self.session:
+        if not isinstance(result, Failure) or result.failure().unconnected:
+            return result
+        if session is self.session:
             self.replace()
         return result
 
     def replace(self) -> None:
         """Use new connections from now on, and close the old ones after a delay."""
         old = self.session
-        self.session = create_http_session()
+        self.session = create_http_session(traces_connections=self.traces_connections)
         loop = asyncio.get_running_loop()
         loop.call_later(SESSION_CLOSE_DELAY_SECONDS, close_in_background, old)
 
@@ -195,6 +239,11 @@
 close_tasks: set[asyncio.Future[None]] = set()
 
 
-def create_reconnecting_session() -> ReconnectingSession:
-    """Return a session for one target; needs a running event loop."""
-    return ReconnectingSession()
+def create_reconnecting_session(
+    traces_connections: bool = False,
+) -> ReconnectingSession:
+    """Return a session for one target; needs a running event loop.
+
+    If it ``traces_connections``, calls can do without opening one.
+    """
+    return ReconnectingSession(traces_connections)
--- a/src/egretloft/platform/targets.py
+++ b/src/egretloft/platform/targets.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import asyncio
 import contextlib
 import math
 from collections.abc import Callable
+from dataclasses import dataclass, replace
 from typing import Any, TypeVar
 
 import msgspec
@@ -14,6 +16,7 @@
 from egretloft._internal.fleet.models import (
     ActiveRun,
     EndKind,
+    Renewal,
     RenewalAnswer,
     RunEnd,
     RunKey,
@@ -25,10 +28,7 @@
     TargetReport,
     TaskKey,
 )
-from egretloft._internal.platform.http_call import (
-    ReconnectingSession,
-    create_reconnecting_session,
-)
+from egretloft._internal.platform.http_call import create_reconnecting_session
 from egretloft.platform.wire import (
     WireHold,
     WireHoldAnswer,
@@ -51,6 +51,18 @@
     "ticket": StartRefusal.TICKET,
 }
 
+# A connection that was opened for a call may be closed before it is used, at most so
+# many times.
+MAX_CONNECTION_TRIES = 4
+# Calls that any incarnation of a runner may get.
+ANY = 0
+UNKNOWN_INCARNATION = -1
+RESTARTED = TargetFailure(
+    TargetFailureKind.REFUSED,
+    "another incarnation of the target is there",
+    StartRefusal.RESTARTED,
+)
+
 # What a row with missing or malformed columns raises.
 ROW_ERRORS = (ValueError, TypeError, LookupError, OverflowError)
 
@@ -106,20 +118,60 @@
     return parsed
 
 
+@dataclass(slots=True, frozen=True)
+class IncarnationCall:
+    """A call that only one incarnation of a runner may get, or ``ANY``.
+
+    ``wait_seconds`` is how long the runner may wait before it answers.
+    """
+
+    path: str
+    body: msgspec.Struct
+    epoch: int
+    incarnation_ms: int
+    wait_seconds: float = 0.0
+
+
+class Connections:
+    """The connections to one runner; ``incarnation_ms`` has answered on the last ones.
+
+    A runner that restarts at its address takes what was meant for its former
+    incarnation, whose clock and end numbers mean nothing to it. So only calls without
+    effect open connections, and none is used before the answer has told what
+    incarnation is there. One to a former incarnation is of no use, but does no harm.
+    """
+
+    def __init__(self) -> None:
+        self.session = create_reconnecting_session(traces_connections=True)
+        self.incarnation_ms = UNKNOWN_INCARNATION
+        # Held while a connection is opened, which may be to another incarnation.
+        self.opening = asyncio.Lock()
+
+    async def may_use(self, incarnation_ms: int, deadline: float) -> bool:
+        """Return whether a call for an incarnation may use an idle connection.
+
+        While one is being opened, this waits, until ``deadline`` of the event loop.
+        """
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout_at(deadline), self.opening:
+                return incarnation_ms in (ANY, self.incarnation_ms)
+        return False
+
+
 class PlatformTargets:
-    """Calls runners, each with its own session."""
+    """Calls runners, each over its own connections."""
 
     def __init__(self, max_lease_seconds: float) -> None:
         self.max_lease_seconds = max_lease_seconds
-        self.sessions: dict[str, ReconnectingSession] = {}
+        self.connections_of: dict[str, Connections] = {}
 
-    def session(self, target: TargetReport) -> ReconnectingSession:
-        """Return the session of one runner."""
-        session = self.sessions.get(target.target_id)
-        if session is None:
-            session = create_reconnecting_session()
-            self.sessions[target.target_id] = session
-        return session
+    def connections(self, target: TargetReport) -> Connections:
+        """Return the connections to one runner."""
+        connections = self.connections_of.get(target.target_id)
+        if connections is None:
+            connections = Connections()
+            self.connections_of[target.target_id] = connections
+        return connections
 
     async def call(
         self,
@@ -127,9 +179,10 @@
         path: str,
         body: msgspec.Struct,
         timeout_seconds: float,
+        opens_connection: bool,
     ) -> Result[bytes, TargetFailure]:
-        """Send an order and return the body of a successful answer."""
-        result = await self.session(target).send_request(
+        """Send a call and return the body of a successful answer."""
+        result = await self.connections(target).session.send_request(
             "POST",
             f"http://{target.address}{path}",
             timeout_seconds,
@@ -138,17 +191,99 @@
                 "Content-Type": "application/json",
                 "Expected-Instance": target.target_id,
             },
+            opens_connection=opens_connection,
         )
         if isinstance(result, Failure):
             http_failure = result.failure()
+            sent = http_failure.sent
+            kind = TargetFailureKind.UNKNOWN if sent else TargetFailureKind.NOT_SENT
             return Failure(
-                TargetFailure(TargetFailureKind.UNKNOWN, http_failure.message)
+                TargetFailure(
+                    kind, http_failure.message, unconnected=http_failure.unconnected
+                )
             )
         answer = result.unwrap()
         if answer.status == OK:
             return Success(answer.body)
         return Failure(classify_failure(answer.status, answer.body))
 
+    async def look(
+        self, target: TargetReport, epoch: int, timeout_seconds: float
+    ) -> Result[RenewalAnswer, TargetFailure]:
+        """Ask a runner for its lists, on a new connection if none is idle.
+
+        Such a call has no effect but that of its epoch, whichever incarnation gets it.
+        """
+        connections = self.connections(target)
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + timeout_seconds
+        try:
+            async with asyncio.timeout_at(deadline):
+                await connections.opening.acquire()
+        except TimeoutError:
+            return not_sent("no connection to the target in time")
+        try:
+            body = WireHold(fencing_token=epoch)
+            left = deadline - loop.time()
+            result = await self.call(target, "/hold", body, left, True)
+            answer = result.bind(decode_renewal_answer)
+            # A refusal does not tell which incarnation the connection is with.
+            connections.incarnation_ms = (
+                UNKNOWN_INCARNATION
+                if isinstance(answer, Failure)
+                else answer.unwrap().incarnation_ms
+            )
+            return answer
+        finally:
+            connections.opening.release()
+
+    async def send(
+        self,
+        target: TargetReport,
+        call: IncarnationCall,
+        timeout_seconds: float,
+    ) -> Result[bytes, TargetFailure]:
+        """Send a call that only one incarnation may get, or any; return the body.
+
+        It goes over a connection on which that incarnation has answered. Without one, a
+        call without effect opens it.
+        """
+        deadline = asyncio.get_running_loop().time() + timeout_seconds
+        connections = self.connections(target)
+        if await connections.may_use(call.incarnation_ms, deadline):
+            result = await self.call_by(target, call, deadline)
+            if not is_unconnected(result):
+                return result
+        for _ in range(MAX_CONNECTION_TRIES):
+            looked = await self.look_for(target, call, deadline)
+            if isinstance(looked, Failure):
+                return looked
+            # No other task runs between the answer and the choice of the connection,
+            # so none takes the one that has just answered.
+            result = await self.call_by(target, call, deadline)
+            if not is_unconnected(result):
+                return result
+        return not_sent("no connection to the target was left")
+
+    async def call_by(
+        self, target: TargetReport, call: IncarnationCall, deadline: float
+    ) -> Result[bytes, TargetFailure]:
+        """Send a call on an idle connection, until ``deadline`` of the event loop."""
+        left = deadline - asyncio.get_running_loop().time()
+        return await self.call(target, call.path, call.body, left, False)
+
+    async def look_for(
+        self, target: TargetReport, call: IncarnationCall, deadline: float
+    ) -> Result[None, TargetFailure]:
+        """Find out whether the incarnation that a call is for is there, in time."""
+        left = deadline - asyncio.get_running_loop().time() - call.wait_seconds
+        looked = await self.look(target, call.epoch, left)
+        if isinstance(looked, Failure):
+            return Failure(as_not_sent(looked.failure()))
+        if call.incarnation_ms not in (ANY, looked.unwrap().incarnation_ms):
+            return Failure(RESTARTED)
+        return Success(None)
+
     async def start(
         self, target: TargetReport, order: StartOrder, timeout_seconds: float
     ) -> Result[int, TargetFailure]:
@@ -162,7 +297,8 @@
             checkpoint=order.checkpoint,
             token=order.ticket,
         )
-        result = await self.call(target, "/run-start", body, timeout_seconds)
+        call = IncarnationCall("/run-start", body, order.epoch, order.incarnation_ms)
+        result = await self.send(target, call, timeout_seconds)
         return result.bind(decode_target_time)
 
     async def stop(
@@ -174,28 +310,70 @@
     ) -> Result[int, TargetFailure]:
         """Stop a run and return the target's clock."""
         body = WireStop(task_name(run.task), run.attempt, epoch)
-        result = await self.call(target, "/run-stop", body, timeout_seconds)
+        call = IncarnationCall("/run-stop", body, epoch, ANY)
+        result = await self.send(target, call, timeout_seconds)
         return result.bind(decode_target_time)
 
     async def renew(
         self,
         target: TargetReport,
-        epoch: int,
-        last_recorded_end: int,
-        expires_at_ms: int | None,
+        renewal: Renewal,
         wait_seconds: float,
         timeout_seconds: float,
     ) -> Result[RenewalAnswer, TargetFailure]:
         """Renew the lease of all runs on the target and return what it lists."""
         body = WireHold(
-            fencing_token=epoch,
-            last_seen=last_recorded_end,
-            expires_at_ms=expires_at_ms or 0,
+            fencing_token=renewal.epoch,
+            last_seen=renewal.last_recorded_end,
+            expires_at_ms=renewal.expires_at_ms or 0,
             wait_ms=int(wait_seconds * 1000),
         )
-        result = await self.call(target, "/hold", body, timeout_seconds)
+        result = await self.send_renewal(
+            target, renewal, body, wait_seconds, timeout_seconds
+        )
+        if isinstance(result, Failure) and needs_look(result.failure()):
+            look_seconds = timeout_seconds - wait_seconds
+            return await self.look(target, renewal.epoch, look_seconds)
         return result.bind(decode_renewal_answer)
 
+    async def send_renewal(
+        self,
+        target: TargetReport,
+        renewal: Renewal,
+        body: WireHold,
+        wait_seconds: float,
+        timeout_seconds: float,
+    ) -> Result[bytes, TargetFailure]:
+        """Send a renewal; one that only asks does not open a connection for that."""
+        if renewal.asks_only():
+            return await self.call(target, "/hold", body, timeout_seconds, False)
+        call = IncarnationCall(
+            "/hold", body, renewal.epoch, renewal.incarnation_ms, wait_seconds
+        )
+        return await self.send(target, call, timeout_seconds)
+
+
+def is_unconnected(result: Result[bytes, TargetFailure]) -> bool:
+    """Return whether a call was not sent as no connection was open and idle."""
+    return isinstance(result, Failure) and result.failure().unconnected
+
+
+def needs_look(failure: TargetFailure) -> bool:
+    """Return whether only a call without effect can get the answer to a renewal."""
+    return failure.unconnected or failure is RESTARTED
+
+
+def not_sent(message: str) -> Failure[TargetFailure]:
+    """Return the failure of a call that was certainly not sent."""
+    return Failure(TargetFailure(TargetFailureKind.NOT_SENT, message))
+
+
+def as_not_sent(failure: TargetFailure) -> TargetFailure:
+    """Return the failure of a call without effect as that of the call it was for."""
+    if failure.kind is TargetFailureKind.REFUSED:
+        return failure
+    return replace(failure, kind=TargetFailureKind.NOT_SENT)
+
 
 def unreadable_answer(error: Exception) -> Failure[TargetFailure]:
     """Return the failure for an answer that cannot be decoded."""
--- a/tests/lib/busy_targets.py
+++ b/tests/lib/busy_targets.py
@@ -10,6 +10,7 @@
 
 from egretloft._internal.fleet.interfaces import Targets
 from egretloft._internal.fleet.models import (
+    Renewal,
     RenewalAnswer,
     RunKey,
     StartOrder,
@@ -76,20 +77,11 @@
     async def renew(
         self,
         target: TargetReport,
-        epoch: int,
-        last_recorded_end: int,
-        expires_at_ms: int | None,
+        renewal: Renewal,
         wait_seconds: float,
         timeout_seconds: float,
     ) -> Result[RenewalAnswer, TargetFailure]:
-        work = self.targets.renew(
-            target,
-            epoch,
-            last_recorded_end,
-            expires_at_ms,
-            wait_seconds,
-            timeout_seconds,
-        )
+        work = self.targets.renew(target, renewal, wait_seconds, timeout_seconds)
         return await self.call(work, timeout_seconds)
 
 
--- a/tests/lib/forwarding_targets.py
+++ b/tests/lib/forwarding_targets.py
@@ -6,6 +6,7 @@
 
 from egretloft._internal.fleet.interfaces import Targets
 from egretloft._internal.fleet.models import (
+    Renewal,
     RenewalAnswer,
     RunKey,
     StartOrder,
@@ -34,17 +35,8 @@
     async def renew(
         self,
         target: TargetReport,
-        epoch: int,
-        last_recorded_end: int,
-        expires_at_ms: int | None,
+        renewal: Renewal,
         wait_seconds: float,
         timeout_seconds: float,
     ) -> Result[RenewalAnswer, TargetFailure]:
-        return await self.targets.renew(
-            target,
-            epoch,
-            last_recorded_end,
-            expires_at_ms,
-            wait_seconds,
-            timeout_seconds,
-        )
+        return await self.targets.renew(target, renewal, wait_seconds, timeout_seconds)
--- a/tests/lib/term_owner.py
+++ b/tests/lib/term_owner.py
@@ -46,6 +46,9 @@
     def on_target_regained(self, target: TargetRow) -> None:
         """Do nothing."""
 
+    def on_target_changed(self, target: TargetRow) -> None:
+        """Do nothing."""
+
     def on_fenced(self) -> None:
         """Do nothing."""
 
--- a/tests/unit/adapter/test_calls.py
+++ b/tests/unit/adapter/test_calls.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import random
 from collections.abc import AsyncIterator
 
 import pytest
@@ -17,13 +16,11 @@
 )
 from egretloft._internal.fleet.models import (
     EndKind,
-    JobSpec,
-    Resources,
+    Renewal,
     RunKey,
     StartOrder,
     StartRefusal,
     StepKey,
-    StepSpec,
     TargetFailureKind,
     TargetReport,
     TaskKey,
@@ -31,30 +28,20 @@
 from egretloft.platform.decoding import create_platform_row_decoder
 from egretloft.platform.rows import PlatformRowStore, create_platform_row_store
 from egretloft.platform.targets import create_platform_targets
-from standins.fleet.checker import Checker, JobTruth
+from lib.one_target import serve_one_target
 from standins.fleet.http import HttpPlatform
-from standins.fleet.store import EmulatedStore, StoreMode
-from standins.fleet.targets import MAX_LEASE_SECONDS, EmulatedTarget
+from standins.fleet.store import StoreMode
+from standins.fleet.targets import MAX_LEASE_SECONDS
 
 JOB = "00000000000000aa"
 KEY = RowKey("jobs", "egretloft", "one")
+FIRST_INCARNATION = 1
 
 
 @pytest.fixture
 async def platform() -> AsyncIterator[HttpPlatform]:
-    checker = Checker()
-    checker.jobs[JOB] = JobTruth(
-        JobSpec("text", (StepSpec(1, Resources(1, 1, 1)),)), 0.1
-    )
-    target = EmulatedTarget(
-        "i-1", "desk", "zone", "r-1", Resources(1000, 1000, 8), checker, {}, {}, 5e6
-    )
-    target.all_targets[target.target_id] = target
-    generator = random.Random(1)
-    served = HttpPlatform(EmulatedStore(generator), {"i-1": target}, generator)
-    await served.start()
-    yield served
-    await served.stop()
+    async with serve_one_target(JOB, tasks=1, work_seconds=0.1) as served:
+        yield served
 
 
 @pytest.fixture
@@ -135,28 +122,34 @@
 
 def order(attempt: int, epoch: int, expires_at_ms: int) -> StartOrder:
     run = RunKey(TaskKey(StepKey(JOB, 0, 0), 0), attempt)
-    return StartOrder(run, "text", expires_at_ms, epoch, "")
+    return StartOrder(run, "text", expires_at_ms, epoch, FIRST_INCARNATION, "")
+
+
+def renewal(
+    epoch: int, last_recorded_end: int = 0, expires_at_ms: int | None = None
+) -> Renewal:
+    return Renewal(epoch, FIRST_INCARNATION, last_recorded_end, expires_at_ms)
 
 
 async def test_run_starts_once_and_its_end_is_listed(platform: HttpPlatform) -> None:
     report = await wait_for_report(platform)
     targets = create_platform_targets(MAX_LEASE_SECONDS)
-    first = (await targets.renew(report, 1, 0, None, 0.0, 1.0)).unwrap()
+    first = (await targets.renew(report, renewal(1), 0.0, 1.0)).unwrap()
     expires = first.target_time_ms + 2000
     for _ in range(2):
         started = await targets.start(report, order(5, 1, expires), 1.0)
         assert isinstance(started, Success)
-    lists = (await targets.renew(report, 1, 0, expires, 1.0, 2.0)).unwrap()
+    lists = (await targets.renew(report, renewal(1, 0, expires), 1.0, 2.0)).unwrap()
     assert [(e.number, e.run.attempt, e.kind) for e in lists.ends] == [
         (1, 5, EndKind.DONE)
     ]
-    assert (await targets.renew(report, 1, 1, None, 0.0, 1.0)).unwrap().ends == ()
+    assert (await targets.renew(report, renewal(1, 1), 0.0, 1.0)).unwrap().ends == ()
 
 
 async def test_refusals_of_a_target_are_told_apart(platform: HttpPlatform) -> None:
     report = await wait_for_report(platform)
     targets = create_platform_targets(MAX_LEASE_SECONDS)
-    now = (await targets.renew(report, 3, 0, None, 0.0, 1.0)).unwrap().target_time_ms
+    now = (await targets.renew(report, renewal(3), 0.0, 1.0)).unwrap().target_time_ms
     late = (await targets.start(report, order(5, 3, now - 1), 1.0)).failure()
     assert late.refusal is StartRefusal.LATE
     fenced = (await targets.start(report, order(5, 2, now + 900), 1.0)).failure()
@@ -171,7 +164,7 @@
     report = await wait_for_report(platform)
     platform.targets["i-1"].silent = True
     result = await create_platform_targets(MAX_LEASE_SECONDS).renew(
-        report, 1, 0, None, 0.0, 0.2
+        report, renewal(1), 0.0, 0.2
     )
     assert isinstance(result, Failure)
     assert result.failure().kind is TargetFailureKind.UNKNOWN
--- a/tests/unit/fleet/test_late_renewals.py
+++ b/tests/unit/fleet/test_late_renewals.py
@@ -10,6 +10,7 @@
 from egretloft._internal.fleet.clocks import MILLISECONDS, TargetClock
 from egretloft._internal.fleet.constants import LEASE_SECONDS, START_EXPIRY_SECONDS
 from egretloft._internal.fleet.models import (
+    Renewal,
     RenewalAnswer,
     RunKey,
     StartOrder,
@@ -61,13 +62,11 @@
     async def renew(
         self,
         target: TargetReport,
-        epoch: int,
-        last_recorded_end: int,
-        expires_at_ms: int | None,
+        renewal: Renewal,
         wait_seconds: float,
         timeout_seconds: float,
     ) -> Result[RenewalAnswer, TargetFailure]:
-        self.renewals.append(expires_at_ms)
+        self.renewals.append(renewal.expires_at_ms)
         return NO_ANSWER
 
 
--- a/tools/standins/fleet/http.py
+++ b/tools/standins/fleet/http.py
@@ -22,6 +22,7 @@
     StoreFailureKind,
 )
 from egretloft._internal.fleet.models import (
+    Renewal,
     RenewalAnswer,
     StartOrder,
     TargetFailure,
@@ -234,6 +235,7 @@
             body.spec,
             body.expires_at_ms,
             body.fencing_token,
+            self.target.incarnation_ms,
             body.checkpoint,
         )
         result = await self.client.start(report, order, CALL_TIMEOUT_SECONDS)
@@ -246,9 +248,12 @@
         body = msgspec.json.decode(await request.read(), type=WireHold)
         result = await self.client.renew(
             report,
-            body.fencing_token,
-            body.last_seen,
-            body.expires_at_ms or None,
+            Renewal(
+                body.fencing_token,
+                self.target.incarnation_ms,
+                body.last_seen,
+                body.expires_at_ms or None,
+            ),
             body.wait_ms / 1000,
             CALL_TIMEOUT_SECONDS,
         )
@@ -330,7 +335,8 @@
     The targets of ``unregistered_zones`` do not reach the store: they do not register,
     and lose their rows after a while. With ``removes_silent_targets``, so do targets
     that are cut off or paused. Those of ``removed_in_outages`` lose theirs while the
-    store is down, too.
+    store is down, too. With ``late_orders_outlive_crashes``, targets that have
+    restarted carry out late orders too.
     """
 
     store: EmulatedStore
@@ -341,6 +347,8 @@
     store_address: str = ""
     store_server: StoreServer | None = None
     target_addresses: dict[str, str] = field(default_factory=dict)
+    target_servers: dict[str, TargetServer] = field(default_factory=dict)
+    late_orders_outlive_crashes: bool = False
     unregistered_zones: Counter[str] = field(default_factory=Counter)
     registration_period_seconds: float = 0.5
     removes_silent_targets: bool = False
@@ -351,8 +359,7 @@
         self.store_server = StoreServer(self.store)
         self.store_address = await self.listen(self.store_server.handle)
         for target in self.targets.values():
-            address = await self.listen(TargetServer(target, self.generator).handle)
-            self.target_addresses[target.target_id] = address
+            address = await self.listen_for(target)
             task = asyncio.create_task(self.register_periodically(target, address))
             self.registrations.append(task)
 
@@ -368,11 +375,42 @@
         assert self.store_server is not None, "the platform has not been started"
         self.store_server.link = Link(bytes_per_second)
 
-    async def listen(self, handler: Handler) -> str:
-        """Serve a handler on a free port and return its address."""
+    async def listen_for(self, target: EmulatedTarget, port: int = 0) -> str:
+        """Serve a target on a port, a free one if it is 0; return its address."""
+        server = TargetServer(target, self.generator)
+        server.client.late_orders_outlive_crashes = self.late_orders_outlive_crashes
+        self.target_servers[target.target_id] = server
+        address = await self.listen(server.handle, port)
+        self.target_addresses[target.target_id] = address
+        return address
+
+    async def restart_target(
+        self, target: EmulatedTarget, seconds: float, listens: bool = False
+    ) -> None:
+        """Crash a target; after ``seconds`` it returns at its address, under its id.
+
+        Its open connections break. Nothing listens meanwhile, or if it ``listens``,
+        what arrives is handled by the new incarnation, as if a network had held it up.
+        """
+        address = self.target_addresses[target.target_id]
+        listener = next(one for one in self.listeners if one.address == address)
+        self.listeners.remove(listener)
+        port = int(address.rpartition(":")[2])
+        target.crash()
+        target.pause()
+        await listener.runner.cleanup()
+        if listens:
+            await self.listen_for(target, port)
+        await asyncio.sleep(seconds)
+        target.resumed.set()
+        if not listens:
+            await self.listen_for(target, port)
+
+    async def listen(self, handler: Handler, port: int = 0) -> str:
+        """Serve a handler on a port, a free one if it is 0; return its address."""
         runner = web.ServerRunner(web.Server(handler), shutdown_timeout=0.1)
         await runner.setup()
-        site = web.TCPSite(runner, "127.0.0.1", 0)
+        site = web.TCPSite(runner, "127.0.0.1", port)
         await site.start()
         host, port = runner.addresses[0][:2]
         address = f"{host}:{port}"
--- a/tools/standins/fleet/targets.py
+++ b/tools/standins/fleet/targets.py
@@ -13,6 +13,7 @@
 from egretloft._internal.fleet.models import (
     ActiveRun,
     EndKind,
+    Renewal,
     RenewalAnswer,
     Resources,
     RunEnd,
@@ -506,6 +507,8 @@
         reached = await self.reach(target, timeout_seconds)
         if reached is None:
             return no_answer()
+        if reached.incarnation_ms != order.incarnation_ms:
+            return reached.refuse(StartRefusal.RESTARTED)
         if reached.loses_starts:
             await asyncio.sleep(timeout_seconds)
             return no_answer()
@@ -549,9 +552,7 @@
     async def renew(
         self,
         target: TargetReport,
-        epoch: int,
-        last_recorded_end: int,
-        expires_at_ms: int | None,
+        renewal: Renewal,
         wait_seconds: float,
         timeout_seconds: float,
     ) -> Result[RenewalAnswer, TargetFailure]:
@@ -562,7 +563,11 @@
         reached = await self.reach(target, timeout_seconds)
         if reached is None:
             return no_answer()
-        refusal = reached.renew(epoch, last_recorded_end, expires_at_ms)
+        if reached.incarnation_ms != renewal.incarnation_ms:
+            renewal = Renewal(renewal.epoch, reached.incarnation_ms)
+        refusal = reached.renew(
+            renewal.epoch, renewal.last_recorded_end, renewal.expires_at_ms
+        )
         if target.target_id in self.unheard:
             await asyncio.sleep(timeout_seconds)
             return no_answer()
