--- a/src/egretloft/_internal/fleet/orders.py
+++ b/src/egretloft/_internal/fleet/orders.py
@@ -169,10 +169,15 @@
         """Return whether the decision to start the run still holds.
 
         While the order waited, the run may have been given up with its target, and its
-        task started elsewhere; the target or its zone may have been taken out of use.
+        task started elsewhere; the target or its zone may have been taken out of use,
+        and the target may have restarted with other labels or less room.
         """
         if run.key not in target.runs or run.phase is not RunPhase.STARTING:
             return False
+        if run.incarnation_ms != target.incarnation_ms:
+            return False
+        if not target.is_report_current():
+            return False
         if not target.listed or target.report.draining:
             return False
         if self.clock.boottime() - run.started_at > MAX_DECISION_AGE_SECONDS:
--- a/src/egretloft/_internal/fleet/scheduler.py
+++ b/src/egretloft/_internal/fleet/scheduler.py
@@ -59,7 +59,7 @@
 
     Targets in quarantine are included: they are the fallback of steps that have waited
     longer than ``QUARANTINE_FALLBACK_SECONDS``. Targets on which a task suspected of a
-    crash has just started are not.
+    crash has just started are not, nor those that have not registered since a restart.
     """
     on_trial = targets_on_trial(tables)
     return [
@@ -69,6 +69,7 @@
         and target.fenced
         and target.reachable
         and target.is_readable
+        and target.is_report_current()
         and not target.report.draining
         and target.report.zone not in operators.evacuated_zones
         and target.report.target_id not in on_trial
--- a/src/egretloft/_internal/fleet/tables.py
+++ b/src/egretloft/_internal/fleet/tables.py
@@ -377,6 +377,13 @@
     failure_explained: bool = False
     watched_until: float = -math.inf
 
+    def is_report_current(self) -> bool:
+        """Return whether the incarnation that answers is the one that has registered.
+
+        Labels and room of another incarnation may differ.
+        """
+        return self.report.incarnation_ms == self.incarnation_ms
+
 
 @dataclass(slots=True, eq=False)
 class FleetTables:
--- a/tests/lib/fleet_builders.py
+++ b/tests/lib/fleet_builders.py
@@ -164,7 +164,7 @@
         False,
         1,
     )
-    return TargetRow(report, recorded=True, fenced=True)
+    return TargetRow(report, recorded=True, fenced=True, incarnation_ms=1)
 
 
 def build_tables(*targets: TargetRow) -> FleetTables:
@@ -224,6 +224,7 @@
         priority=priority,
         phase=RunPhase.ACTIVE,
         started_at=started_at,
+        incarnation_ms=target.incarnation_ms,
         confirmed=True,
         gang=gang,
         job=tables.jobs[task.key.step.job_id],
--- a/tools/standins/fleet/targets.py
+++ b/tools/standins/fleet/targets.py
@@ -95,6 +95,8 @@
         self.clock_offset_ms = clock_offset_ms
         self.clock_rate = 0.98
         self.incarnation_ms = 1
+        # The label that tells targets apart; a restart may change it.
+        self.kind = "a"
         self.reset_state()
         self.cut = False
         self.silent = False
@@ -131,6 +133,10 @@
         """Return the target's own clock, which has an offset and runs slow."""
         return int(self.clock_offset_ms + self.now() * 1000 * self.clock_rate)
 
+    def labels(self) -> frozenset[str]:
+        """Return the labels by which steps choose targets."""
+        return frozenset({self.kind, self.rack})
+
     def report(self) -> TargetReport:
         """Return the report with which the target registers."""
         return TargetReport(
@@ -139,7 +145,7 @@
             self.service,
             self.zone,
             self.rack,
-            frozenset({"a", self.rack}),
+            self.labels(),
             self.room,
             self.draining,
             self.incarnation_ms,
@@ -273,6 +279,8 @@
         self.runs[order.run] = run
         if not self.limit().holds(self.used()):
             self.checker.report("LIMIT", self.target_id, self.now())
+        if spec is not None and spec.label and spec.label not in self.labels():
+            self.checker.report("ROUTE", f"{order.run} on {self.target_id}", self.now())
         if truth is not None and spec is not None:
             run.work_left = truth.work_seconds
             if order.run.task.index in truth.crashing_tasks:
