--- a/src/egretloft/_internal/fleet/reclaiming.py
+++ b/src/egretloft/_internal/fleet/reclaiming.py
@@ -1,9 +1,11 @@
-"""Preemption of lower-priority runs for an urgent step.
+"""Preemption of other runs for an urgent step.
 
 Returns borrowed accelerators to an urgent job: runs of lower priority are stopped in
 the order of the least work lost, and only if tasks of the step then fit (all of them
 if it is a gang). If that loses much work, the step first waits shortly for runs to end
-by themselves, as many do every second on a full fleet.
+by themselves, as many do every second on a full fleet. A step that is entitled by a
+guarantee also stops runs that last or are urgent themselves, if they use what no
+guarantee of their own organisation covers.
 """
 
 from __future__ import annotations
@@ -12,6 +14,7 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
+from egretloft._internal.fleet.guarantees import Guarantees
 from egretloft._internal.fleet.lost_work import LostWorkCache, expected_work
 from egretloft._internal.fleet.models import Resources
 from egretloft._internal.fleet.placing import (
@@ -59,6 +62,23 @@
 MIN_REMAINING_SECONDS = 1.0
 
 
+@dataclass(slots=True, frozen=True)
+class Claim:
+    """On whose behalf runs are stopped: a step's priority, and what it is entitled to.
+
+    ``guarantees`` is ``None`` unless the step is entitled by one.
+    """
+
+    priority: int
+    guarantees: Guarantees | None = None
+
+    def may_stop(self, run: RunRow) -> bool:
+        """Return whether the run may be stopped for the step."""
+        if run.priority > self.priority and not run.lasting:
+            return True
+        return self.guarantees is not None and self.guarantees.is_borrowing(run)
+
+
 @dataclass(slots=True, frozen=True)
 class Reclaim:
     """Runs to stop, the work lost in core-seconds, and the plan for the step."""
@@ -90,7 +110,7 @@
     now = preemptible.now
     pinned = pinned_targets(step, targets, now)
     capacities = preemptible.unreserved(
-        pinned or targets, priority, reserved, required_resources(step.spec)
+        pinned or targets, Claim(priority), reserved, required_resources(step.spec)
     )
     for free in capacities:
         free.reclaim_cost = preemptible.remaining_seconds(free.target, priority)
@@ -156,30 +176,31 @@
 
 
 class PreemptibleCapacity:
-    """Capacity free after lower-priority runs are preempted, cached for one tick."""
+    """Capacity free after other runs are preempted, cached for one tick."""
 
     def __init__(self, now: float) -> None:
         self.now = now
         self.lost_work_cache = LostWorkCache(now)
-        self.capacities: dict[tuple[str, int], FreeCapacity] = {}
+        self.capacities: dict[tuple[str, int, bool], FreeCapacity] = {}
         self.remaining_by_target: dict[tuple[str, int], float] = {}
 
-    def after_preemption(self, target: TargetRow, priority: int) -> FreeCapacity:
-        """Return what is free without a target's runs below ``priority``, and the cost.
+    def after_preemption(self, target: TargetRow, claim: Claim) -> FreeCapacity:
+        """Return what is free without the runs that a claim may stop, and the cost.
 
         The result is cached and must not be changed.
         """
-        key = (target.report.target_id, priority)
+        entitled = claim.guarantees is not None
+        key = (target.report.target_id, claim.priority, entitled)
         cached = self.capacities.get(key)
         if cached is None:
-            cached = capacity_after_preemption(self.lost_work_cache, target, priority)
+            cached = capacity_after_preemption(self.lost_work_cache, target, claim)
             self.capacities[key] = cached
         return cached
 
     def unreserved(
         self,
         targets: list[TargetRow],
-        priority: int,
+        claim: Claim,
         reserved: dict[str, Resources],
         needed: Resources,
     ) -> list[FreeCapacity]:
@@ -189,7 +210,7 @@
         """
         capacities = []
         for target in targets:
-            shared = self.after_preemption(target, priority)
+            shared = self.after_preemption(target, claim)
             if not shared.holds(needed):
                 continue
             free = shared.copy()
@@ -212,9 +233,9 @@
 
 
 def capacity_after_preemption(
-    losses: LostWorkCache, target: TargetRow, priority: int
+    losses: LostWorkCache, target: TargetRow, claim: Claim
 ) -> FreeCapacity:
-    """Return what is free without runs below ``priority``, with the work then lost.
+    """Return what is free without the runs that may be stopped, and the work then lost.
 
     A run whose stop is overdue keeps what it takes.
     """
@@ -223,7 +244,7 @@
         is_stopping = run.phase is RunPhase.STOPPING
         if is_stopping and is_ending(run, losses.now):
             continue
-        if is_stopping or run.priority <= priority or run.lasting:
+        if is_stopping or not claim.may_stop(run):
             free.take(run.room)
         else:
             free.reclaim_cost += losses.for_run(run)
@@ -235,29 +256,29 @@
     step: StepRow,
     targets: list[TargetRow],
     reserved: dict[str, Resources],
-    priority: int,
+    claim: Claim,
     spread: bool,
-    entitled: bool,
 ) -> Reclaim | NoReclaimReason:
     """Return which runs to stop so that the waiting tasks of ``step`` fit.
 
     ``reserved`` is what is reserved per target for steps earlier in the order.
-    Unless the step is ``entitled``, the lost work must not exceed ``MAX_LOSS_RATIO`` of
+    Unless the step is entitled, the lost work must not exceed ``MAX_LOSS_RATIO`` of
     the step's own expected work. An entitled gang that asks for one rack is spread
     over several ones if clearing a rack would lose far more work.
     """
     now = preemptible.now
+    entitled = claim.guarantees is not None
     # A reservation also pins its targets, but other ones may be cheaper to clear.
     pinned = pinned_targets(step, targets, now) if now < step.reclaimed_until else []
     capacities = preemptible.unreserved(
-        pinned or targets, priority, reserved, required_resources(step.spec)
+        pinned or targets, claim, reserved, required_resources(step.spec)
     )
     reclaim = cheapest_reclaim(
         preemptible.lost_work_cache,
         step,
         capacity_groups(step, capacities, spread, entitled),
         reserved,
-        priority,
+        claim,
     )
     if reclaim is None:
         # If only the pinned targets were tried, the step may still fit on others.
@@ -296,7 +317,7 @@
     step: StepRow,
     groups: list[list[FreeCapacity]],
     reserved: dict[str, Resources],
-    priority: int,
+    claim: Claim,
 ) -> Reclaim | None:
     """Return the reclaim with the lowest cost, or ``None`` if the step fits nowhere.
 
@@ -310,7 +331,7 @@
         plan = place_step(step, capacities)
         if plan is None or not plan.entries:
             continue
-        victims = plan_victims(losses, plan, reserved, priority)
+        victims = plan_victims(losses, plan, reserved, claim)
         lost = losses.total(victims)
         cost = lost + slow_run_cost if is_slow(step, plan) else lost
         if cost < best_cost:
@@ -334,12 +355,12 @@
 
 
 def plan_victims(
-    losses: LostWorkCache, plan: Plan, reserved: dict[str, Resources], priority: int
+    losses: LostWorkCache, plan: Plan, reserved: dict[str, Resources], claim: Claim
 ) -> tuple[RunRow, ...]:
     """Return the runs to stop so that the plan fits."""
     victims: dict[int, RunRow] = {}
     for free in {id(free): free for _, free in plan.entries}.values():
-        for run in victims_on(losses, free, plan, reserved, priority):
+        for run in victims_on(losses, free, plan, reserved, claim):
             victims[id(run)] = run
     return tuple(victims.values())
 
@@ -349,7 +370,7 @@
     free: FreeCapacity,
     plan: Plan,
     reserved: dict[str, Resources],
-    priority: int,
+    claim: Claim,
 ) -> list[RunRow]:
     """Return the runs to stop on one target so that the plan fits, cheapest first.
 
@@ -368,9 +389,7 @@
     candidates = [
         run
         for run in target.runs.values()
-        if run.priority > priority
-        and not run.lasting
-        and run.phase is not RunPhase.STOPPING
+        if claim.may_stop(run) and run.phase is not RunPhase.STOPPING
     ]
     candidates.sort(key=losses.for_run)
     chosen: list[RunRow] = []
--- a/src/egretloft/_internal/fleet/service_tick.py
+++ b/src/egretloft/_internal/fleet/service_tick.py
@@ -30,6 +30,7 @@
 )
 from egretloft._internal.fleet.queueing import WaitingStep
 from egretloft._internal.fleet.reclaiming import (
+    Claim,
     NoReclaimReason,
     PreemptibleCapacity,
     pinned_targets,
@@ -116,7 +117,8 @@
         )
         self.reserved: dict[str, Resources] = {}
         self.unplaceable = UnplaceableDemands()
-        self.unreclaimable = UnplaceableDemands()
+        # By whether a guarantee entitles the steps, which may stop more runs then.
+        self.unreclaimable = {False: UnplaceableDemands(), True: UnplaceableDemands()}
         self.unreservable = UnplaceableDemands()
 
     def schedule(self, waiting: WaitingStep, decisions: Decisions) -> None:
@@ -292,21 +294,20 @@
         entitled: bool,
         decisions: Decisions,
     ) -> bool:
-        """Stop lower-priority runs for a step; return whether tasks of it then fit."""
+        """Stop other runs for a step; return whether tasks of it then fit."""
         demand = demand_of(step, spread or entitled, True)
-        if self.unreclaimable.rules_out(demand, priority):
+        if self.unreclaimable[entitled].rules_out(demand, priority):
             return False
         outcome = plan_reclaim(
             self.preemptible,
             step,
             self.healthy_targets,
             self.reserved,
-            priority,
+            Claim(priority, self.guarantees if entitled else None),
             spread,
-            entitled,
         )
         if outcome is NoReclaimReason.INSUFFICIENT_RESOURCES:
-            self.unreclaimable.add(step, demand, priority)
+            self.unreclaimable[entitled].add(step, demand, priority)
         if isinstance(outcome, NoReclaimReason):
             return False
         record_lost_work(self.preemptible.lost_work_cache, outcome.victims)
