Give up at once a run that was confirmed just before a restart (TWICE)

Callers could see a task run twice after a target restarted between the listing of a run and the answer to the renewal under way.

Cause: a run that was confirmed after the renewal was sent counted as one of the new incarnation. Since orders go to one incarnation only, the incarnation of a run's start is known.

Change: a run is kept over a restart only if the new incarnation lists it or its start was for that one; late copies of the others are stopped.

--- a/src/egretloft/_internal/fleet/sessions.py
+++ b/src/egretloft/_internal/fleet/sessions.py
@@ -365,7 +365,7 @@
                     rows=answer.unreadable,
                 )
         if answer.incarnation_ms != target.incarnation_ms:
-            self.on_new_incarnation(answer, sent)
+            self.on_new_incarnation(answer)
             acknowledged_end = 0
         if target.clock is None:
             target.clock = TargetClock(answer.target_time_ms, now)
@@ -395,14 +395,12 @@
         if not was_fenced:
             self.owner.wake_scheduler()
 
-    def on_new_incarnation(self, answer: RenewalAnswer, sent: float) -> None:
+    def on_new_incarnation(self, answer: RenewalAnswer) -> None:
         """Reset what is known of a target that restarted: clock, lease and end numbers.
 
         Its runs are removed, except those that it lists and starts of which a copy may
         still arrive. The expiry of a copy that was sent before says nothing on the new
         clock, so such a start is stopped, also if it was given up or has ended since.
-        A start that was confirmed after the renewal was ``sent`` may be one of the new
-        incarnation; the next answers tell.
 
         The expiry of such an order may be far ahead on the new clock, and a start
         extends the lease of all runs, even if it is refused, so the target may hold the
@@ -438,7 +436,7 @@
         )
         late = {s.run for s in sent_before if late_starts.may_arrive(s, now)}
         for run in list(target.runs.values()):
-            if run.key in listed_runs or (run.confirmed and run.confirmed_at >= sent):
+            if run.key in listed_runs or run.incarnation_ms == answer.incarnation_ms:
                 run.order_expires_ms = start_expires_ms
             elif run.confirmed:
                 self.lose_run(run, "target restarted", crashed=True)
