Let the next leader know of starts without an answer (TWICE)

Callers saw a task run twice after a takeover: a copy of a start of the former leader was carried out late, on a target that had restarted, while the next leader had started the task elsewhere.

Change: progress rows tell of starts without an answer, and whether the target has answered anything since, be it a later copy or a renewal, so that the start was not lost with its link. The next leader starts nothing of such a job while a target that outlived the start, or has restarted, may run a copy unheard. Ruled out as a remedy: waiting for all silent targets after each takeover, which keeps sound jobs idle for 22 s.

--- a/src/egretloft/_internal/fleet/decisions.py
+++ b/src/egretloft/_internal/fleet/decisions.py
@@ -63,7 +63,8 @@
 
     ``now`` is in seconds on the boot-time clock, ``wall`` in Unix seconds. While
     ``recovering`` is true, tasks of jobs that were accepted before the leader's term
-    may still run on a target that has not been fenced, so those jobs are not scheduled.
+    may still run on a target that has not been fenced, so those jobs are not scheduled,
+    nor are those ``in_doubt``.
     No further step is placed once ``max_starts`` tasks are, and no further step of the
     most urgent priority once ``max_urgent_starts`` are.
     """
@@ -71,6 +72,7 @@
     now: float
     wall: float
     recovering: bool = False
+    in_doubt: frozenset[str] = frozenset()
     max_starts: int = sys.maxsize
     max_urgent_starts: int = sys.maxsize
 
--- a/src/egretloft/_internal/fleet/late_starts.py
+++ b/src/egretloft/_internal/fleet/late_starts.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from egretloft._internal.fleet.constants import MAX_CALL_DELAY_SECONDS
@@ -30,11 +31,13 @@
     """The start orders of a term, and until when copies of them may arrive.
 
     ``arrive_until`` is in seconds of the boot-time clock. An order is kept for as long
-    as a lease that its last copy may have brought can last.
+    as a lease that its last copy may have brought can last. ``inherited`` are those of
+    former leaders, with whether their targets had answered since.
     """
 
     longest_lease_seconds: float
     arrive_until: dict[SentStart, float] = field(default_factory=dict)
+    inherited: dict[SentStart, bool] = field(default_factory=dict)
 
     def note_sent(self, start: SentStart, timeout_at: float) -> float:
         """Note that a copy is sent; return until when earlier ones may arrive.
@@ -45,6 +48,27 @@
         self.arrive_until[start] = max(former, timeout_at + MAX_CALL_DELAY_SECONDS)
         return former
 
+    def inherit(self, start: SentStart, arrives_until: float, outlived: bool) -> None:
+        """Note a start order of a former leader.
+
+        ``outlived`` tells whether its target has answered other calls since.
+        """
+        self.arrive_until[start] = arrives_until
+        self.inherited[start] = outlived
+
+    def jobs_in_doubt(
+        self, is_unheard: Callable[[SentStart, bool], bool], now: float
+    ) -> frozenset[str]:
+        """Return the jobs of which a target may run an inherited start unnoticed.
+
+        ``is_unheard`` tells that of a start, and of whether its target had outlived it.
+        """
+        return frozenset(
+            start.run.task.step.job_id
+            for start, outlived in self.inherited.items()
+            if self.may_run(start, now) and is_unheard(start, outlived)
+        )
+
     def note_answered(self, start: SentStart, now: float, former: float) -> None:
         """Note that the copy was answered; ``former`` holds for the earlier ones."""
         self.arrive_until[start] = max(now, former)
@@ -69,6 +93,13 @@
         """Return whether a copy of the order may still arrive."""
         return self.arrive_until[start] > now
 
+    def may_run(self, start: SentStart, now: float) -> bool:
+        """Return whether a copy may arrive, or run under a lease that it has brought.
+
+        It is not so for a start that is not known any more.
+        """
+        return start in self.arrive_until and self.longest_lease([start], now) > 0
+
     def longest_lease(self, starts: list[SentStart], now: float) -> float:
         """Return for how many seconds from now a lease of these orders may last."""
         latest = max((self.arrive_until[start] for start in starts), default=NEVER)
@@ -80,3 +111,4 @@
         for start, until in list(self.arrive_until.items()):
             if until < oldest:
                 del self.arrive_until[start]
+                self.inherited.pop(start, None)
--- a/src/egretloft/_internal/fleet/leader.py
+++ b/src/egretloft/_internal/fleet/leader.py
@@ -20,6 +20,7 @@
     FEED_RETRY_SECONDS,
     JOB_PARTITIONS,
     LEASE_SECONDS,
+    MAX_CALL_DELAY_SECONDS,
     MAX_KNOWLEDGE_AGE_SECONDS,
     PARTITION,
     RETENTION_SECONDS,
@@ -39,7 +40,7 @@
     RowDecoder,
     Targets,
 )
-from egretloft._internal.fleet.late_starts import LateStarts
+from egretloft._internal.fleet.late_starts import LateStarts, SentStart
 from egretloft._internal.fleet.loop_delay import create_loop_delay
 from egretloft._internal.fleet.models import (
     OperatorState,
@@ -82,6 +83,8 @@
 MAX_FENCE_WAIT_SECONDS = 60.0
 # A log line names at most this many instances or targets.
 LISTED_INSTANCES = 4
+# Decisions are reviewed this often while a target may run a start of a former leader.
+DOUBT_REVIEW_SECONDS = 0.25
 # A task that has not ended this long after it was cancelled is cancelled again.
 CANCEL_RETRY_SECONDS = 0.2
 
@@ -400,6 +403,7 @@
         for job in self.tables.jobs.values():
             job.known_before_term = True
         self.crash_trials.restore(self.clock.boottime(), self.clock.wall())
+        self.inherit_unanswered_starts()
         self.state_loaded = True
         # Sessions start last: an end that arrives before its job has been read would
         # be acknowledged without effect.
@@ -579,20 +583,49 @@
         """Decide what to start and to preempt, and carry it out."""
         self.decision_needed = False
         pacer = self.orders.pacer
+        in_doubt = self.late_starts.jobs_in_doubt(self.may_run_unheard, now)
         context = TickContext(
             now,
             self.agreed_time.wall(),
             self.recovering,
+            in_doubt,
             max_starts=pacer.free(LAST_PRIORITY),
             max_urgent_starts=pacer.free(RECLAIMING_PRIORITY),
         )
         decisions = self.scheduler.decide(self.operators(), context)
         self.decide_at = now + decisions.review_seconds
+        if in_doubt:
+            self.decide_at = min(self.decide_at, now + DOUBT_REVIEW_SECONDS)
         for reclaim in decisions.reclaims:
             self.runs.preempt(reclaim, now)
         for placement in decisions.placements:
             self.runs.start_step(placement)
 
+    def may_run_unheard(self, start: SentStart, outlived: bool) -> bool:
+        """Return whether a silent target may run a start that a former leader sent.
+
+        Not if the start was lost with the target's link, unless its registration tells
+        that it has restarted: copies may then have reached the new incarnation.
+        """
+        target = self.tables.targets.get(start.target_id)
+        if target is None:
+            return outlived
+        if target.has_answered:
+            return False
+        registered_ms = target.report.incarnation_ms
+        return outlived or registered_ms not in (0, start.incarnation_ms)
+
+    def inherit_unanswered_starts(self) -> None:
+        """Take over the starts that former leaders sent and had no answer to."""
+        now, wall = self.clock.boottime(), self.clock.wall()
+        for job in self.tables.jobs.values():
+            for run, start in job.unanswered.items():
+                # The time of day may have jumped since.
+                left = min(start.arrives_until - wall, MAX_CALL_DELAY_SECONDS)
+                sent = SentStart(start.target_id, start.incarnation_ms, run)
+                self.late_starts.inherit(sent, now + left, start.outlived)
+        self.late_starts.forget_old(now)
+
     def update_recovery(self, now: float) -> None:
         """End the recovery once no unknown run of an earlier term can be active.
 
--- a/src/egretloft/_internal/fleet/orders.py
+++ b/src/egretloft/_internal/fleet/orders.py
@@ -27,7 +27,8 @@
     TargetFailure,
     TargetFailureKind,
 )
-from egretloft._internal.fleet.sessions import TermOwner
+from egretloft._internal.fleet.records import UnansweredStart
+from egretloft._internal.fleet.sessions import TermOwner, note_outlived_starts
 from egretloft._internal.fleet.tables import FleetTables, RunPhase, RunRow, TargetRow
 from egretloft._internal.fleet.target_health import quarantine
 from egretloft._internal.metrics import Metrics
@@ -131,8 +132,35 @@
         else:
             until = sent + timeout + MAX_CALL_DELAY_SECONDS
             target.watched_until = max(target.watched_until, until)
+            if start.run not in target.unanswered:
+                target.unanswered.append(start.run)
+            self.store_unanswered(start, until)
+        if is_answered(result):
+            note_outlived_starts(self.owner, self.tables, target)
         return result
 
+    def store_unanswered(self, start: SentStart, until: float) -> None:
+        """Let the store tell a later leader of a start whose copies may arrive late.
+
+        ``until`` is in seconds of the boot-time clock.
+        """
+        task = start.run.task
+        job = self.tables.jobs.get(task.step.job_id)
+        if job is None:
+            return
+        wall = self.clock.wall()
+        record = UnansweredStart(
+            start.target_id,
+            start.incarnation_ms,
+            task.step.occurrence,
+            task.step.step,
+            task.index,
+            start.run.attempt,
+            wall + until - self.clock.boottime(),
+        )
+        job.note_unanswered(start.run, record, wall)
+        self.owner.on_job_changed(job)
+
     def avoid_silent_target(self, target: TargetRow, run: RunRow) -> None:
         """Let the task, and others for a while, use other targets than a silent one.
 
--- a/src/egretloft/_internal/fleet/records.py
+++ b/src/egretloft/_internal/fleet/records.py
@@ -90,14 +90,37 @@
         return bool(self.done or self.failed or self.saved or held)
 
 
+@dataclass(slots=True, frozen=True)
+class UnansweredStart:
+    """A start order without an answer, of which a copy may arrive late.
+
+    It was sent to one incarnation of a target. ``arrives_until`` is in seconds of the
+    time of day. ``outlived`` tells that the target has answered other calls since, so
+    the start is not lost with the target's link.
+    """
+
+    target_id: str
+    incarnation_ms: int
+    occurrence: int
+    step: int
+    task: int
+    attempt: int
+    arrives_until: float
+    outlived: bool = False
+
+
 @dataclass(slots=True)
 class JobProgress:
-    """State of a job; the leader writes it before it acknowledges ends to targets."""
+    """State of a job; the leader writes it before it acknowledges ends to targets.
+
+    ``unanswered`` tells a later leader which starts it may still see carried out.
+    """
 
     state: JobState
     started: bool = False
     finished_at_ms: int = 0
     steps: list[StepProgress] = field(default_factory=list)
+    unanswered: list[UnansweredStart] = field(default_factory=list)
 
 
 @dataclass(slots=True, frozen=True)
--- a/src/egretloft/_internal/fleet/scheduler.py
+++ b/src/egretloft/_internal/fleet/scheduler.py
@@ -88,6 +88,8 @@
     for job_id, job in list(tables.startable_jobs.items()):
         if context.recovering and job.known_before_term:
             continue
+        if job_id in context.in_doubt:
+            continue
         waiting = False
         for step in open_steps(job, context.wall * MILLISECONDS, context.now):
             if is_startable(step):
--- a/src/egretloft/_internal/fleet/sessions.py
+++ b/src/egretloft/_internal/fleet/sessions.py
@@ -144,6 +144,21 @@
         """Return the timeout of a call, extended if the event loop is late."""
 
 
+def note_outlived_starts(
+    owner: TermOwner, tables: FleetTables, target: TargetRow
+) -> None:
+    """Let the store tell that a target has answered since its unanswered starts.
+
+    So they were not lost with its link.
+    """
+    for run in target.unanswered:
+        job = tables.jobs.get(run.task.step.job_id)
+        if job is not None:
+            job.note_outlived(run)
+            owner.on_job_changed(job)
+    target.unanswered.clear()
+
+
 class TargetSession:
     """Renews the lease of one target and applies its answers to the tables."""
 
@@ -389,6 +404,7 @@
         target.is_readable = not answer.unreadable
         target.listed_ends = len(answer.ends)
         target.lists_all_ends = answer.lists_all_ends
+        note_outlived_starts(self.owner, self.tables, target)
         self.apply_ends(answer)
         self.apply_active_runs(answer, now)
         self.apply_missing_runs(answer, sent)
--- a/src/egretloft/_internal/fleet/tables.py
+++ b/src/egretloft/_internal/fleet/tables.py
@@ -4,7 +4,7 @@
 
 import heapq
 import math
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from enum import StrEnum
 
 from egretloft._internal.fleet.clocks import TargetClock
@@ -25,6 +25,7 @@
     RunPlace,
     StepProgress,
     SuspectedStarts,
+    UnansweredStart,
 )
 
 MILLISECONDS = 1000.0
@@ -201,7 +202,8 @@
 
     ``recorded`` is the state that the store holds, ``progress_version`` the version of
     that row. ``known_before_term`` marks jobs that were read when the leader's term
-    began. ``runs`` holds the job's runs on all targets.
+    began. ``runs`` holds the job's runs on all targets. ``unanswered`` are the starts
+    of which a copy may arrive late, also after the job has ended.
     """
 
     accepted: AcceptedJob
@@ -216,11 +218,26 @@
     steps: dict[StepKey, StepRow] = field(default_factory=dict)
     runs: dict[RunKey, RunRow] = field(default_factory=dict)
     known_before_term: bool = False
+    unanswered: dict[RunKey, UnansweredStart] = field(default_factory=dict)
 
     def mark_changed(self) -> None:
         """Mark the job's progress row as out of date, so that it is written."""
         self.changes += 1
 
+    def note_unanswered(self, run: RunKey, start: UnansweredStart, wall: float) -> None:
+        """Note a start without an answer; forget those that cannot arrive any more."""
+        for key, earlier in list(self.unanswered.items()):
+            if earlier.arrives_until < wall:
+                del self.unanswered[key]
+        known = self.unanswered.get(run, start)
+        self.unanswered[run] = replace(start, outlived=known.outlived)
+
+    def note_outlived(self, run: RunKey) -> None:
+        """Note that the target has answered since a start without an answer."""
+        start = self.unanswered.get(run)
+        if start is not None:
+            self.unanswered[run] = replace(start, outlived=True)
+
     def is_dirty(self) -> bool:
         """Return whether the job's progress row in the store is out of date."""
         return self.changes != self.recorded_changes
@@ -278,7 +295,13 @@
             entry.suspected = row.suspected_starts()
             if entry.holds_progress():
                 steps.append(entry)
-        return JobProgress(self.state, self.started, self.finished_at_ms, steps)
+        return JobProgress(
+            self.state,
+            self.started,
+            self.finished_at_ms,
+            steps,
+            list(self.unanswered.values()),
+        )
 
     def restore(self, progress: JobProgress) -> None:
         """Load the progress that an earlier leader stored."""
@@ -286,6 +309,10 @@
         self.recorded = progress.state
         self.started = progress.started
         self.finished_at_ms = progress.finished_at_ms
+        for start in progress.unanswered:
+            step = StepKey(self.accepted.job_id, start.occurrence, start.step)
+            run = RunKey(TaskKey(step, start.task), start.attempt)
+            self.unanswered[run] = start
         for entry in progress.steps:
             key = StepKey(self.accepted.job_id, entry.occurrence, entry.step)
             row = self.step(key)
@@ -337,7 +364,8 @@
     ``reports_since_failure`` counts what the target has registered since, in the same
     incarnation. ``restarted_at`` is when a later incarnation was first heard of, and
     ``former_answer`` the last answer of the one before. Until ``watched_until``
-    the target is asked even if it has no runs.
+    the target is asked even if it has no runs. ``unanswered`` are the starts without an
+    answer since its last answer.
     ``in_use`` is the sum of the resources of ``runs``, including runs that are being
     stopped; both are changed by ``FleetTables`` only.
     """
@@ -376,6 +404,7 @@
     former_answer: float = 0.0
     failure_explained: bool = False
     watched_until: float = -math.inf
+    unanswered: list[RunKey] = field(default_factory=list)
 
     def is_report_current(self) -> bool:
         """Return whether the incarnation that answers is the one that has registered.
