Wait for late copies on a silent target after its lease has ended (TWICE)

Callers could see a task run twice without a change of leader: a target fell silent, its lease ended and the task started elsewhere; the target had restarted unheard, and carried out a late copy of the first start.

Cause: the end of the lease says what the incarnation that was known runs, not what a copy may begin on the next.

Change: runs of which a copy without an answer may still arrive are kept until it cannot any more, unless nothing was heard of the target since the start, as it was lost with the link then.

Failed before: test_copy_of_a_start_does_not_run_on_a_target_that_restarts_unheard.

--- a/src/egretloft/_internal/fleet/sessions.py
+++ b/src/egretloft/_internal/fleet/sessions.py
@@ -27,7 +27,7 @@
     note_return,
 )
 from egretloft._internal.fleet.interfaces import FleetClock, Targets
-from egretloft._internal.fleet.late_starts import LateStarts
+from egretloft._internal.fleet.late_starts import LateStarts, SentStart
 from egretloft._internal.fleet.lifecycle import (
     add_late_start,
     adopt_run,
@@ -658,14 +658,31 @@
         return clock.target_ms > run.order_expires_ms
 
     def check_lease(self) -> None:
-        """Remove the runs of an unreachable target once its lease has expired."""
+        """Remove the runs of an unreachable target once its lease has expired.
+
+        Those of which a copy may still arrive after a restart are kept until then.
+        """
         target = self.target
         if target.failed_renewals < MAX_FAILED_RENEWALS:
             return
         if not target.runs:
             self.owner.on_target_idle(target)
         elif self.lease_has_expired():
-            self.lose_all_runs("lease expired")
+            for run in list(target.runs.values()):
+                if not self.may_run_copy(run):
+                    self.lose_run(run, "lease expired", crashed=True)
+
+    def may_run_copy(self, run: RunRow) -> bool:
+        """Return whether the silent target may have restarted and run a late copy.
+
+        Not if no copy of the start is without an answer, or if nothing was heard of the
+        target since: the start was lost with its link then.
+        """
+        start = run.job.unanswered.get(run.key) if run.job is not None else None
+        if start is None or not start.outlived:
+            return False
+        sent = SentStart(run.target_id, start.incarnation_ms, run.key)
+        return self.owner.late_starts.may_run(sent, self.clock.boottime())
 
     def lease_has_expired(self) -> bool:
         """Return whether what the target ran has certainly ended by now.
--- a/tests/unit/fleet/test_late_starts.py
+++ b/tests/unit/fleet/test_late_starts.py
@@ -173,6 +173,28 @@
     run_virtual(main())
 
 
+@pytest.mark.parametrize("seed", SEEDS)
+def test_copy_of_a_start_does_not_run_on_a_target_that_restarts_unheard(
+    seed: int,
+) -> None:
+    """Guards against a copy on a target that is cut off as soon as it is back."""
+
+    async def main() -> None:
+        world = await start_world(seed)
+        await submit_with_late_orders(
+            world, LONG_WORK_SECONDS, late_seconds=FIRST_COPY_SECONDS
+        )
+        await asyncio.sleep(SETTLED_SECONDS)
+        [used] = [target for target in world.targets.values() if target.runs]
+        used.crash()
+        used.cut = True
+        await asyncio.sleep(ALL_COPIES_SECONDS)
+        used.cut = False
+        await finish(world)
+
+    run_virtual(main())
+
+
 class FullTargets:
     """Targets that have no room for any start."""
 
--- a/tools/standins/fleet/targets.py
+++ b/tools/standins/fleet/targets.py
@@ -63,8 +63,8 @@
     Faults: ``cut`` and ``silent`` let calls time out, and while ``cut`` the target does
     not register either. While it is paused, calls wait and it does not register. With
     ``fails_all`` every run fails, and with ``stalls_all`` no run makes progress. With
-    ``loses_starts`` no start arrives, while all other calls are answered; starts are
-    answered ``start_answer_delay_seconds`` late.
+    ``loses_starts`` no start arrives, while all other calls are answered, and with
+    ``loses_stops`` no stop; starts are answered ``start_answer_delay_seconds`` late.
 
     It lists the first ``max_listed_ends`` of the ends that are not acknowledged.
     """
@@ -94,17 +94,21 @@
         self.all_targets = all_targets
         self.clock_offset_ms = clock_offset_ms
         self.clock_rate = 0.98
+        self.max_lease_seconds = MAX_LEASE_SECONDS
         self.incarnation_ms = 1
         # The label that tells targets apart; a restart may change it.
         self.kind = "a"
         self.reset_state()
         self.cut = False
         self.silent = False
+        # Whether it has crashed and is not back.
+        self.down = False
         self.resumed = asyncio.Event()
         self.resumed.set()
         self.fails_all = False
         self.stalls_all = False
         self.loses_starts = False
+        self.loses_stops = False
         self.start_answer_delay_seconds = 0.0
         self.max_listed_ends = MAX_LISTED_ENDS
         self.draining = False
@@ -164,12 +168,12 @@
     def crash_for(self, seconds: float) -> None:
         """Crash, and return as a new incarnation after ``seconds``."""
         self.crash()
-        self.cut = True
+        self.cut = self.down = True
         asyncio.get_running_loop().call_later(seconds, self.come_back)
 
     def come_back(self) -> None:
         """Answer and register again."""
-        self.cut = False
+        self.cut = self.down = False
 
     def crash_by(self, run: RunTruth) -> None:
         """Crash because of a run, if it has not ended."""
@@ -229,7 +233,7 @@
 
     def extend(self, expires_ms: float) -> None:
         """Extend the lease up to the longest allowed term; never shorten it."""
-        latest = self.time_ms() + MAX_LEASE_SECONDS * 1000
+        latest = self.time_ms() + self.max_lease_seconds * 1000
         self.lease_ms = max(self.lease_ms, min(expires_ms, latest))
         if self.lease_timer is not None:
             self.lease_timer.cancel()
@@ -343,8 +347,9 @@
 
     def end(self, run: RunTruth, kind: EndKind) -> None:
         """End a run and keep the end until it is acknowledged."""
-        if self.runs.pop(run.key, None) is None:
+        if self.runs.get(run.key) is not run:
             return
+        del self.runs[run.key]
         task = run.key.task
         self.ended_attempts[task] = max(
             run.key.attempt, self.ended_attempts.get(task, 0)
@@ -494,11 +499,14 @@
     ) -> None:
         """Carry out an order after a random delay.
 
-        One to a target that crashes first is lost, unless it is to outlive that.
+        One to a target that crashes first is lost, unless it is to outlive that and the
+        target is back.
         """
         incarnation_ms = target.incarnation_ms
         await asyncio.sleep(self.generator.uniform(*LATE_ORDER_DELAY_SECONDS))
         is_same = target.incarnation_ms == incarnation_ms
+        if target.down:
+            return
         if is_same or self.late_orders_outlive_crashes:
             action()
 
@@ -545,6 +553,9 @@
         reached = await self.reach(target, timeout_seconds)
         if reached is None:
             return no_answer()
+        if reached.loses_stops:
+            await asyncio.sleep(timeout_seconds)
+            return no_answer()
         if self.is_late():
             self.postpone(reached, lambda: reached.stop(run, epoch))
             await asyncio.sleep(timeout_seconds)
