Start no task again before the stop of its late copy is confirmed (TWICE)

Callers could see a task run twice: a target that had restarted was told to stop a late copy of a start, the stop had no answer, and the task started elsewhere meanwhile.

Cause: such a start was added to the target only, not as the run of its task, so the task counted as waiting.

Change: it becomes the task's run until the stop is confirmed, unless the task was started again already.

Failed before: test_task_waits_until_the_stop_of_a_late_copy_is_confirmed.

--- a/src/egretloft/_internal/fleet/lifecycle.py
+++ b/src/egretloft/_internal/fleet/lifecycle.py
@@ -289,12 +289,15 @@
 ) -> RunRow:
     """Add a start that a target may still carry out; its task has been given up there.
 
-    It does not become the task's run, so it is not needed whatever becomes of it.
+    The task does not start elsewhere before the start is known to be stopped, unless it
+    has been started again already.
     """
     run = unknown_run(tables, target, key, RunPhase.STARTING, now)
     # When it starts, if it does, is not known.
     run.adopted = True
     tables.add_run(target, run)
+    if run.task is not None and run.task.run is None:
+        run.task.run = run
     return run
 
 
--- a/tests/unit/fleet/test_late_starts.py
+++ b/tests/unit/fleet/test_late_starts.py
@@ -195,6 +195,28 @@
     run_virtual(main())
 
 
+@pytest.mark.parametrize("seed", SEEDS)
+def test_task_waits_until_the_stop_of_a_late_copy_is_confirmed(seed: int) -> None:
+    """Guards against a copy on a target that never got the stop of it."""
+
+    async def main() -> None:
+        world = await start_world(seed)
+        await submit_with_late_orders(
+            world, LONG_WORK_SECONDS, late_seconds=FIRST_COPY_SECONDS
+        )
+        await asyncio.sleep(SETTLED_SECONDS / 4)
+        [used] = [target for target in world.targets.values() if target.runs]
+        used.crash()
+        used.loses_stops = True
+        await asyncio.sleep(SETTLED_SECONDS)
+        used.cut = True
+        await asyncio.sleep(ALL_COPIES_SECONDS)
+        used.cut = used.loses_stops = False
+        await finish(world)
+
+    run_virtual(main())
+
+
 class FullTargets:
     """Targets that have no room for any start."""
 
