Send stops and remove members in an order that does not follow hashes

Cause: two loops that send orders went over sets of strings, whose order depends on the hash seed of the process. Change: they go over a list and a sorted list.

Failed before: test_course_of_a_storm_does_not_depend_on_hashes.

--- a/src/egretloft/_internal/fleet/instance.py
+++ b/src/egretloft/_internal/fleet/instance.py
@@ -361,7 +361,7 @@
             if term.epoch != epoch:
                 epoch = term.epoch
                 self.member_expiry = create_member_expiry()
-            others = self.members.keys() - {self.identity.instance_id}
+            others = sorted(self.members.keys() - {self.identity.instance_id})
             now = self.clock.boottime()
             alive = self.peers.alive_ids()
             for gone in self.member_expiry.expired(others, alive, now):
--- a/src/egretloft/_internal/fleet/sessions.py
+++ b/src/egretloft/_internal/fleet/sessions.py
@@ -450,7 +450,7 @@
             answer.incarnation_ms,
             target.last_answer - RENEWAL_TIMEOUT_SECONDS,
         )
-        late = {s.run for s in sent_before if late_starts.may_arrive(s, now)}
+        late = [s.run for s in sent_before if late_starts.may_arrive(s, now)]
         for run in list(target.runs.values()):
             if run.key in listed_runs or run.incarnation_ms == answer.incarnation_ms:
                 run.order_expires_ms = start_expires_ms
@@ -458,7 +458,9 @@
                 self.lose_run(run, "target restarted", crashed=True)
             elif run.order_expires_ms:
                 self.stop_unconfirmed_start(run, answer)
-        for key in late - listed_runs - target.runs.keys():
+        for key in late:
+            if key in listed_runs or key in target.runs:
+                continue
             run = add_late_start(self.tables, target, key, now)
             self.stop_unconfirmed_start(run, answer)
         lease_seconds = late_starts.longest_lease(sent_before, now)
