Weigh an unconfirmed trial less after a takeover (LOST)

Callers could see a sound job as failed: a trial that no target had listed weighed half for the leader that began it, and was held in full by the next one.

Cause: whether a target has listed the run was known to the sending leader only. Change: it is stored with the trial's place. Rows of earlier releases count as confirmed, as before.

--- a/src/egretloft/_internal/fleet/crash_trials.py
+++ b/src/egretloft/_internal/fleet/crash_trials.py
@@ -105,6 +105,20 @@
             neighbour.watched_until = now + WATCH_SECONDS
             self.wake_session(neighbour.report.target_id)
 
+    def on_confirmed(self, run: RunRow) -> None:
+        """Record that the target of a trial has listed its run."""
+        if run.task is None or run.job is None:
+            return
+        place = run.task.unresolved.get(run.key.attempt)
+        if place is None or place.confirmed:
+            return
+        place = replace(place, confirmed=True)
+        run.task.unresolved[run.key.attempt] = place
+        for suspicion in self.open:
+            if suspicion.task is run.task and suspicion.attempt == run.key.attempt:
+                suspicion.place = place
+        self.on_job_changed(run.job)
+
     def nearby_targets(self, target: TargetRow) -> list[TargetRow]:
         """Return the usable targets of the same zone, those of the same rack first."""
         report = target.report
@@ -262,7 +276,9 @@
         """
         task = suspicion.task
         del task.unresolved[suspicion.attempt]
-        conclusive = suspicion.place.conclusive and not self.awaits_others(suspicion)
+        place = suspicion.place
+        proven = place.conclusive and place.confirmed
+        conclusive = proven and not self.awaits_others(suspicion)
         held = task.crashed if conclusive else task.inconclusive
         held.add(suspicion.attempt)
         self.metrics.count("crashes_at_start", conclusive=str(conclusive).lower())
@@ -274,6 +290,7 @@
             conclusive=conclusive,
             trial=suspicion.trial,
             inherited=suspicion.inherited,
+            confirmed=place.confirmed,
         )
         update_state(suspicion.job)
         self.on_job_changed(suspicion.job)
@@ -296,6 +313,7 @@
     return RunPlace(
         *(report.target_id, report.address, run.incarnation_ms),
         conclusive=run.on_steady_target,
+        confirmed=run.confirmed,
     )
 
 
--- a/src/egretloft/_internal/fleet/leader.py
+++ b/src/egretloft/_internal/fleet/leader.py
@@ -273,6 +273,10 @@
         """Note that the target of a run may have crashed because of its start."""
         self.crash_trials.on_lost(run, self.clock.boottime(), self.clock.wall())
 
+    def on_run_confirmed(self, run: RunRow) -> None:
+        """Note that a target has listed a run for the first time."""
+        self.crash_trials.on_confirmed(run)
+
     def on_target_changed(self, target: TargetRow) -> None:
         """Wake the session of a target that restarted or moved."""
         self.wake_session(target.report.target_id)
--- a/src/egretloft/_internal/fleet/records.py
+++ b/src/egretloft/_internal/fleet/records.py
@@ -40,7 +40,8 @@
 
     ``conclusive`` tells that a crash of the target would have no other explanation, as
     far as is known. ``lost_at`` is when the run was given up, in seconds of the time of
-    day; 0 if it was not.
+    day; 0 if it was not. ``confirmed`` tells that the target has listed the run, so
+    that the start has certainly arrived; earlier releases did not store that.
     """
 
     target_id: str
@@ -48,6 +49,7 @@
     incarnation_ms: int
     conclusive: bool = False
     lost_at: float = 0.0
+    confirmed: bool = True
 
 
 # Where a start was sent that an earlier release has stored.
--- a/src/egretloft/_internal/fleet/sessions.py
+++ b/src/egretloft/_internal/fleet/sessions.py
@@ -125,6 +125,9 @@
     def on_crash_suspected(self, run: RunRow) -> None:
         """Note that the target of a run may have crashed because of its start."""
 
+    def on_run_confirmed(self, run: RunRow) -> None:
+        """Note that a target has listed a run for the first time."""
+
     def on_target_idle(self, target: TargetRow) -> None:
         """Note that an unreachable target certainly runs nothing."""
 
@@ -602,12 +605,14 @@
                 job = self.tables.jobs.get(active.run.task.step.job_id)
                 if job is not None and job.state is JobState.ACTIVE:
                     self.owner.on_job_changed(job)
+                self.owner.on_run_confirmed(run)
                 self.owner.wake_scheduler()
             if run.phase is RunPhase.STARTING:
                 run.phase = RunPhase.ACTIVE
             if not run.confirmed:
                 run.confirmed = True
                 run.confirmed_at = now
+                self.owner.on_run_confirmed(run)
             run.times_missing = 0
             run.reported_at = now
             self.clear_suspicion(run, now)
--- a/tests/lib/fleet_builders.py
+++ b/tests/lib/fleet_builders.py
@@ -6,6 +6,7 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
+from egretloft._internal.fleet.crash_trials import CrashTrials, create_crash_trials
 from egretloft._internal.fleet.election import Election, create_election
 from egretloft._internal.fleet.interfaces import FleetClock, RowStore, Targets
 from egretloft._internal.fleet.models import (
@@ -26,6 +27,7 @@
     TargetRow,
     TaskRow,
 )
+from egretloft._internal.metrics import create_metrics
 from egretloft._internal.models.members import Member
 from lib.peer_fakes import PeerHub, create_fake_peers
 from standins.fleet.cuts import ZoneCuts
@@ -206,6 +208,11 @@
     return job.step(StepKey(job.accepted.job_id, 0, step)).tasks[index]
 
 
+def build_trials(tables: FleetTables) -> CrashTrials:
+    """Return trials that tell nobody of changes."""
+    return create_crash_trials(tables, create_metrics(), lambda _: None, lambda _: None)
+
+
 def run_task(
     tables: FleetTables,
     target: TargetRow,
--- a/tests/lib/term_owner.py
+++ b/tests/lib/term_owner.py
@@ -40,6 +40,9 @@
     def on_crash_suspected(self, run: RunRow) -> None:
         """Do nothing."""
 
+    def on_run_confirmed(self, run: RunRow) -> None:
+        """Do nothing."""
+
     def on_target_idle(self, target: TargetRow) -> None:
         """Do nothing."""
 
--- a/tests/unit/fleet/test_suspect_waits.py
+++ b/tests/unit/fleet/test_suspect_waits.py
@@ -7,16 +7,16 @@
 
 import pytest
 
-from egretloft._internal.fleet.crash_trials import CrashTrials, create_crash_trials
+from egretloft._internal.fleet.crash_trials import CrashTrials
 from egretloft._internal.fleet.decisions import TickContext
 from egretloft._internal.fleet.scheduler import Scheduler
 from egretloft._internal.fleet.tables import FleetTables, JobRow, TargetRow, TaskRow
-from egretloft._internal.metrics import create_metrics
 from lib.fleet_builders import (
     SMALL,
     add_job,
     build_tables,
     build_target,
+    build_trials,
     first_task,
     run_task,
     single_step,
@@ -75,9 +75,7 @@
     step.ready_at = NOW - 10.0
     step.suspected = True
     task.crashed = {1}
-    trials = create_crash_trials(
-        tables, create_metrics(), lambda _: None, lambda _: None
-    )
+    trials = build_trials(tables)
     lose_trial(tables, trials, targets[0], task)
     targets[0].reachable = target_is_back
     if target_is_back:
--- a/tests/unit/fleet/test_suspicions.py
+++ b/tests/unit/fleet/test_suspicions.py
@@ -9,7 +9,7 @@
 
 from egretloft._internal import codec
 from egretloft._internal.fleet.crash_suspects import is_settled
-from egretloft._internal.fleet.crash_trials import CrashTrials, create_crash_trials
+from egretloft._internal.fleet.crash_trials import CrashTrials
 from egretloft._internal.fleet.lifecycle import apply_end
 from egretloft._internal.fleet.models import EndKind, JobState, RunEnd
 from egretloft._internal.fleet.records import JobProgress, StepProgress
@@ -20,12 +20,12 @@
     TargetRow,
     TaskRow,
 )
-from egretloft._internal.metrics import create_metrics
 from lib.fleet_builders import (
     SMALL,
     add_job,
     build_tables,
     build_target,
+    build_trials,
     first_task,
     run_task,
     single_step,
@@ -58,9 +58,7 @@
         self.target.incarnation_ms = self.other.incarnation_ms = BORN_MS
         self.job: JobRow = add_job(self.tables, 1, single_step(1))
         self.task: TaskRow = first_task(self.job)
-        self.trials: CrashTrials = create_crash_trials(
-            self.tables, create_metrics(), lambda _: None, lambda _: None
-        )
+        self.trials: CrashTrials = build_trials(self.tables)
         self.run: RunRow = run_task(
             self.tables, self.target, self.task, SMALL, attempt=attempt, started_at=NOW
         )
@@ -190,9 +188,7 @@
     tables = build_tables(lost.target)
     job = add_job(tables, 1, single_step(1))
     job.restore(codec.decode(row, JobProgress).unwrap())
-    trials = create_crash_trials(
-        tables, create_metrics(), lambda _: None, lambda _: None
-    )
+    trials = build_trials(tables)
     trials.restore(LATER, WALL + 3.0)
     restart(lost)
     trials.review(LATER + 5.0)
@@ -206,9 +202,7 @@
     job = add_job(tables, 1, single_step(1))
     entry = StepProgress(0, 0, crashed={0: [1]}, unresolved={0: [2, 3]})
     job.restore(JobProgress(JobState.ACTIVE, True, 0, [entry]))
-    trials = create_crash_trials(
-        tables, create_metrics(), lambda _: None, lambda _: None
-    )
+    trials = build_trials(tables)
     trials.restore(NOW, WALL)
     trials.review(NOW + 100.0)
     task = first_task(job)
