Clear room elsewhere at once if the cleared room is taken (RECLAIM)

Callers saw an urgent gang within its guarantee begin up to 0.3 s too late: room that was cleared for it was taken by another urgent gang, which is served before it.

Cause: the gang then fitted on its pinned targets no longer, counted as too costly, and cleared nothing else until the pins ended, 2 s after its last stops.

Change: if the pinned targets do not hold the step, room is cleared on any.

Failed before: test_gang_whose_cleared_room_is_taken_clears_other_room_at_once.

--- a/src/egretloft/_internal/fleet/reclaiming.py
+++ b/src/egretloft/_internal/fleet/reclaiming.py
@@ -270,23 +270,18 @@
     entitled = claim.guarantees is not None
     # A reservation also pins its targets, but other ones may be cheaper to clear.
     pinned = pinned_targets(step, targets, now) if now < step.reclaimed_until else []
-    capacities = preemptible.unreserved(
-        pinned or targets, claim, reserved, required_resources(step.spec)
-    )
-    reclaim = cheapest_reclaim(
-        preemptible.lost_work_cache,
-        step,
-        capacity_groups(step, capacities, spread, entitled),
-        reserved,
-        claim,
-    )
+    reclaim: Reclaim | None = None
+    if pinned:
+        reclaim = cheapest_reclaim_on(
+            preemptible, step, pinned, reserved, claim, spread
+        )
     if reclaim is None:
-        # If only the pinned targets were tried, the step may still fit on others.
-        return (
-            NoReclaimReason.TOO_COSTLY
-            if pinned
-            else NoReclaimReason.INSUFFICIENT_RESOURCES
+        # What was cleared on the pinned targets may have been taken by other steps.
+        reclaim = cheapest_reclaim_on(
+            preemptible, step, targets, reserved, claim, spread
         )
+    if reclaim is None:
+        return NoReclaimReason.INSUFFICIENT_RESOURCES
     if not entitled and reclaim.lost_work > expected_work(step) * MAX_LOSS_RATIO:
         return NoReclaimReason.TOO_COSTLY
     if reclaim.victims:
@@ -295,6 +290,22 @@
     return reclaim
 
 
+def cheapest_reclaim_on(
+    preemptible: PreemptibleCapacity,
+    step: StepRow,
+    targets: list[TargetRow],
+    reserved: dict[str, Resources],
+    claim: Claim,
+    spread: bool,
+) -> Reclaim | None:
+    """Return the reclaim with the lowest cost on some targets, ``None`` without one."""
+    capacities = preemptible.unreserved(
+        targets, claim, reserved, required_resources(step.spec)
+    )
+    groups = capacity_groups(step, capacities, spread, claim.guarantees is not None)
+    return cheapest_reclaim(preemptible.lost_work_cache, step, groups, reserved, claim)
+
+
 def capacity_groups(
     step: StepRow, capacities: list[FreeCapacity], spread: bool, entitled: bool
 ) -> list[list[FreeCapacity]]:
--- a/tests/unit/fleet/test_placing.py
+++ b/tests/unit/fleet/test_placing.py
@@ -403,6 +403,29 @@
     assert [job for job, _ in started(decide(tables))] == [job_id(4)]
 
 
+def test_gang_whose_cleared_room_is_taken_clears_other_room_at_once() -> None:
+    """Guards against an entitled gang that waits for the end of its pins.
+
+    Another urgent gang, which is served before it, takes one of two cleared targets.
+    """
+    targets = [build_target(n) for n in range(3)]
+    tables = build_tables(*targets)
+    for number, target in enumerate(targets, start=1):
+        fill(target, tables, number, 8)
+    waiting = add_urgent(tables, 4, single_step(2, WHOLE, gang=True))
+    assert len(decide(tables).stops) == 16
+    pinned = first_step(waiting).pinned_target_ids
+    for target_id in pinned:
+        target = tables.targets[target_id]
+        for run in list(target.runs.values()):
+            tables.remove_run(target, run)
+    taken = tables.targets[min(pinned)]
+    other = add_job(tables, 5, single_step(1, WHOLE), priority=0)
+    run_task(tables, taken, first_task(other), WHOLE, 0, started_at=NOW)
+    assert len(decide(tables).stops) == 8
+    assert taken.report.target_id not in first_step(waiting).pinned_target_ids
+
+
 def test_step_that_waited_may_use_a_quarantined_target() -> None:
     """Guards against a job that never starts as its only target is in quarantine."""
     target = build_target(0)
