Play returning targets in the soak, beside takeovers and late orders

Targets of the stand-in platform return at their address, whose open connections break.

Ports come from one place for soak and tests, which gives none twice; a daemon that cannot bind names its addresses.

--- a/Makefile
+++ b/Makefile
@@ -33,6 +33,8 @@
 	PYTHONPATH=src:tools $(PYTHON) -m soak --seeds 5
 	PYTHONPATH=src:tools $(PYTHON) -m soak --cuts --instances 6 --targets 9 --seeds 5
 	PYTHONPATH=src:tools $(PYTHON) -m soak --lapses --instances 6 --targets 9 --seconds 30 --seeds 5
+	PYTHONPATH=src:tools $(PYTHON) -m soak --returns --instances 6 --targets 9 --seconds 20 --seeds 5
+	PYTHONPATH=src:tools $(PYTHON) -m soak --returns --late --instances 6 --targets 9 --seconds 20 --seeds 5
 
 bench: $(STAMP)
 	PYTHONPATH=tools $(PYTHON) -m bench
--- a/src/egretloft/_internal/daemon/run.py
+++ b/src/egretloft/_internal/daemon/run.py
@@ -33,7 +33,12 @@
         listener = open_listener(settings.http_host, settings.http_port)
         instance = await create_instance(settings, listener.getsockname()[1])
     except OSError as error:
-        log.error("address cannot be bound", error=str(error))
+        log.error(
+            "address cannot be bound",
+            error=str(error),
+            http=f"{settings.http_host}:{settings.http_port}",
+            peers=f"{settings.peer_host}:{settings.peer_port}",
+        )
         return EXIT_BIND_FAILED
     runner = web.AppRunner(create_routes(instance), access_log=None)
     await runner.setup()
--- a/tests/functional/test_soak.py
+++ b/tests/functional/test_soak.py
@@ -7,10 +7,12 @@
 
 import pytest
 
+from egretloft._internal.fleet.models import JobSpec, Resources, StepSpec
 from soak.cuts import CutSoak
 from soak.lapses import LapseSoak
+from soak.returns import ReturnSoak
 from soak.run import Soak
-from standins.fleet.checker import CRASHES_LIMIT
+from standins.fleet.checker import CRASHES_LIMIT, JobTruth
 
 SECONDS = 6.0
 # A seed that failed once stays here, with a line on its cause.
@@ -31,6 +33,8 @@
 LAPSE_SEEDS = (2,)
 CRASH_SECONDS = 6.0
 CRASH_SEEDS = (2,)
+RETURN_SECONDS = 12.0
+RETURN_SEEDS = (1,)
 
 
 @pytest.mark.parametrize("seed", SEEDS)
@@ -102,3 +106,28 @@
     assert report.violations == []
     assert max(soak.checker.crashes.values()) >= CRASHES_LIMIT
     assert report.failed > 0
+
+
+@pytest.mark.parametrize("seed", RETURN_SEEDS)
+async def test_no_task_runs_twice_as_targets_return_and_are_cut_off(
+    seed: int, tmp_path: Path
+) -> None:
+    """Guards against orders for a former incarnation that the next one carries out."""
+    soak = ReturnSoak(seed, RETURN_SECONDS, tmp_path, instances=4, targets=9)
+    report = await soak.run()
+    assert report.violations == [], report.faults
+    assert report.accepted > 0
+
+
+async def test_jobs_of_full_targets_may_end_as_late_as_their_work_takes(
+    tmp_path: Path,
+) -> None:
+    """Guards against a soak that takes a job for lost which waits for its turn."""
+    soak = ReturnSoak(1, RETURN_SECONDS, tmp_path, instances=3, targets=9)
+    idle_seconds = soak.finish_seconds()
+    step = StepSpec(3, Resources(4000, 8000, 6))
+    truth = JobTruth(JobSpec("payload", (step,)), work_seconds=12.0)
+    soak.accepted = {"open": truth, "ended": truth}
+    soak.ended = {"ended"}
+    # 3 tasks of 6 GPUs work for 12 s; 9 targets have 8 GPUs each.
+    assert soak.finish_seconds() == pytest.approx(idle_seconds + 3.0)
--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -12,6 +12,7 @@
 
 from soak.cuts import CutSoak
 from soak.lapses import LapseSoak
+from soak.returns import LateReturnSoak, ReturnSoak
 from soak.run import Soak
 
 
@@ -35,6 +36,12 @@
     is_flag=True,
     help="Like --cuts, with runs of chosen tasks that lapse again and again.",
 )
+@click.option(
+    "--returns",
+    is_flag=True,
+    help="Like --cuts, with targets that return under their ids and are cut off.",
+)
+@click.option("--late", is_flag=True, help="With --returns: some orders are late.")
 @click.option("--logs", type=click.Path(path_type=Path), default=None)
 def main(
     seed: int | None,
@@ -44,6 +51,8 @@
     targets: int,
     cuts: bool,
     lapses: bool,
+    returns: bool,
+    late: bool,
     logs: Path | None,
 ) -> None:
     """Run seeded soak tests of the real programs and report the violations."""
@@ -56,7 +65,7 @@
             else Path(tempfile.mkdtemp(prefix=f"soak-{number}-"))
         )
         directory.mkdir(parents=True, exist_ok=True)
-        kind = LapseSoak if lapses else CutSoak if cuts else Soak
+        kind = chosen_kind(cuts, lapses, returns, late)
         soak = kind(number, seconds, directory, instances, targets)
         report = asyncio.run(soak.run())
         click.echo(report.line())
@@ -70,5 +79,14 @@
     sys.exit(1 if failed else 0)
 
 
+def chosen_kind(cuts: bool, lapses: bool, returns: bool, late: bool) -> type[Soak]:
+    """Return the soak that the options ask for."""
+    if returns:
+        return LateReturnSoak if late else ReturnSoak
+    if lapses:
+        return LapseSoak
+    return CutSoak if cuts else Soak
+
+
 if __name__ == "__main__":
     main()
--- a/tools/soak/programs.py
+++ b/tools/soak/programs.py
@@ -4,36 +4,19 @@
 
 import asyncio
 import contextlib
-import itertools
 import os
-import random
 import signal
-import socket
 import sys
 from dataclasses import dataclass, field
 from pathlib import Path
 
 import aiohttp
 
+from standins.ports import free_port
+
 ROOT = Path(__file__).resolve().parents[2]
 PROGRAM = ROOT / "deploy" / "egretloft_platform.py"
 READY_TIMEOUT_SECONDS = 15.0
-# Below the ports that the system gives to connections, and of five digits all.
-PORTS = range(10_000, 32_768)
-# In random order, so that soaks beside each other do not take the same ports.
-SHUFFLED_PORTS = itertools.cycle(random.SystemRandom().sample(PORTS, len(PORTS)))
-
-
-def free_port() -> int:
-    """Return a free port that was not returned before.
-
-    No outgoing connection is given it, so it stays free during a restart.
-    """
-    while True:
-        port = next(SHUFFLED_PORTS)
-        with socket.socket() as listener, contextlib.suppress(OSError):
-            listener.bind(("127.0.0.1", port))
-            return port
 
 
 @dataclass(slots=True)
@@ -51,6 +34,7 @@
     start_count: int = 0
     exit_codes: list[int] = field(default_factory=list)
     log_offset: int = 0
+    more_settings: str = ""
 
     @property
     def log_path(self) -> Path:
@@ -65,7 +49,8 @@
             f"bind_addresses.http=127.0.0.1:{self.http_port}\n"
             f"bind_addresses.readiness=127.0.0.1:{self.readiness_port}\n"
             f"port_range={self.peer_port},{self.peer_port}\n"
-            f"platform.address={self.store_address}\nparameters.grace_s=6\n",
+            f"platform.address={self.store_address}\nparameters.grace_s=6\n"
+            f"{self.more_settings}",
             encoding="utf-8",
         )
         return path
--- a/tools/soak/run.py
+++ b/tools/soak/run.py
@@ -415,10 +415,14 @@
         for program in self.programs:
             program.send_signal(signal.SIGCONT)
 
+    def finish_seconds(self) -> float:
+        """Return how long after the last fault all accepted jobs must have ended."""
+        return FINISH_TIMEOUT_SECONDS
+
     async def finish(self, session: aiohttp.ClientSession) -> None:
         """Wait until every accepted job has ended, and check its final state."""
         loop = asyncio.get_running_loop()
-        until = loop.time() + FINISH_TIMEOUT_SECONDS
+        until = loop.time() + self.finish_seconds()
         open_jobs = dict(self.accepted)
         while open_jobs and loop.time() < until:
             for job_id in list(open_jobs):
