Let the clock of the tests' target not follow the uptime of the machine

Cause, a fault of the tests: the stand-in's clock began at 5,000 s plus the uptime of the machine, and the expiry of the starts was a constant 10,000 s, so both failed on a machine that had been up for 85 minutes. Ruled out: a fault of the product; starts that expire are to be refused.

Change: the first clock is set from the tests' constant.

--- a/tests/unit/adapter/test_restarted_runner.py
+++ b/tests/unit/adapter/test_restarted_runner.py
@@ -20,9 +20,9 @@
     TaskKey,
 )
 from egretloft.platform.targets import PlatformTargets, create_platform_targets
-from lib.one_target import serve_one_target
+from lib.one_target import FIRST_CLOCK_MS, serve_one_target
 from standins.fleet.http import HttpPlatform
-from standins.fleet.targets import MAX_LEASE_SECONDS
+from standins.fleet.targets import MAX_LEASE_SECONDS, EmulatedTarget
 
 JOB = "00000000000000aa"
 EPOCH = 1
@@ -32,8 +32,8 @@
 TIMEOUT_SECONDS = 1.0
 MANY_STARTS_TIMEOUT_SECONDS = 5.0
 DOWN_SECONDS = 0.1
-# Far ahead of the clock of an incarnation that has just started.
-FAR_AHEAD_MS = 10_000_000
+# Ahead of the first clock by over an hour, and of a restarted one by far more.
+FAR_AHEAD_MS = 2 * FIRST_CLOCK_MS
 
 
 @pytest.fixture
@@ -158,6 +158,18 @@
     assert len(platform.targets["i-1"].runs) == TASKS
 
 
+@pytest.mark.parametrize("uptime_seconds", [5.2e3, 1e5, 1e8])
+async def test_starts_are_carried_out_however_long_the_machine_has_been_up(
+    uptime_seconds: float, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a constant expiry that the clock of an old machine has passed."""
+    loop = asyncio.get_running_loop()
+    since_now = uptime_seconds - loop.time()
+    monkeypatch.setattr(EmulatedTarget, "now", lambda _: loop.time() + since_now)
+    async with serve_one_target(JOB, TASKS, work_seconds=60.0) as platform:
+        assert await start_at_once(platform, TASKS, TIMEOUT_SECONDS) == []
+
+
 async def test_many_starts_at_once_are_all_carried_out() -> None:
     """Guards against starts given up as others took the connections they opened."""
     async with serve_one_target(JOB, MANY_TASKS, work_seconds=60.0) as platform:
