Remove the time of a run's confirmation, which nothing reads any more

Since whether a run outlives a restart of its target follows from the incarnation that its start was for, and nothing reads RunRow.confirmed_at. Its docstring also said that a run that lasts is never preempted, which has not held since.

--- a/src/egretloft/_internal/fleet/orders.py
+++ b/src/egretloft/_internal/fleet/orders.py
@@ -250,7 +250,6 @@
         if target.clock is not None:
             target.clock.observe(target_ms, now)
         run.confirmed = True
-        run.confirmed_at = now
         run.percent_changed_at = now
         if run.phase is RunPhase.STARTING:
             run.phase = RunPhase.ACTIVE
--- a/src/egretloft/_internal/fleet/sessions.py
+++ b/src/egretloft/_internal/fleet/sessions.py
@@ -611,7 +611,6 @@
                 run.phase = RunPhase.ACTIVE
             if not run.confirmed:
                 run.confirmed = True
-                run.confirmed_at = now
                 self.owner.on_run_confirmed(run)
             run.times_missing = 0
             run.reported_at = now
--- a/src/egretloft/_internal/fleet/tables.py
+++ b/src/egretloft/_internal/fleet/tables.py
@@ -43,11 +43,11 @@
 class RunRow:
     """A run that takes resources of a target until it has certainly ended.
 
-    ``started_at``, ``confirmed_at``, ``percent_changed_at``, ``reported_at`` and
-    ``finishing_since`` are in seconds on the local boot-time clock;
-    ``order_expires_ms`` is on the target's clock. ``reported_at`` is when the target
-    last listed the run as active. A ``lasting`` run serves until its job is cancelled
-    and is never preempted. An ``adopted`` run was started by an earlier leader. A
+    ``started_at``, ``percent_changed_at``, ``reported_at`` and ``finishing_since`` are
+    in seconds on the local boot-time clock; ``order_expires_ms`` is on the target's
+    clock. ``reported_at`` is when the target last listed the run as active. A
+    ``lasting`` run serves until its job is cancelled and is preempted only for a step
+    that a guarantee covers. An ``adopted`` run was started by an earlier leader. A
     ``gang`` run works only together with the others of its step and attempt;
     ``finishing_since`` is when another of them was first seen to be done.
     ``incarnation_ms`` is that of the target when the start was decided. ``in_doubt``
@@ -81,7 +81,6 @@
     reported_at: float = 0.0
     order_expires_ms: float = 0.0
     confirmed: bool = False
-    confirmed_at: float = 0.0
     stop_confirmed_at: float = 0.0
     times_missing: int = 0
     stop_reason: str = ""
