Let a claim say whether a guarantee entitles its step

Three places asked whether a claim has guarantees, each in its own words. Claim.is_entitled says it once. No behaviour changes; format, lint, types and the tests of placing and of borrowed accelerators pass.

--- a/src/egretloft/_internal/fleet/reclaiming.py
+++ b/src/egretloft/_internal/fleet/reclaiming.py
@@ -72,6 +72,10 @@
     priority: int
     guarantees: Guarantees | None = None
 
+    def is_entitled(self) -> bool:
+        """Return whether a guarantee entitles the step."""
+        return self.guarantees is not None
+
     def may_stop(self, run: RunRow) -> bool:
         """Return whether the run may be stopped for the step."""
         if run.priority > self.priority and not run.lasting:
@@ -189,8 +193,7 @@
 
         The result is cached and must not be changed.
         """
-        entitled = claim.guarantees is not None
-        key = (target.report.target_id, claim.priority, entitled)
+        key = (target.report.target_id, claim.priority, claim.is_entitled())
         cached = self.capacities.get(key)
         if cached is None:
             cached = capacity_after_preemption(self.lost_work_cache, target, claim)
@@ -267,7 +270,6 @@
     over several ones if clearing a rack would lose far more work.
     """
     now = preemptible.now
-    entitled = claim.guarantees is not None
     # A reservation also pins its targets, but other ones may be cheaper to clear.
     pinned = pinned_targets(step, targets, now) if now < step.reclaimed_until else []
     reclaim: Reclaim | None = None
@@ -282,7 +284,10 @@
         )
     if reclaim is None:
         return NoReclaimReason.INSUFFICIENT_RESOURCES
-    if not entitled and reclaim.lost_work > expected_work(step) * MAX_LOSS_RATIO:
+    if (
+        not claim.is_entitled()
+        and reclaim.lost_work > expected_work(step) * MAX_LOSS_RATIO
+    ):
         return NoReclaimReason.TOO_COSTLY
     if reclaim.victims:
         pin_targets(step, reclaim.plan, now + RECLAIM_PIN_SECONDS)
@@ -302,7 +307,7 @@
     capacities = preemptible.unreserved(
         targets, claim, reserved, required_resources(step.spec)
     )
-    groups = capacity_groups(step, capacities, spread, claim.guarantees is not None)
+    groups = capacity_groups(step, capacities, spread, claim.is_entitled())
     return cheapest_reclaim(preemptible.lost_work_cache, step, groups, reserved, claim)
 
 
