Set in one place what the newest heartbeat of a term announces

For how long a heartbeat is valid and whether its leader relies on pledges were set together in three places, so that a third announcement could be missed in one. Election.note_newest does it. No behaviour changes; format, lint, types and the tests of pledges, takeovers and unknown instances pass.

--- a/src/egretloft/_internal/fleet/election.py
+++ b/src/egretloft/_internal/fleet/election.py
@@ -404,8 +404,7 @@
             -math.inf if sent_at is None else sent_at
         )
         if self.heartbeat is not None:
-            self.confirmed_for = self.heartbeat.valid_seconds
-            self.may_rely_on_pledges = self.heartbeat.relies_on_pledges
+            self.note_newest(self.heartbeat)
         log.info(
             "leadership taken",
             epoch=epoch,
@@ -457,14 +456,18 @@
             self.heartbeat_changed_at = self.clock.boottime()
             self.unanswered_since = None
             self.confirmed_at = sent_at
-            self.confirmed_for = heartbeat.valid_seconds
-            self.may_rely_on_pledges = heartbeat.relies_on_pledges
+            self.note_newest(heartbeat)
             return True
         failure = result.failure()
         if failure.kind is StoreFailureKind.CONFLICT:
             self.on_heartbeat_conflict(failure.rows, term, sent_at)
         return False
 
+    def note_newest(self, heartbeat: HeartbeatRecord) -> None:
+        """Go by what a heartbeat announces that certainly is the newest one."""
+        self.confirmed_for = heartbeat.valid_seconds
+        self.may_rely_on_pledges = heartbeat.relies_on_pledges
+
     def on_heartbeat_conflict(
         self, rows: tuple[StoredRow, ...], term: Term, sent_at: float
     ) -> None:
@@ -482,8 +485,7 @@
         self.last_heartbeat_at = -math.inf
         self.confirmed_at = max(self.confirmed_at, since)
         if self.heartbeat is not None:
-            self.confirmed_for = self.heartbeat.valid_seconds
-            self.may_rely_on_pledges = self.heartbeat.relies_on_pledges
+            self.note_newest(self.heartbeat)
 
     async def release(self, successor: str = "") -> None:
         """End the term so that another instance, preferably ``successor``, takes over.
