Carry a call's deadline through the adapter, and keep its sentinel there

Deadlines are passed on as they are now, and a call without an idle connection fails as UNCONNECTED, as RESTARTED is told by identity already. Its message named the URL; it never left the adapter.

No behaviour changes: budgets are those of before, and a renewal that has to ask still gets a fresh one.

--- a/src/egretloft/_internal/fleet/models.py
+++ b/src/egretloft/_internal/fleet/models.py
@@ -301,8 +301,6 @@
     message: str
     refusal: StartRefusal | None = None
     target_time_ms: int | None = None
-    # The call needed an open connection, and there was none.
-    unconnected: bool = False
 
 
 @dataclass(slots=True, frozen=True)
--- a/src/egretloft/platform/targets.py
+++ b/src/egretloft/platform/targets.py
@@ -62,6 +62,8 @@
     "another incarnation of the target is there",
     StartRefusal.RESTARTED,
 )
+# The call needed an open connection, and there was none; never leaves this module.
+UNCONNECTED = TargetFailure(TargetFailureKind.NOT_SENT, "no idle connection")
 
 # What a row with missing or malformed columns raises.
 ROW_ERRORS = (ValueError, TypeError, LookupError, OverflowError)
@@ -159,7 +161,10 @@
 
 
 class PlatformTargets:
-    """Calls runners, each over its own connections."""
+    """Calls runners, each over its own connections.
+
+    Deadlines are in seconds on the clock of the event loop.
+    """
 
     def __init__(self, max_lease_seconds: float) -> None:
         self.max_lease_seconds = max_lease_seconds
@@ -178,14 +183,17 @@
         target: TargetReport,
         path: str,
         body: msgspec.Struct,
-        timeout_seconds: float,
+        deadline: float,
         opens_connection: bool,
     ) -> Result[bytes, TargetFailure]:
-        """Send a call and return the body of a successful answer."""
+        """Send a call and return the body of a successful answer.
+
+        Without ``opens_connection`` it fails as ``UNCONNECTED`` if none is idle.
+        """
         result = await self.connections(target).session.send_request(
             "POST",
             f"http://{target.address}{path}",
-            timeout_seconds,
+            deadline - asyncio.get_running_loop().time(),
             encoder.encode(body),
             {
                 "Content-Type": "application/json",
@@ -195,28 +203,24 @@
         )
         if isinstance(result, Failure):
             http_failure = result.failure()
+            if http_failure.unconnected:
+                return Failure(UNCONNECTED)
             sent = http_failure.sent
             kind = TargetFailureKind.UNKNOWN if sent else TargetFailureKind.NOT_SENT
-            return Failure(
-                TargetFailure(
-                    kind, http_failure.message, unconnected=http_failure.unconnected
-                )
-            )
+            return Failure(TargetFailure(kind, http_failure.message))
         answer = result.unwrap()
         if answer.status == OK:
             return Success(answer.body)
         return Failure(classify_failure(answer.status, answer.body))
 
     async def look(
-        self, target: TargetReport, epoch: int, timeout_seconds: float
+        self, target: TargetReport, epoch: int, deadline: float
     ) -> Result[RenewalAnswer, TargetFailure]:
         """Ask a runner for its lists, on a new connection if none is idle.
 
         Such a call has no effect but that of its epoch, whichever incarnation gets it.
         """
         connections = self.connections(target)
-        loop = asyncio.get_running_loop()
-        deadline = loop.time() + timeout_seconds
         try:
             async with asyncio.timeout_at(deadline):
                 await connections.opening.acquire()
@@ -224,8 +228,7 @@
             return not_sent("no connection to the target in time")
         try:
             body = WireHold(fencing_token=epoch)
-            left = deadline - loop.time()
-            result = await self.call(target, "/hold", body, left, True)
+            result = await self.call(target, "/hold", body, deadline, True)
             answer = result.bind(decode_renewal_answer)
             # A refusal does not tell which incarnation the connection is with.
             connections.incarnation_ms = (
@@ -241,17 +244,16 @@
         self,
         target: TargetReport,
         call: IncarnationCall,
-        timeout_seconds: float,
+        deadline: float,
     ) -> Result[bytes, TargetFailure]:
         """Send a call that only one incarnation may get, or any; return the body.
 
         It goes over a connection on which that incarnation has answered. Without one, a
         call without effect opens it.
         """
-        deadline = asyncio.get_running_loop().time() + timeout_seconds
         connections = self.connections(target)
         if await connections.may_use(call.incarnation_ms, deadline):
-            result = await self.call_by(target, call, deadline)
+            result = await self.call(target, call.path, call.body, deadline, False)
             if not is_unconnected(result):
                 return result
         for _ in range(MAX_CONNECTION_TRIES):
@@ -260,24 +262,16 @@
                 return looked
             # No other task runs between the answer and the choice of the connection,
             # so none takes the one that has just answered.
-            result = await self.call_by(target, call, deadline)
+            result = await self.call(target, call.path, call.body, deadline, False)
             if not is_unconnected(result):
                 return result
         return not_sent("no connection to the target was left")
 
-    async def call_by(
-        self, target: TargetReport, call: IncarnationCall, deadline: float
-    ) -> Result[bytes, TargetFailure]:
-        """Send a call on an idle connection, until ``deadline`` of the event loop."""
-        left = deadline - asyncio.get_running_loop().time()
-        return await self.call(target, call.path, call.body, left, False)
-
     async def look_for(
         self, target: TargetReport, call: IncarnationCall, deadline: float
     ) -> Result[None, TargetFailure]:
         """Find out whether the incarnation that a call is for is there, in time."""
-        left = deadline - asyncio.get_running_loop().time() - call.wait_seconds
-        looked = await self.look(target, call.epoch, left)
+        looked = await self.look(target, call.epoch, deadline - call.wait_seconds)
         if isinstance(looked, Failure):
             return Failure(as_not_sent(looked.failure()))
         if call.incarnation_ms not in (ANY, looked.unwrap().incarnation_ms):
@@ -298,7 +292,7 @@
             token=order.ticket,
         )
         call = IncarnationCall("/run-start", body, order.epoch, order.incarnation_ms)
-        result = await self.send(target, call, timeout_seconds)
+        result = await self.send(target, call, deadline_after(timeout_seconds))
         return result.bind(decode_target_time)
 
     async def stop(
@@ -311,7 +305,7 @@
         """Stop a run and return the target's clock."""
         body = WireStop(task_name(run.task), run.attempt, epoch)
         call = IncarnationCall("/run-stop", body, epoch, ANY)
-        result = await self.send(target, call, timeout_seconds)
+        result = await self.send(target, call, deadline_after(timeout_seconds))
         return result.bind(decode_target_time)
 
     async def renew(
@@ -328,12 +322,11 @@
             expires_at_ms=renewal.expires_at_ms or 0,
             wait_ms=int(wait_seconds * 1000),
         )
-        result = await self.send_renewal(
-            target, renewal, body, wait_seconds, timeout_seconds
-        )
+        deadline = deadline_after(timeout_seconds)
+        result = await self.send_renewal(target, renewal, body, wait_seconds, deadline)
         if isinstance(result, Failure) and needs_look(result.failure()):
-            look_seconds = timeout_seconds - wait_seconds
-            return await self.look(target, renewal.epoch, look_seconds)
+            look_until = deadline_after(timeout_seconds - wait_seconds)
+            return await self.look(target, renewal.epoch, look_until)
         return result.bind(decode_renewal_answer)
 
     async def send_renewal(
@@ -342,25 +335,30 @@
         renewal: Renewal,
         body: WireHold,
         wait_seconds: float,
-        timeout_seconds: float,
+        deadline: float,
     ) -> Result[bytes, TargetFailure]:
         """Send a renewal; one that only asks does not open a connection for that."""
         if renewal.asks_only():
-            return await self.call(target, "/hold", body, timeout_seconds, False)
+            return await self.call(target, "/hold", body, deadline, False)
         call = IncarnationCall(
             "/hold", body, renewal.epoch, renewal.incarnation_ms, wait_seconds
         )
-        return await self.send(target, call, timeout_seconds)
+        return await self.send(target, call, deadline)
+
+
+def deadline_after(seconds: float) -> float:
+    """Return the time of the event loop after ``seconds``."""
+    return asyncio.get_running_loop().time() + seconds
 
 
 def is_unconnected(result: Result[bytes, TargetFailure]) -> bool:
     """Return whether a call was not sent as no connection was open and idle."""
-    return isinstance(result, Failure) and result.failure().unconnected
+    return isinstance(result, Failure) and result.failure() is UNCONNECTED
 
 
 def needs_look(failure: TargetFailure) -> bool:
     """Return whether only a call without effect can get the answer to a renewal."""
-    return failure.unconnected or failure is RESTARTED
+    return failure is UNCONNECTED or failure is RESTARTED
 
 
 def not_sent(message: str) -> Failure[TargetFailure]:
