Share what the two soaks of constant faults have in common

LapseSoak and ReturnSoak each had the same constructor arguments, excuse of incomplete gangs, length of long jobs and end of faults. ConstantFaultSoak has them once; how long and how often jobs are long are attributes of CutSoak, and `added`, which no caller ever passed, is one too.

--- a/tools/soak/cuts.py
+++ b/tools/soak/cuts.py
@@ -40,19 +40,18 @@
     ``added`` instances start during the run. All faults are written to ``faults.log``
     with the time of the instances' logs. A gang that stays incomplete near a cut is
     excused, as an order may be sent before the leader can know of the cut.
+
+    A share of the jobs, ``long_work_share``, works for ``long_work_seconds``.
     """
 
+    added = 1
+    long_work_seconds = LONG_WORK_SECONDS
+    long_work_share = LONG_WORK_SHARE
     zones = ("zone-a", "zone-b", "zone-c")
     fault_interval_seconds = (0.5, 3.0)
 
     def __init__(
-        self,
-        seed: int,
-        seconds: float,
-        directory: Path,
-        instances: int,
-        targets: int,
-        added: int = 1,
+        self, seed: int, seconds: float, directory: Path, instances: int, targets: int
     ) -> None:
         super().__init__(seed, seconds, directory, instances, targets)
         self.links = Links(self.platform)
@@ -60,7 +59,6 @@
         self.cut_until = float("-inf")
         self.checker.is_excused = self.is_excused
         self.waiting: list[Program] = []
-        self.added = added
         self.began = time.monotonic()
 
     async def start_programs(self) -> None:
@@ -74,9 +72,9 @@
             await program.start()
 
     def work_seconds(self) -> float:
-        """Return how long the tasks of a new job work; some outlast a cut."""
-        if self.generator.random() < LONG_WORK_SHARE:
-            return self.generator.uniform(*LONG_WORK_SECONDS)
+        """Return how long the tasks of a new job work; some outlast a fault."""
+        if self.generator.random() < self.long_work_share:
+            return self.generator.uniform(*self.long_work_seconds)
         return super().work_seconds()
 
     def fault_kinds(self) -> list[Callable[[], Awaitable[str]]]:
@@ -228,3 +226,27 @@
         report = await super().run()
         report.excused = len(self.checker.excused)
         return report
+
+
+class ConstantFaultSoak(CutSoak):
+    """A soak in which targets fail all the time.
+
+    An incomplete gang is excused until a while after the faults. No instances join.
+    """
+
+    added = 0
+
+    def __init__(
+        self, seed: int, seconds: float, directory: Path, instances: int, targets: int
+    ) -> None:
+        super().__init__(seed, seconds, directory, instances, targets)
+        self.faults_end = float("inf")
+
+    def is_excused(self, rule: str, at: float) -> bool:
+        """Return whether a gang may be incomplete because of a fault."""
+        return rule == "GANG" and at < self.faults_end + GANG_EXCUSE_SECONDS
+
+    async def end_faults(self) -> None:
+        """End all faults that have not ended yet."""
+        await super().end_faults()
+        self.faults_end = asyncio.get_running_loop().time()
--- a/tools/soak/lapses.py
+++ b/tools/soak/lapses.py
@@ -11,7 +11,7 @@
 import aiohttp
 
 from egretloft._internal.fleet.models import JobSpec, TaskKey
-from soak.cuts import GANG_EXCUSE_SECONDS, CutSoak
+from soak.cuts import ConstantFaultSoak
 from soak.programs import Program
 from soak.run import QUEUE_ATTEMPTS
 from standins.fleet.checker import JobTruth, RunTruth
@@ -41,13 +41,11 @@
 ALWAYS = 1000
 
 
-class LapseSoak(CutSoak):
+class LapseSoak(ConstantFaultSoak):
     """A soak in which targets are cut off or paused just after chosen starts.
 
     So several runs of one task in series lapse, while the store is down at times and
-    the leader changes. Some tasks fail and some crash their targets beside them. An
-    incomplete gang is excused until a while after the faults, as targets fail all the
-    time.
+    the leader changes. Some tasks fail and some crash their targets beside them.
 
     ``chosen_tasks`` are followed at a time. A share of ``crashing_share`` of the jobs,
     at most ``max_crashing_jobs`` at a time, has a task that crashes its targets.
@@ -60,36 +58,21 @@
     job_interval_seconds = 0.5
     # Long enough at times for three runs in a row to lapse under one leader.
     fault_interval_seconds = (1.0, 10.0)
+    long_work_seconds = LONG_WORK_SECONDS
+    long_work_share = LONG_WORK_SHARE
 
     def __init__(
-        self,
-        seed: int,
-        seconds: float,
-        directory: Path,
-        instances: int,
-        targets: int,
-        added: int = 0,
+        self, seed: int, seconds: float, directory: Path, instances: int, targets: int
     ) -> None:
-        super().__init__(seed, seconds, directory, instances, targets, added)
+        super().__init__(seed, seconds, directory, instances, targets)
         self.platform.registration_period_seconds = REGISTRATION_SECONDS
         self.platform.removes_silent_targets = True
         # The faults of chosen tasks do not change the other faults of a seed.
         self.chooser = random.Random(seed)
         self.chosen: set[TaskKey] = set()
-        self.faults_end = float("inf")
-
-    def is_excused(self, rule: str, at: float) -> bool:
-        """Return whether a gang may be incomplete because of a fault."""
-        return rule == "GANG" and at < self.faults_end + GANG_EXCUSE_SECONDS
 
     # Load.
 
-    def work_seconds(self) -> float:
-        """Return how long the tasks of a new job work; many outlast a lease."""
-        if self.generator.random() < LONG_WORK_SHARE:
-            return self.generator.uniform(*LONG_WORK_SECONDS)
-        return self.generator.uniform(0.2, 2.0)
-
     def new_truth(self, spec: JobSpec) -> JobTruth:
         """Return what happens to the tasks of a new job; some crash or fail.
 
@@ -256,4 +239,3 @@
             target.silent = False
             target.resumed.set()
         await super().end_faults()
-        self.faults_end = asyncio.get_running_loop().time()
--- a/tools/soak/returns.py
+++ b/tools/soak/returns.py
@@ -7,7 +7,7 @@
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 
-from soak.cuts import GANG_EXCUSE_SECONDS, CutSoak
+from soak.cuts import ConstantFaultSoak
 from soak.programs import Program
 from standins.fleet.targets import EmulatedTarget
 
@@ -29,7 +29,7 @@
 LONG_WORK_SHARE = 0.8
 
 
-class ReturnSoak(CutSoak):
+class ReturnSoak(ConstantFaultSoak):
     """A soak in which some targets at once restart and are cut off soon after.
 
     Takeovers come between the two. With ``orders_late`` some orders get no answer and
@@ -39,23 +39,18 @@
     orders_late = False
     job_interval_seconds = 0.6
     fault_interval_seconds = (1.0, 4.0)
+    long_work_seconds = LONG_WORK_SECONDS
+    long_work_share = LONG_WORK_SHARE
 
     def __init__(
-        self,
-        seed: int,
-        seconds: float,
-        directory: Path,
-        instances: int,
-        targets: int,
-        added: int = 0,
+        self, seed: int, seconds: float, directory: Path, instances: int, targets: int
     ) -> None:
-        super().__init__(seed, seconds, directory, instances, targets, added)
+        super().__init__(seed, seconds, directory, instances, targets)
         self.platform.late_orders_outlive_crashes = True
         for target in self.targets.values():
             target.max_lease_seconds = LONGEST_LEASE_SECONDS
         self.returning: set[str] = set()
         self.returns: set[asyncio.Task[None]] = set()
-        self.disturbed_until = float("inf")
 
     def new_program(self, number: int, store_address: str = "") -> Program:
         """Return an instance that knows the longest lease of the targets."""
@@ -64,16 +59,6 @@
         program.more_settings = f"parameters.hold_max_ms={longest_ms}\n"
         return program
 
-    def work_seconds(self) -> float:
-        """Return how long the tasks of a new job work."""
-        if self.generator.random() < LONG_WORK_SHARE:
-            return self.generator.uniform(*LONG_WORK_SECONDS)
-        return self.generator.uniform(0.2, 2.0)
-
-    def is_excused(self, rule: str, at: float) -> bool:
-        """Return whether a gang may be incomplete, as faults come all the time."""
-        return rule == "GANG" and at < self.disturbed_until + GANG_EXCUSE_SECONDS
-
     def finish_seconds(self) -> float:
         """Return how long after the last fault all accepted jobs must have ended.
 
@@ -169,7 +154,6 @@
         self.set_late_orders()
         await asyncio.gather(*self.returns)
         await super().end_faults()
-        self.disturbed_until = asyncio.get_running_loop().time()
 
 
 class LateReturnSoak(ReturnSoak):
