--- a/tests/unit/adapter/test_restarted_runner.py
+++ b/tests/unit/adapter/test_restarted_runner.py
@@ -42,6 +42,12 @@
         yield served
 
 
+@pytest.fixture
+async def targets() -> PlatformTargets:
+    """Return the targets of a leader that has not called any runner yet."""
+    return create_platform_targets(MAX_LEASE_SECONDS)
+
+
 def report_of(platform: HttpPlatform) -> TargetReport:
     """Return the registration of the runner, with its address."""
     report = platform.targets["i-1"].report()
@@ -70,11 +76,10 @@
 
 
 async def test_start_for_the_former_incarnation_is_not_sent(
-    platform: HttpPlatform,
+    platform: HttpPlatform, targets: PlatformTargets
 ) -> None:
     """Guards against a run, and the longest lease, by an expiry on the former clock."""
     report, target = report_of(platform), platform.targets["i-1"]
-    targets = create_platform_targets(MAX_LEASE_SECONDS)
     former = await ask(targets, report)
     await platform.restart_target(target, DOWN_SECONDS)
     for index in range(2):
@@ -89,10 +94,9 @@
 
 
 async def test_start_while_nothing_listens_is_known_not_to_be_sent(
-    platform: HttpPlatform,
+    platform: HttpPlatform, targets: PlatformTargets
 ) -> None:
     report, target = report_of(platform), platform.targets["i-1"]
-    targets = create_platform_targets(MAX_LEASE_SECONDS)
     former = await ask(targets, report)
     restarting = asyncio.create_task(platform.restart_target(target, 0.5))
     await asyncio.sleep(0.2)
@@ -103,11 +107,10 @@
 
 
 async def test_renewal_for_the_former_incarnation_only_asks(
-    platform: HttpPlatform,
+    platform: HttpPlatform, targets: PlatformTargets
 ) -> None:
     """Guards against a lease by the former clock, and ends that nobody has heard of."""
     report, target = report_of(platform), platform.targets["i-1"]
-    targets = create_platform_targets(MAX_LEASE_SECONDS)
     former = await ask(targets, report)
     await platform.restart_target(target, DOWN_SECONDS)
     renewal = Renewal(EPOCH, former, 3, FAR_AHEAD_MS)
@@ -121,11 +124,10 @@
 
 
 async def test_connection_whose_incarnation_is_not_known_is_not_used(
-    platform: HttpPlatform, monkeypatch: pytest.MonkeyPatch
+    platform: HttpPlatform, targets: PlatformTargets, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """Guards against a refusal that leaves a connection to a later incarnation open."""
     report, target = report_of(platform), platform.targets["i-1"]
-    targets = create_platform_targets(MAX_LEASE_SECONDS)
     former = await ask(targets, report)
     await platform.restart_target(target, DOWN_SECONDS)
     with monkeypatch.context() as patch:
@@ -181,11 +183,10 @@
 
 
 async def test_no_start_reaches_a_later_incarnation_while_connections_open(
-    platform: HttpPlatform,
+    platform: HttpPlatform, targets: PlatformTargets
 ) -> None:
     """Guards against a start on a connection that another call has just opened."""
     report, target = report_of(platform), platform.targets["i-1"]
-    targets = create_platform_targets(MAX_LEASE_SECONDS)
     for index in range(TASKS):
         former = await ask(targets, report)
         restarting = asyncio.create_task(platform.restart_target(target, DOWN_SECONDS))
