--- a/review/13/case.py
+++ b/review/13/case.py
@@ -1,10 +1,8 @@
-"""All machines are lost and replaced by new ones, and one runner crashes with them."""
+"""A wide gang waits for one long task, and the idle rest of the service is withheld."""
 
 from __future__ import annotations
 
 import asyncio
-import os
-import signal
 import sys
 from pathlib import Path
 
@@ -14,7 +12,6 @@
 from deployment3 import (  # noqa: E402
     CONTACT_SECONDS,
     FINISH_SECONDS,
-    PARAMETERS,
     CannotRunError,
     Deployment,
     run_case,
@@ -24,72 +21,53 @@
 from egretloft._internal.fleet.models import Resources  # noqa: E402
 
 RUNNERS = 8
-MACHINES = 3
-JOB = {
-    "spec": "four tasks",
+WHOLE_RUNNER = {"cpu": 8000, "mem_mb": 4096, "gpus": 8}
+LONG_JOB = {"spec": "long", "phases": [{**WHOLE_RUNNER, "estimate_ms": 100_000}]}
+LONG_SECONDS = 100.0
+# The gang needs each runner of the service once.
+WIDE_GANG = {
+    "spec": "wide gang",
     "phases": [
-        {"replicas": 4, "cpu": 4000, "mem_mb": 4096, "gpus": 1, "estimate_ms": 3000}
+        {
+            **WHOLE_RUNNER,
+            "replicas": RUNNERS,
+            "coscheduled": True,
+            "estimate_ms": 5000,
+        }
     ],
 }
-TASK_SECONDS = 3.0
-JOBS_BEFORE = 6
-# The new machines come this long after the old ones have been lost.
-REPLACED_AFTER_SECONDS = 1.0
-# Requests are sent until some seconds after ``recovery_s`` has passed.
-TRAFFIC_AFTER_SECONDS = PARAMETERS["recovery_s"] + 4
-# Only for the control runs that claim.txt tells of.
-CONTROL = os.environ.get("CONTROL", "")
-
-
-async def lose_machines(d: Deployment) -> None:
-    """Kill all machines and one runner at the same moment, then add new machines."""
-    busy = [runner for runner in d.runners.values() if runner.runs]
-    if not busy:
-        raise CannotRunError("no runner is at work")
-    lost = list(d.machines)
-    for machine in lost:
-        machine.send(signal.SIGKILL)
-    if CONTROL != "no crash":
-        d.note(
-            f"runner {busy[0].target_id} crashes for good, with {len(busy[0].runs)}"
-            f" tasks; it is one of {RUNNERS}"
-        )
-        await d.platform.crash_for_good(busy[0])
-    for machine in lost:
-        await machine.end(signal.SIGKILL)
-    d.note(f"all {len(lost)} machines lost power; they do not come back")
-    await asyncio.sleep(REPLACED_AFTER_SECONDS)
-    if CONTROL == "same names":
-        for machine in lost:
-            await machine.start()
-    else:
-        for _ in lost:
-            await d.add_machine()
-    d.note(f"{MACHINES} machines started at new addresses")
+GANG_SECONDS = 5.0
+SMALL_JOB = {
+    "spec": "small",
+    "phases": [{"cpu": 1000, "mem_mb": 256, "gpus": 1, "estimate_ms": 1000}],
+}
+SMALL_SECONDS = 1.0
+# One small job a second.
+SMALL_JOBS = 36
+URGENT, LATER = 1, 2
 
 
 async def play(d: Deployment, trouble: bool) -> bool:
-    """Send a job each second, and lose all machines in between."""
+    """Submit a long job, a wide gang, and then a small job each second."""
     observer = Observer(d)
     observer.start()
-    for number in range(JOBS_BEFORE):
-        await d.submit(f"{0xA000000000000000 + number:016x}", JOB, TASK_SECONDS)
-        await asyncio.sleep(1)
+    long_id = f"{0xA000000000000000:016x}"
+    if not await d.submit(long_id, LONG_JOB, LONG_SECONDS, LATER):
+        raise CannotRunError("the long job was not accepted")
+    await asyncio.sleep(1)
     if trouble:
-        await lose_machines(d)
-    pending = []
-    for number in range(int(TRAFFIC_AFTER_SECONDS)):
-        job_id = f"{0xB000000000000000 + number:016x}"
-        pending.append(asyncio.create_task(d.submit(job_id, JOB, TASK_SECONDS)))
+        await d.submit(f"{0xA000000000000001:016x}", WIDE_GANG, GANG_SECONDS, URGENT)
+    for number in range(SMALL_JOBS):
         await asyncio.sleep(1)
-        if number % 4 == 3:
-            leader = d.leader()
+        job_id = f"{0xB000000000000000 + number:016x}"
+        await d.submit(job_id, SMALL_JOB, SMALL_SECONDS, LATER, quiet=True)
+        if number % 6 == 5:
+            at_work = sum(bool(runner.runs) for runner in d.runners.values())
             d.note(
-                f"{leader.name if leader else 'nobody'} leads; "
-                f"{sum(len(r.runs) for r in d.runners.values())} tasks run"
+                f"{len(d.accepted)} jobs accepted, {len(d.ends_done)} have ended done; "
+                f"{at_work} of {RUNNERS} runners are at work"
             )
-    await asyncio.gather(*pending)
-    d.note("the traffic ends")
+    d.note("the traffic ends; nothing was killed, cut, slowed or lost")
     await asyncio.sleep(FINISH_SECONDS)
     observer.judges_idle = True
     await asyncio.sleep(IDLE_SECONDS + CONTACT_SECONDS + 1)
@@ -103,4 +81,4 @@
     return not stuck
 
 
-run_case(Deployment(MACHINES, [Resources(64_000, 262_144, 8)] * RUNNERS), FOLDER, play)
+run_case(Deployment(3, [Resources(64_000, 262_144, 8)] * RUNNERS), FOLDER, play)
--- a/review/lib3/deployment3.py
+++ b/review/lib3/deployment3.py
@@ -37,7 +37,14 @@
     WireTransaction,
 )
 from standins.fleet.checker import Checker, JobTruth, RunTruth
-from standins.fleet.http import HttpPlatform, StoreServer, json_answer
+from standins.fleet.http import (
+    CALL_TIMEOUT_SECONDS,
+    HttpPlatform,
+    StoreServer,
+    TargetServer,
+    json_answer,
+    reset_connection,
+)
 from standins.fleet.store import EmulatedStore
 from standins.fleet.targets import EmulatedTarget
 from standins.ports import free_port
@@ -136,9 +143,55 @@
             self.record(f"runner {run.target_id} {what} {name} run {run.key.attempt}")
 
 
+@dataclass(slots=True)
+class LateCalls:
+    """Calls of one path to one runner that get no answer, and are carried out later.
+
+    Those that ``wanted`` accepts are kept, at most ``most`` of them. A runner that is
+    back under its id takes calls that were meant for its former life.
+    """
+
+    runner_id: str
+    path: str
+    most: int
+    wanted: Callable[[bytes], bool] = bool
+    kept: list[bytes] = field(default_factory=list)
+
+    def take(self, runner_id: str, path: str, data: bytes) -> bool:
+        """Keep a call if it is one of these; return whether it is."""
+        if runner_id != self.runner_id or path != self.path:
+            return False
+        if len(self.kept) >= self.most or not self.wanted(data):
+            return False
+        self.kept.append(data)
+        return True
+
+
+class LateTargetServer(TargetServer):
+    """One of the project's runners, of which some calls are carried out late."""
+
+    late_calls: LateCalls | None = None
+
+    async def serve(self, request: web.BaseRequest, data: bytes) -> web.StreamResponse:
+        """Serve a call, or keep it without an answer."""
+        late = LateTargetServer.late_calls
+        if late is not None and late.take(self.target.target_id, request.path, data):
+            await asyncio.sleep(CALL_TIMEOUT_SECONDS)
+            return reset_connection(request)
+        return await super().serve(request, data)
+
+
 class LimitedPlatform(HttpPlatform):
     """The project's platform, over a store with the limits of the pages."""
 
+    async def listen_for(self, target: EmulatedTarget, port: int = 0) -> str:
+        """Serve a runner on a port, a free one if it is 0; return its address."""
+        server = LateTargetServer(target, self.generator)
+        self.target_servers[target.target_id] = server
+        address = await self.listen(server.handle, port)
+        self.target_addresses[target.target_id] = address
+        return address
+
     async def start(self) -> None:
         """Start all servers, and register all runners periodically."""
         self.store_server = LimitedStoreServer(self.store)
