--- a/src/egretloft/_internal/fleet/interfaces.py
+++ b/src/egretloft/_internal/fleet/interfaces.py
@@ -141,7 +141,7 @@
         self,
         target: TargetReport,
         run: RunKey,
-        epoch: int,
+        fencing_token: int,
         timeout_seconds: float,
     ) -> Result[int, TargetFailure]:
         """Stop a run and return the time on the target's clock, in milliseconds."""
--- a/src/egretloft/_internal/fleet/models.py
+++ b/src/egretloft/_internal/fleet/models.py
@@ -261,7 +261,7 @@
     run: RunKey
     payload: str
     expires_at_ms: int
-    epoch: int
+    fencing_token: int
     incarnation_ms: int
     checkpoint: str
     ticket: str = ""
@@ -275,7 +275,7 @@
     which is on the clock of that incarnation, no lease is renewed.
     """
 
-    epoch: int
+    fencing_token: int
     incarnation_ms: int
     last_recorded_end: int = 0
     expires_at_ms: int | None = None
--- a/src/egretloft/_internal/fleet/orders.py
+++ b/src/egretloft/_internal/fleet/orders.py
@@ -233,7 +233,7 @@
             run=run.key,
             payload=job.accepted.spec.payload,
             expires_at_ms=int(run.order_expires_ms),
-            epoch=self.owner.epoch,
+            fencing_token=self.owner.epoch,
             incarnation_ms=target.incarnation_ms,
             checkpoint=run.checkpoint,
         )
--- a/src/egretloft/platform/targets.py
+++ b/src/egretloft/platform/targets.py
@@ -129,7 +129,7 @@
 
     path: str
     body: msgspec.Struct
-    epoch: int
+    fencing_token: int
     incarnation_ms: int
     wait_seconds: float = 0.0
 
@@ -214,11 +214,11 @@
         return Failure(classify_failure(answer.status, answer.body))
 
     async def look(
-        self, target: TargetReport, epoch: int, deadline: float
+        self, target: TargetReport, fencing_token: int, deadline: float
     ) -> Result[RenewalAnswer, TargetFailure]:
         """Ask a runner for its lists, on a new connection if none is idle.
 
-        Such a call has no effect but that of its epoch, whichever incarnation gets it.
+        Such a call has no effect but that of its token, whichever incarnation gets it.
         """
         connections = self.connections(target)
         try:
@@ -227,7 +227,7 @@
         except TimeoutError:
             return not_sent("no connection to the target in time")
         try:
-            body = WireHold(fencing_token=epoch)
+            body = WireHold(fencing_token=fencing_token)
             result = await self.call(target, "/hold", body, deadline, True)
             answer = result.bind(decode_renewal_answer)
             # A refusal does not tell which incarnation the connection is with.
@@ -271,7 +271,7 @@
         self, target: TargetReport, call: IncarnationCall, deadline: float
     ) -> Result[None, TargetFailure]:
         """Find out whether the incarnation that a call is for is there, in time."""
-        looked = await self.look(target, call.epoch, deadline - call.wait_seconds)
+        looked = await self.look(target, call.fencing_token, deadline - call.wait_seconds)
         if isinstance(looked, Failure):
             return Failure(as_not_sent(looked.failure()))
         if call.incarnation_ms not in (ANY, looked.unwrap().incarnation_ms):
@@ -287,11 +287,11 @@
             attempt=order.run.attempt,
             spec=order.payload,
             expires_at_ms=order.expires_at_ms,
-            fencing_token=order.epoch,
+            fencing_token=order.fencing_token,
             checkpoint=order.checkpoint,
             token=order.ticket,
         )
-        call = IncarnationCall("/run-start", body, order.epoch, order.incarnation_ms)
+        call = IncarnationCall("/run-start", body, order.fencing_token, order.incarnation_ms)
         result = await self.send(target, call, deadline_after(timeout_seconds))
         return result.bind(decode_target_time)
 
@@ -299,12 +299,12 @@
         self,
         target: TargetReport,
         run: RunKey,
-        epoch: int,
+        fencing_token: int,
         timeout_seconds: float,
     ) -> Result[int, TargetFailure]:
         """Stop a run and return the target's clock."""
-        body = WireStop(task_name(run.task), run.attempt, epoch)
-        call = IncarnationCall("/run-stop", body, epoch, ANY)
+        body = WireStop(task_name(run.task), run.attempt, fencing_token)
+        call = IncarnationCall("/run-stop", body, fencing_token, ANY)
         result = await self.send(target, call, deadline_after(timeout_seconds))
         return result.bind(decode_target_time)
 
@@ -317,7 +317,7 @@
     ) -> Result[RenewalAnswer, TargetFailure]:
         """Renew the lease of all runs on the target and return what it lists."""
         body = WireHold(
-            fencing_token=renewal.epoch,
+            fencing_token=renewal.fencing_token,
             last_seen=renewal.last_recorded_end,
             expires_at_ms=renewal.expires_at_ms or 0,
             wait_ms=int(wait_seconds * 1000),
@@ -326,7 +326,7 @@
         result = await self.send_renewal(target, renewal, body, wait_seconds, deadline)
         if isinstance(result, Failure) and needs_look(result.failure()):
             look_until = deadline_after(timeout_seconds - wait_seconds)
-            return await self.look(target, renewal.epoch, look_until)
+            return await self.look(target, renewal.fencing_token, look_until)
         return result.bind(decode_renewal_answer)
 
     async def send_renewal(
@@ -341,7 +341,7 @@
         if renewal.asks_only():
             return await self.call(target, "/hold", body, deadline, False)
         call = IncarnationCall(
-            "/hold", body, renewal.epoch, renewal.incarnation_ms, wait_seconds
+            "/hold", body, renewal.fencing_token, renewal.incarnation_ms, wait_seconds
         )
         return await self.send(target, call, deadline)
 
--- a/tools/standins/fleet/targets.py
+++ b/tools/standins/fleet/targets.py
@@ -265,9 +265,9 @@
         Refused are a start of an older epoch (fenced), one that arrives after its
         expiry, and one whose attempt, or a later one, has ended or was stopped.
         """
-        if order.epoch < self.fence:
+        if order.fencing_token < self.fence:
             return self.refuse(StartRefusal.FENCED)
-        self.fence = order.epoch
+        self.fence = order.fencing_token
         if order.expires_at_ms < self.time_ms():
             return self.refuse(StartRefusal.LATE)
         self.extend(order.expires_at_ms)
@@ -583,9 +583,9 @@
         if reached is None:
             return no_answer()
         if reached.incarnation_ms != renewal.incarnation_ms:
-            renewal = Renewal(renewal.epoch, reached.incarnation_ms)
+            renewal = Renewal(renewal.fencing_token, reached.incarnation_ms)
         refusal = reached.renew(
-            renewal.epoch, renewal.last_recorded_end, renewal.expires_at_ms
+            renewal.fencing_token, renewal.last_recorded_end, renewal.expires_at_ms
         )
         if target.target_id in self.unheard:
             await asyncio.sleep(timeout_seconds)
