Fence the calls that were meant for a target's former incarnation

Cause: all calls of a term carried one fencing token, so a new incarnation could not refuse what was meant for the former one, and the leader expected a longer lease only for start orders without an answer, not for renewals.

Change: the token counts the restarts that the term has heard of, below its epoch. From the first answer to a call with the raised token on, the target refuses late copies of all calls. If a call with an expiry was without an answer, the longest lease counts from that answer. A start that may have reached the new incarnation is no longer stopped; it is given up once that answer does not list it. "target restarted" and "target lost" tell what the leader expects.

--- a/src/egretloft/_internal/fleet/leader.py
+++ b/src/egretloft/_internal/fleet/leader.py
@@ -456,7 +456,7 @@
     def add_target(self, target: TargetRow) -> None:
         """Add a target to the tables and create its session."""
         target_id = target.report.target_id
-        self.tables.targets[target_id] = target
+        self.tables.add_target(target)
         session = create_target_session(
             self, self.tables, target, self.targets, self.clock, self.metrics
         )
--- a/src/egretloft/_internal/fleet/orders.py
+++ b/src/egretloft/_internal/fleet/orders.py
@@ -233,7 +233,7 @@
             run=run.key,
             payload=job.accepted.spec.payload,
             expires_at_ms=int(run.order_expires_ms),
-            fencing_token=self.owner.epoch,
+            fencing_token=target.fencing_token(self.owner.epoch),
             incarnation_ms=target.incarnation_ms,
             checkpoint=run.checkpoint,
         )
@@ -266,7 +266,8 @@
 
         If an earlier copy of the order may have been carried out, the run is kept until
         the session finds out from the target's list. If the target has seen a newer
-        epoch, the term ends.
+        epoch, the term ends; but it may have seen a later token of this term if it was
+        removed and added again while the order was under way.
         """
         refusal = failure.refusal
         self.metrics.count(
@@ -282,7 +283,8 @@
             reason=refusal.value if refusal else failure.message,
         )
         if refusal is StartRefusal.FENCED:
-            self.owner.on_fenced()
+            if self.tables.targets.get(run.target_id) is target:
+                self.owner.on_fenced()
             return
         if refusal is StartRefusal.RESTARTED:
             self.watch_restarted(target)
@@ -320,9 +322,8 @@
                     continue
                 incarnation_ms = target.incarnation_ms
                 timeout = self.owner.extend_timeout(ORDER_TIMEOUT_SECONDS)
-                result = await self.targets.stop(
-                    target.report, run.key, self.owner.epoch, timeout
-                )
+                token = target.fencing_token(self.owner.epoch)
+                result = await self.targets.stop(target.report, run.key, token, timeout)
             finally:
                 self.pacer.release(slot)
             if target.incarnation_ms != incarnation_ms:
--- a/src/egretloft/_internal/fleet/sessions.py
+++ b/src/egretloft/_internal/fleet/sessions.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import contextlib
+import math
 from typing import Protocol
 
 import structlog
@@ -15,7 +16,9 @@
 
 from egretloft._internal.fleet.clocks import MILLISECONDS, TargetClock
 from egretloft._internal.fleet.constants import (
+    CLOCK_RATE_ERROR,
     LEASE_SECONDS,
+    MAX_CALL_DELAY_SECONDS,
     RENEWAL_TIMEOUT_SECONDS,
     RENEWAL_WAIT_SECONDS,
     START_EXPIRY_SECONDS,
@@ -43,6 +46,7 @@
     RunEnd,
     StartRefusal,
     TargetFailure,
+    TargetFailureKind,
 )
 from egretloft._internal.fleet.tables import (
     FleetTables,
@@ -91,6 +95,11 @@
     return run.in_doubt and not run.confirmed
 
 
+def may_arrive(failure: TargetFailure) -> bool:
+    """Return whether the target may still carry out a call that has failed."""
+    return failure.kind is TargetFailureKind.UNKNOWN
+
+
 class TermOwner(Protocol):
     """The leader, as seen by sessions and orders."""
 
@@ -194,12 +203,15 @@
     def needs_renewal(self) -> bool:
         """Return whether to fence the target, keep runs or acknowledge ends.
 
-        An unreachable target is also asked, to notice its return, a watched one, and
-        one that has more ends than it could list, or than could be decoded.
+        An unreachable target is also asked, to notice its return, a watched one, one
+        that may carry out late calls, and one that has more ends than it could list, or
+        than could be decoded.
         """
         target = self.target
         if not target.fenced or target.runs or not target.reachable:
             return True
+        if not target.refuses_late_calls:
+            return True
         if self.is_watched() or not target.lists_all_ends or not target.is_readable:
             return True
         return target.last_applied_end > target.last_acknowledged_end
@@ -285,7 +297,7 @@
         result = await self.targets.renew(
             target.report,
             Renewal(
-                self.owner.epoch,
+                target.fencing_token(self.owner.epoch),
                 target.incarnation_ms,
                 acknowledged_end,
                 expires_at_ms,
@@ -294,7 +306,10 @@
             wait + self.owner.extend_timeout(RENEWAL_TIMEOUT_SECONDS),
         )
         if isinstance(result, Failure):
-            await self.on_failure(result.failure())
+            failure = result.failure()
+            if expires_at_ms is not None and may_arrive(failure):
+                target.unanswered_until = self.clock.boottime() + MAX_CALL_DELAY_SECONDS
+            await self.on_failure(failure)
             return True
         self.on_answer(result.unwrap(), sent, acknowledged_end)
         if self.withholds_acknowledgement():
@@ -346,7 +361,10 @@
         if target.failed_renewals == MAX_FAILED_RENEWALS:
             target.reachable = False
             log.warning(
-                "target lost", target=target.report.target_id, error=failure.message
+                "target lost",
+                target=target.report.target_id,
+                error=failure.message,
+                lease_left=round(self.lease_left_seconds(), 2),
             )
         await asyncio.sleep(RETRY_SECONDS)
 
@@ -385,6 +403,8 @@
         if answer.incarnation_ms != target.incarnation_ms:
             self.on_new_incarnation(answer)
             acknowledged_end = 0
+        elif not target.refuses_late_calls:
+            self.on_late_calls_refused(answer)
         if target.clock is None:
             target.clock = TargetClock(answer.target_time_ms, now)
         target.clock.observe(answer.target_time_ms, now)
@@ -418,77 +438,117 @@
         """Reset what is known of a target that restarted: clock, lease and end numbers.
 
         Its runs are removed, except those that it lists and starts of which a copy may
-        still arrive. The expiry of a copy that was sent before says nothing on the new
-        clock, so such a start is stopped, also if it was given up or has ended since.
-
-        The expiry of such an order may be far ahead on the new clock, and a start
-        extends the lease of all runs, even if it is refused, so the target may hold the
-        longest lease from then on.
+        still arrive, also if they were given up or have ended since. The expiry of a
+        copy that was sent before says nothing on the new clock, and neither does that
+        of a late renewal. The target refuses them once it has seen a higher token.
         """
         target = self.target
         now = self.clock.boottime()
         # A former leader may have renewed the lease until now.
         target.lease_ends_ms = answer.target_time_ms + LEASE_MS
+        late_until = self.late_calls_until(answer, now)
         if target.incarnation_ms:
-            log.info(
-                "target restarted",
-                target=target.report.target_id,
-                born=answer.incarnation_ms,
-            )
             if not target.failed_renewals:
                 note_failure(target, now)
             note_return(target, now)
             target.restarted_at = now
             target.former_answer = target.last_answer
+            self.tables.note_restart(target)
+            target.refuses_late_calls = False
+            log.info(
+                "target restarted",
+                target=target.report.target_id,
+                born=answer.incarnation_ms,
+                token=target.fencing_token(self.owner.epoch),
+                late_calls_for=round(max(0.0, late_until - now), 2),
+            )
+        target.late_calls_until = max(target.late_calls_until, late_until)
         target.incarnation_ms = answer.incarnation_ms
         target.clock = None
         target.last_recorded_end = target.last_applied_end = (
             target.last_acknowledged_end
         ) = 0
+        self.keep_late_starts(answer, now)
+        if target.refuses_late_calls:
+            # It has answered the first call of a new leader, whose epoch is higher.
+            self.on_late_calls_refused(answer)
+
+    def late_calls_until(self, answer: RenewalAnswer, now: float) -> float:
+        """Return until when a new incarnation may get calls for former ones.
+
+        These are what was without an answer when the former one gave its last answer,
+        and copies of what runs already. It is minus infinity if there are none.
+        """
+        target = self.target
+        starts = self.starts_before_restart(answer)
+        until = [self.owner.late_starts.arrive_until[start] for start in starts]
+        if target.unanswered_until >= self.alive_at():
+            until.append(target.unanswered_until)
+        if target.incarnation_ms and answer.active:
+            until.append(now)
+        return max(until, default=-math.inf)
+
+    def on_late_calls_refused(self, answer: RenewalAnswer) -> None:
+        """Note that the target has answered a call with its present token.
+
+        It refuses from now on what was sent to former incarnations. What it carried out
+        before may have brought the longest lease.
+        """
+        target = self.target
+        target.refuses_late_calls = True
+        if target.late_calls_until == -math.inf:
+            return
+        target.late_calls_until = -math.inf
+        longest_ms = self.targets.max_lease_seconds * MILLISECONDS
+        target.lease_ends_ms = max(
+            target.lease_ends_ms, answer.target_time_ms + longest_ms
+        )
+
+    def alive_at(self) -> float:
+        """Return when the incarnation that answered last was certainly alive."""
+        return self.target.last_answer - RENEWAL_TIMEOUT_SECONDS
+
+    def starts_before_restart(self, answer: RenewalAnswer) -> list[SentStart]:
+        """Return the start orders that the new incarnation may have carried out."""
+        return self.owner.late_starts.before_restart(
+            self.target.report.target_id, answer.incarnation_ms, self.alive_at()
+        )
+
+    def keep_late_starts(self, answer: RenewalAnswer, now: float) -> None:
+        """Keep, or add, the starts that a new incarnation may carry out or runs."""
+        target = self.target
         listed_runs = {active.run for active in answer.active}
         start_expires_ms = answer.target_time_ms + START_EXPIRY_MS
         late_starts = self.owner.late_starts
-        sent_before = late_starts.before_restart(
-            target.report.target_id,
-            answer.incarnation_ms,
-            target.last_answer - RENEWAL_TIMEOUT_SECONDS,
-        )
-        late = [s.run for s in sent_before if late_starts.may_arrive(s, now)]
+        late = [
+            start.run
+            for start in self.starts_before_restart(answer)
+            if late_starts.may_arrive(start, now)
+        ]
         for run in list(target.runs.values()):
             if run.key in listed_runs or run.incarnation_ms == answer.incarnation_ms:
                 run.order_expires_ms = start_expires_ms
             elif run.confirmed:
                 self.lose_run(run, "target restarted", crashed=True)
             elif run.order_expires_ms:
-                self.stop_unconfirmed_start(run, answer)
+                self.keep_unconfirmed_start(run, answer)
         for key in late:
             if key in listed_runs or key in target.runs:
                 continue
             run = add_late_start(self.tables, target, key, now)
-            self.stop_unconfirmed_start(run, answer)
-        lease_seconds = late_starts.longest_lease(sent_before, now)
-        if lease_seconds:
-            target.lease_ends_ms = max(
-                target.lease_ends_ms,
-                answer.target_time_ms + lease_seconds * MILLISECONDS,
-            )
-        if any(run.order_expires_ms for run in target.runs.values()):
-            longest_ms = self.targets.max_lease_seconds * MILLISECONDS
-            target.lease_ends_ms = max(
-                target.lease_ends_ms, start_expires_ms + longest_ms
-            )
+            self.keep_unconfirmed_start(run, answer)
 
-    def stop_unconfirmed_start(self, run: RunRow, answer: RenewalAnswer) -> None:
-        """Stop a start of which a copy was sent to the former incarnation.
+    def keep_unconfirmed_start(self, run: RunRow, answer: RenewalAnswer) -> None:
+        """Keep a start of which a copy was sent to the former incarnation.
 
         A stop that the former incarnation confirmed does not hold for the new one.
         """
-        is_stop_under_way = run.phase is RunPhase.STOPPING and not run.stop_confirmed_at
+        is_stopped = run.phase is RunPhase.STOPPING and run.stop_confirmed_at
         run.sent_before_restart = True
         run.stop_confirmed_at = 0.0
         # While the target is unreachable, the order counts as sent just now.
         run.order_expires_ms = answer.target_time_ms + START_EXPIRY_MS
-        if not is_stop_under_way:
+        if is_stopped:
             self.owner.stop_run(run, "target restarted")
 
     def lose_all_runs(self, why: str) -> None:
@@ -650,6 +710,8 @@
                 if run.times_missing >= MAX_TIMES_MISSING:
                     restarted = run.incarnation_ms != target.incarnation_ms
                     self.lose_run(run, "missing from the target's list", restarted)
+            elif run.sent_before_restart and target.refuses_late_calls:
+                self.lose_run(run, "refused after the restart", crashed=True)
             elif not run.confirmed and self.start_has_expired(run):
                 self.lose_run(run, "start order expired")
 
@@ -693,14 +755,34 @@
     def lease_has_expired(self) -> bool:
         """Return whether what the target ran has certainly ended by now.
 
-        Start orders that the target may still carry out count like the lease.
+        Start orders that the target may still carry out count like the lease, and late
+        calls as if each brought the longest one.
         """
         target = self.target
-        if target.clock is None:
+        now = self.clock.boottime()
+        if target.clock is None or now < self.late_lease_until():
             return False
+        return target.clock.has_passed(self.last_expiry_ms(), now)
+
+    def last_expiry_ms(self) -> float:
+        """Return when the lease and all start orders expire, on the target's clock."""
+        target = self.target
         orders = [run.order_expires_ms for run in target.runs.values()]
-        latest = max([target.lease_ends_ms, *orders])
-        return target.clock.has_passed(latest, self.clock.boottime())
+        return max([target.lease_ends_ms, *orders])
+
+    def late_lease_until(self) -> float:
+        """Return the boot time until which a lease that a late call brings may last."""
+        longest = self.targets.max_lease_seconds * (1 + CLOCK_RATE_ERROR)
+        return self.target.late_calls_until + longest
+
+    def lease_left_seconds(self) -> float:
+        """Return for how long what the target runs may last, as far as is known."""
+        target = self.target
+        if target.clock is None:
+            return math.inf
+        now = self.clock.boottime()
+        left_ms = self.last_expiry_ms() - target.clock.earliest_ms(now)
+        return max(0.0, left_ms / MILLISECONDS, self.late_lease_until() - now)
 
 
 def create_target_session(
--- a/src/egretloft/_internal/fleet/tables.py
+++ b/src/egretloft/_internal/fleet/tables.py
@@ -8,6 +8,7 @@
 from enum import StrEnum
 
 from egretloft._internal.fleet.clocks import TargetClock
+from egretloft._internal.fleet.fencing import fencing_token
 from egretloft._internal.fleet.models import (
     TERMINAL_STATES,
     JobState,
@@ -365,6 +366,12 @@
     ``former_answer`` the last answer of the one before. Until ``watched_until``
     the target is asked even if it has no runs. ``unanswered`` are the starts without an
     answer since its last answer.
+    ``restarts`` is how many restarts of targets the leader had heard of at the last one
+    of this target; its calls to the target carry a token that rises with it. Until the
+    target ``refuses_late_calls``, it may carry out a late call that was meant for a
+    former incarnation: none arrives after ``late_calls_until``, which is minus infinity
+    if there is none. Of the renewals without an answer, none arrives after
+    ``unanswered_until``. Both are boot times.
     ``in_use`` is the sum of the resources of ``runs``, including runs that are being
     stopped; both are changed by ``FleetTables`` only.
     """
@@ -404,6 +411,14 @@
     failure_explained: bool = False
     watched_until: float = -math.inf
     unanswered: list[RunKey] = field(default_factory=list)
+    restarts: int = 0
+    refuses_late_calls: bool = True
+    late_calls_until: float = -math.inf
+    unanswered_until: float = -math.inf
+
+    def fencing_token(self, epoch: int) -> int:
+        """Return the token of the calls that a leader sends to the target now."""
+        return fencing_token(epoch, self.restarts)
 
     def is_report_current(self) -> bool:
         """Return whether the incarnation that answers is the one that has registered.
@@ -422,7 +437,8 @@
     have become unnecessary. Whoever changes a job, its tasks or its runs calls
     ``touch``; the methods for runs do so themselves. ``orphans`` are runs of unknown
     tasks, ``trials`` those of tasks that are suspected of a crash. ``closed_jobs`` is a
-    heap of the times at which jobs ended, in Unix milliseconds.
+    heap of the times at which jobs ended, in Unix milliseconds. ``restarts`` counts the
+    restarts of targets that the leader has heard of.
     """
 
     jobs: dict[str, JobRow] = field(default_factory=dict)
@@ -433,6 +449,20 @@
     trials: dict[RunKey, RunRow] = field(default_factory=dict)
     closed_jobs: list[tuple[int, str]] = field(default_factory=list)
     targets: dict[str, TargetRow] = field(default_factory=dict)
+    restarts: int = 0
+
+    def add_target(self, target: TargetRow) -> None:
+        """Add a target, which may have been there before.
+
+        Its token is at least as high as each that it has seen in this term.
+        """
+        target.restarts = self.restarts
+        self.targets[target.report.target_id] = target
+
+    def note_restart(self, target: TargetRow) -> None:
+        """Raise the token of the calls to a target that has restarted."""
+        self.restarts += 1
+        target.restarts = self.restarts
 
     def add_job(self, job: JobRow) -> None:
         """Add an open job."""
--- a/src/egretloft/platform/targets.py
+++ b/src/egretloft/platform/targets.py
@@ -271,7 +271,9 @@
         self, target: TargetReport, call: IncarnationCall, deadline: float
     ) -> Result[None, TargetFailure]:
         """Find out whether the incarnation that a call is for is there, in time."""
-        looked = await self.look(target, call.fencing_token, deadline - call.wait_seconds)
+        looked = await self.look(
+            target, call.fencing_token, deadline - call.wait_seconds
+        )
         if isinstance(looked, Failure):
             return Failure(as_not_sent(looked.failure()))
         if call.incarnation_ms not in (ANY, looked.unwrap().incarnation_ms):
@@ -291,7 +293,9 @@
             checkpoint=order.checkpoint,
             token=order.ticket,
         )
-        call = IncarnationCall("/run-start", body, order.fencing_token, order.incarnation_ms)
+        call = IncarnationCall(
+            "/run-start", body, order.fencing_token, order.incarnation_ms
+        )
         result = await self.send(target, call, deadline_after(timeout_seconds))
         return result.bind(decode_target_time)
 
--- a/tests/unit/fleet/test_return_storm.py
+++ b/tests/unit/fleet/test_return_storm.py
@@ -13,8 +13,7 @@
 from unit.fleet.test_random_faults import chosen_seeds
 
 # Seeds in which a task ran twice: starts for a former incarnation reached the new one
-# before a takeover (17, 18), or seconds late (4, 6, 14, 21, 25, 40, 41, 54). 6 fails
-# again by the start of a leader that is killed at once, see KNOWN-RED.txt.
+# before a takeover (17, 18), or seconds late (4, 6, 14, 21, 25, 40, 41, 54).
 FAILED_SEEDS = (14, 17, 18, 21, 25, 40, 41, 54)
 
 
