Expect the longest lease on targets that restarted before a takeover

Ruled out: to store each renewal without an answer, as a write for each would cost more than it tells.

Change: at the first answer to a new leader, a target that a former one used and that is so young that a late call may have brought it a lease counts as holding the longest one. Older targets are not affected.

--- a/src/egretloft/_internal/fleet/sessions.py
+++ b/src/egretloft/_internal/fleet/sessions.py
@@ -84,6 +84,8 @@
 MAX_TIMES_MISSING = 2
 LEASE_MS = LEASE_SECONDS * MILLISECONDS
 START_EXPIRY_MS = START_EXPIRY_SECONDS * MILLISECONDS
+# The time of day of two machines may differ by this much.
+MAX_CLOCK_SKEW_SECONDS = 8.0
 # An idle session checks this often whether it has to renew again.
 IDLE_WAIT_SECONDS = 5.0
 
@@ -486,8 +488,22 @@
             until.append(target.unanswered_until)
         if target.incarnation_ms and answer.active:
             until.append(now)
+        elif not target.incarnation_ms and self.may_have_restarted(answer):
+            until.append(now)
         return max(until, default=-math.inf)
 
+    def may_have_restarted(self, answer: RenewalAnswer) -> bool:
+        """Return whether a former leader's late call may have reached a new incarnation.
+
+        The leader does not know what was without an answer then. The longest lease that
+        such a call may have brought would have ended if the target were older.
+        """
+        if not self.target.used_before:
+            return False
+        age = self.clock.wall() - answer.incarnation_ms / MILLISECONDS
+        longest = MAX_CALL_DELAY_SECONDS + self.targets.max_lease_seconds
+        return age < longest + RENEWAL_TIMEOUT_SECONDS + MAX_CLOCK_SKEW_SECONDS
+
     def on_late_calls_refused(self, answer: RenewalAnswer) -> None:
         """Note that the target has answered a call with its present token.
 
--- a/tests/unit/fleet/test_outdated_calls.py
+++ b/tests/unit/fleet/test_outdated_calls.py
@@ -7,6 +7,7 @@
 import pytest
 from returns.result import Result, Success
 
+from egretloft._internal.fleet.fencing import fencing_token
 from egretloft._internal.fleet.interfaces import Targets
 from egretloft._internal.fleet.models import (
     JobState,
@@ -28,6 +29,9 @@
 DOWN_SECONDS = 0.5
 RESTARTED_SECONDS = 1.0
 CUT_SECONDS = 5.3
+# A call has been answered.
+ANSWER_SECONDS = 0.05
+MILLISECONDS = 1000.0
 
 
 class KeptRenewals:
@@ -123,3 +127,37 @@
         assert world.checker.violations == []
 
     run_virtual(main())
+
+
+def test_late_renewal_does_not_outlast_the_lease_that_a_new_leader_expects() -> None:
+    """Guards against a lease that a renewal of the former leader brought.
+
+    It arrives just after the restart of its target, then that leader is killed, and the
+    target is cut off once it has answered the next one.
+    """
+
+    async def main() -> None:
+        world = build_world(target_count=2, wrap_targets=KeptRenewals)
+        target = await start_jobs(world)
+        renewal = await keep_renewal(target)
+        await asyncio.sleep(CRASH_AFTER_SECONDS)
+        target.crash_for(DOWN_SECONDS)
+        target.incarnation_ms = int(world.clock.wall() * MILLISECONDS)
+        await asyncio.sleep(DOWN_SECONDS)
+        carry_out(target, renewal)
+        while not runs_job(target, 0):
+            await asyncio.sleep(0.02)
+        former = world.leader_name()
+        assert former is not None
+        await world.kill(former)
+        while target.fence < fencing_token(2, 0):
+            await asyncio.sleep(0.02)
+        await asyncio.sleep(ANSWER_SECONDS)
+        target.cut = True
+        await asyncio.sleep(CUT_SECONDS)
+        target.cut = False
+        assert await world.wait_for_state(job_id(0), JobState.COMPLETE, 90.0)
+        await world.stop()
+        assert world.checker.violations == []
+
+    run_virtual(main())
