Stay with a target for longer before a start without an answer goes elsewhere

The first target is cut off, restarts behind the cut, and carries out the start, whose expiry is far ahead on its new clock. Both run the task.

Cause: the leader took a start for dead once its expiry had passed on the clock of the incarnation that the order was sent to. Copies may arrive for 12 s, also at a later incarnation, which nothing reaches behind a cut. So it is the second start that must not come so early.

Ruled out by the log: a stop that did not arrive, an answer of the new incarnation before the second start, a target that was silent by then.

Change: a start is sent five times in 1.5 s instead of three times in 0.9 s (four times for a member of a gang; three if the task has left another target before). Later copies are dated anew, and not sent into a zone that was evacuated meanwhile. A start that is given up is stopped on its target, so that the task need not wait for the expiry and this incarnation refuses late copies. While a target is silent, the unanswered copies of all attempts of a task there count.

What remains: if all five copies are without an answer, the task goes elsewhere.

--- a/src/egretloft/_internal/fleet/leader.py
+++ b/src/egretloft/_internal/fleet/leader.py
@@ -225,6 +225,10 @@
             return self.knowledge_age() <= MAX_KNOWLEDGE_AGE_SECONDS
         return authority is Authority.PLEDGED
 
+    def is_evacuated(self, zone: str) -> bool:
+        """Return whether operators have taken an availability zone out of service."""
+        return zone in self.operators().evacuated_zones
+
     def knowledge_age(self) -> float:
         """Return how long ago the rows of operators and targets were known to hold."""
         return max(self.operators_age(), self.targets_watcher.staleness_seconds())
--- a/src/egretloft/_internal/fleet/orders.py
+++ b/src/egretloft/_internal/fleet/orders.py
@@ -2,7 +2,8 @@
 
 Starts are idempotent: retries carry the same attempt number, which a target carries
 out once. A start expires on the target's clock, so that a copy that is delivered late
-has no effect.
+has no effect. That does not hold for a target that restarts while it is cut off, so a
+task does not leave a target for a few calls without an answer.
 """
 
 from __future__ import annotations
@@ -35,7 +36,13 @@
 
 log = structlog.get_logger(__name__)
 
-START_ATTEMPTS = 3
+MAX_START_COPIES = 5
+# The last call for a member of a gang times out before the gang is stopped as
+# incomplete, so that the next plan avoids the silent target.
+MAX_GANG_START_COPIES = 4
+# Copies of a start for a task that has left another target already: it has waited for
+# that one, and has to run within 3 s.
+MAX_START_COPIES_AFTER_FAILURE = 3
 # A start is not sent later than this after it was decided. Its task is placed again, by
 # what is known of targets and zones then.
 MAX_DECISION_AGE_SECONDS = 1.5
@@ -64,14 +71,14 @@
         self.pacer = create_call_pacer()
 
     async def start(self, target: TargetRow, run: RunRow) -> None:
-        """Send a start, at most ``START_ATTEMPTS`` times, until it is answered.
+        """Send copies of a start until one of them is answered, or there are enough.
 
-        Without an answer the run stays in its phase: the session confirms it from the
-        target's list, or removes it once the order has expired.
+        Without an answer the session confirms the run from the target's list, or
+        removes it once it has been stopped or the order has expired.
         """
         may_have_started = False
         failure: TargetFailure | None = None
-        for _ in range(START_ATTEMPTS):
+        for _ in range(max_start_copies(run)):
             slot = await self.pacer.acquire(run.target_id, run.priority)
             try:
                 # Read first, so that a suspension in between prolongs no order.
@@ -113,6 +120,18 @@
         if not may_have_started and run.key in target.runs:
             self.tables.remove_harmless_run(target, run)
             self.owner.wake_scheduler()
+        elif self.is_given_up(run):
+            self.owner.stop_run(run, "start without an answer")
+
+    def is_given_up(self, run: RunRow) -> bool:
+        """Return whether a start is not there though its target has answered since.
+
+        If the target has not, it may run the task unheard, and go on with it.
+        """
+        if run.phase is not RunPhase.STARTING or run.confirmed or run.job is None:
+            return False
+        start = run.job.unanswered.get(run.key)
+        return start is not None and start.outlived
 
     async def send_start(
         self, target: TargetRow, order: StartOrder, sent: float
@@ -208,6 +227,8 @@
             return False
         if not target.listed or target.report.draining:
             return False
+        if self.owner.is_evacuated(target.report.zone):
+            return False
         if self.clock.boottime() - run.started_at > MAX_DECISION_AGE_SECONDS:
             return False
         return self.owner.may_start_runs()
@@ -217,15 +238,15 @@
     ) -> StartOrder | None:
         """Return the start order, or ``None`` if the job or the clock is unknown.
 
-        All copies of an order have the same expiry, which counts from ``now`` of the
-        first one.
+        Copies have the same expiry, which counts from ``now`` of the first one, unless
+        it may pass before the call times out.
         """
         job = self.tables.jobs.get(run.key.task.step.job_id)
         task = self.tables.task(run.key.task)
         if job is None or task is None or target.clock is None:
             return None
-        if not run.order_expires_ms:
-            now_ms = target.clock.earliest_ms(now)
+        now_ms = target.clock.earliest_ms(now)
+        if run.order_expires_ms < now_ms + ORDER_TIMEOUT_SECONDS * MILLISECONDS:
             run.order_expires_ms = now_ms + START_EXPIRY_SECONDS * MILLISECONDS
         # A target that refuses the start takes the lease from it all the same.
         target.lease_ends_ms = max(target.lease_ends_ms, run.order_expires_ms)
@@ -340,6 +361,13 @@
             await asyncio.sleep(STOP_RETRY_SECONDS)
 
 
+def max_start_copies(run: RunRow) -> int:
+    """Return how many copies of a start may be sent without an answer."""
+    if run.task is not None and run.task.failed_on:
+        return MAX_START_COPIES_AFTER_FAILURE
+    return MAX_GANG_START_COPIES if run.gang else MAX_START_COPIES
+
+
 def is_settled(result: Result[int, TargetFailure]) -> bool:
     """Return whether the call certainly will not be carried out any more."""
     if not isinstance(result, Failure):
--- a/src/egretloft/_internal/fleet/sessions.py
+++ b/src/egretloft/_internal/fleet/sessions.py
@@ -118,6 +118,9 @@
     def may_start_runs(self) -> bool:
         """Return whether it also knows what operators ask for, and may start runs."""
 
+    def is_evacuated(self, zone: str) -> bool:
+        """Return whether operators have taken an availability zone out of service."""
+
     def on_job_changed(self, job: JobRow) -> None:
         """Schedule a write of the job's progress and wake the scheduling loop."""
 
@@ -486,17 +489,16 @@
         until = [self.owner.late_starts.arrive_until[start] for start in starts]
         if target.unanswered_until >= self.alive_at():
             until.append(target.unanswered_until)
-        if target.incarnation_ms and answer.active:
-            until.append(now)
-        elif not target.incarnation_ms and self.may_have_restarted(answer):
+        is_known = bool(target.incarnation_ms)
+        if answer.active if is_known else self.is_young(answer):
             until.append(now)
         return max(until, default=-math.inf)
 
-    def may_have_restarted(self, answer: RenewalAnswer) -> bool:
-        """Return whether a former leader's late call may have reached a new incarnation.
+    def is_young(self, answer: RenewalAnswer) -> bool:
+        """Return whether a lease that a former leader's late call brought may last.
 
-        The leader does not know what was without an answer then. The longest lease that
-        such a call may have brought would have ended if the target were older.
+        Such a call was sent before the target's start. What was without an answer then
+        is not known.
         """
         if not self.target.used_before:
             return False
@@ -759,14 +761,21 @@
     def may_run_copy(self, run: RunRow) -> bool:
         """Return whether the silent target may have restarted and run a late copy.
 
-        Not if no copy of the start is without an answer, or if nothing was heard of the
-        target since: the start was lost with its link then.
+        That may be a copy of any start of the task that the target left unanswered. A
+        start was lost with the target's link if nothing was heard of the target since.
         """
-        start = run.job.unanswered.get(run.key) if run.job is not None else None
-        if start is None or not start.outlived:
+        if run.job is None:
             return False
-        sent = SentStart(run.target_id, start.incarnation_ms, run.key)
-        return self.owner.late_starts.may_run(sent, self.clock.boottime())
+        now = self.clock.boottime()
+        return any(
+            start.outlived
+            and key.task == run.key.task
+            and start.target_id == run.target_id
+            and self.owner.late_starts.may_run(
+                SentStart(start.target_id, start.incarnation_ms, key), now
+            )
+            for key, start in run.job.unanswered.items()
+        )
 
     def lease_has_expired(self) -> bool:
         """Return whether what the target ran has certainly ended by now.
--- a/tests/lib/term_owner.py
+++ b/tests/lib/term_owner.py
@@ -25,6 +25,9 @@
     def may_start_runs(self) -> bool:
         return self.confirmed
 
+    def is_evacuated(self, zone: str) -> bool:
+        return False
+
     def on_job_changed(self, job: JobRow) -> None:
         """Do nothing."""
 
