--- a/src/egretloft/_internal/fleet/orders.py
+++ b/src/egretloft/_internal/fleet/orders.py
@@ -86,6 +86,8 @@
                 allowed = self.may_start(target, run)
                 order = self.start_order(target, run, now) if allowed else None
                 if order is None:
+                    if failure is not None and self.is_too_old(target, run):
+                        break
                     self.remove_unsent(target, run)
                     return
                 sent = self.clock.boottime()
@@ -229,10 +231,22 @@
             return False
         if self.owner.is_evacuated(target.report.zone):
             return False
-        if self.clock.boottime() - run.started_at > MAX_DECISION_AGE_SECONDS:
+        if self.decision_age_seconds(run) > MAX_DECISION_AGE_SECONDS:
             return False
         return self.owner.may_start_runs()
 
+    def decision_age_seconds(self, run: RunRow) -> float:
+        """Return how long ago the start was decided."""
+        return self.clock.boottime() - run.started_at
+
+    def is_too_old(self, target: TargetRow, run: RunRow) -> bool:
+        """Return whether a start waits for an answer, and its decision is too old."""
+        if run.key not in target.runs or run.phase is not RunPhase.STARTING:
+            return False
+        if run.confirmed or run.incarnation_ms != target.incarnation_ms:
+            return False
+        return self.decision_age_seconds(run) > MAX_DECISION_AGE_SECONDS
+
     def start_order(
         self, target: TargetRow, run: RunRow, now: float
     ) -> StartOrder | None:
