Play late renewals in the storms of returning targets

One renewal in twenty that carries an expiry is late in the new storms; the former ones take the same course as before.

--- a/tests/lib/return_storm.py
+++ b/tests/lib/return_storm.py
@@ -27,20 +27,29 @@
 SERIES_PAUSE_SECONDS = (1.0, 4.0)
 RESTART_SECONDS = 0.5
 LATE_ORDER_SHARE = 0.1
+LATE_RENEWAL_SHARE = 0.05
 
 
 class ReturnStorm(Storm):
     """Plays long tasks and series of restarts that are followed by cuts.
 
     With ``takes_over`` the leader is killed between the return and the cut. With
-    ``orders_late`` some orders are carried out seconds late, also after a restart. Jobs
-    may be idle from a restart to the end of the cut, as they are judged in calm only.
+    ``orders_late`` some orders are carried out seconds late, also after a restart, and
+    with ``renewals_late`` some renewals. Jobs may be idle from a restart to the end of
+    the cut, as they are judged in calm only.
     """
 
-    def __init__(self, seed: int, takes_over: bool, orders_late: bool) -> None:
+    def __init__(
+        self,
+        seed: int,
+        takes_over: bool,
+        orders_late: bool,
+        renewals_late: bool = False,
+    ) -> None:
         super().__init__(seed)
         self.takes_over = takes_over
         self.orders_late = orders_late
+        self.renewals_late = renewals_late
         # References to running tasks, as the event loop holds only weak ones.
         self.restarts: set[asyncio.Task[None]] = set()
 
@@ -48,7 +57,7 @@
         """Play the jobs and the series, let all heal, and wait for the jobs."""
         await self.world.start()
         await asyncio.sleep(1.0)
-        self.checker.orders_late = self.orders_late
+        self.checker.orders_late = self.orders_late or self.renewals_late
         self.set_late_orders()
         watch = asyncio.create_task(self.idle_jobs.watch())
         works = [self.submit_later(number) for number in range(JOBS)]
@@ -62,12 +71,14 @@
         return self.report
 
     def set_late_orders(self) -> None:
-        """Let a share of the orders be late, if the storm has such."""
-        if not self.orders_late:
-            return
+        """Let a share of the orders and renewals be late, if the storm has such."""
         for process in self.world.processes.values():
-            process.targets.late_order_share = LATE_ORDER_SHARE
-            process.targets.late_orders_outlive_crashes = True
+            client = process.targets
+            client.late_order_share = LATE_ORDER_SHARE if self.orders_late else 0.0
+            client.late_renewal_share = (
+                LATE_RENEWAL_SHARE if self.renewals_late else 0.0
+            )
+            client.late_orders_outlive_crashes = self.orders_late or self.renewals_late
 
     async def submit_later(self, number: int) -> None:
         """Submit a job of long tasks, until it is accepted."""
@@ -143,7 +154,7 @@
 
 
 async def play_return_storm(
-    seed: int, takes_over: bool, orders_late: bool
+    seed: int, takes_over: bool, orders_late: bool, renewals_late: bool = False
 ) -> StormReport:
     """Play the storm of a seed."""
-    return await ReturnStorm(seed, takes_over, orders_late).play()
+    return await ReturnStorm(seed, takes_over, orders_late, renewals_late).play()
--- a/tests/unit/fleet/test_return_storm.py
+++ b/tests/unit/fleet/test_return_storm.py
@@ -15,6 +15,9 @@
 # Seeds in which a task ran twice: starts for a former incarnation reached the new one
 # before a takeover (17, 18), or seconds late (4, 6, 14, 21, 25, 40, 41, 54).
 FAILED_SEEDS = (14, 17, 18, 21, 25, 40, 41, 54)
+# Seeds in which a late renewal for the former incarnation let a task run twice (117
+# with a takeover), as 4 did.
+LATE_RENEWAL_SEEDS = (16, 26, 86, 117, 176)
 
 
 @pytest.mark.parametrize("orders_late", [False, True])
@@ -27,3 +30,15 @@
     assert not report.violations, failure_text(report)
     assert not report.unfinished, failure_text(report)
     assert report.accepted
+
+
+@pytest.mark.parametrize("takes_over", [False, True])
+@pytest.mark.parametrize("seed", [*chosen_seeds(), *LATE_RENEWAL_SEEDS])
+def test_late_renewals_of_targets_that_return_let_nothing_run_twice(
+    seed: int, takes_over: bool
+) -> None:
+    """Guards against leases, and forgotten ends, by calls for a former incarnation."""
+    report = run_virtual(play_return_storm(seed, takes_over, False, renewals_late=True))
+    assert not report.violations, failure_text(report)
+    assert not report.unfinished, failure_text(report)
+    assert report.accepted
--- a/tools/standins/fleet/targets.py
+++ b/tools/standins/fleet/targets.py
@@ -453,14 +453,16 @@
 
     ``late_order_share`` is the share of starts and stops that get no answer and are
     carried out seconds later, ``lost_answer_share`` that of starts that are carried out
-    at once and whose answer is lost. With ``late_orders_outlive_crashes``, a target
-    that has restarted meanwhile carries out late orders too.
+    at once and whose answer is lost. ``late_renewal_share`` is that of renewals with an
+    expiry that are late. With ``late_orders_outlive_crashes``, a target that has
+    restarted meanwhile carries out late calls too.
     """
 
     targets: dict[str, EmulatedTarget]
     generator: random.Random
     wait_until_thawed: Callable[[], Awaitable[None]] = return_at_once
     late_order_share: float = 0.0
+    late_renewal_share: float = 0.0
     late_orders_outlive_crashes: bool = False
     lost_answer_share: float = 0.0
     cut_from: set[str] = field(default_factory=set)
@@ -494,6 +496,13 @@
             and self.generator.random() < self.late_order_share
         )
 
+    def is_late_renewal(self) -> bool:
+        """Return whether this renewal gets no answer and is carried out late."""
+        return (
+            bool(self.late_renewal_share)
+            and self.generator.random() < self.late_renewal_share
+        )
+
     async def carry_out_late(
         self, target: EmulatedTarget, action: Callable[[], object]
     ) -> None:
@@ -584,6 +593,10 @@
             return no_answer()
         if reached.incarnation_ms != renewal.incarnation_ms:
             renewal = Renewal(renewal.fencing_token, reached.incarnation_ms)
+        if renewal.expires_at_ms is not None and self.is_late_renewal():
+            self.postpone(reached, lambda: renew_late(reached, renewal))
+            await asyncio.sleep(timeout_seconds)
+            return no_answer()
         refusal = reached.renew(
             renewal.fencing_token, renewal.last_recorded_end, renewal.expires_at_ms
         )
@@ -604,6 +617,13 @@
         return Success(answer)
 
 
+def renew_late(target: EmulatedTarget, renewal: Renewal) -> None:
+    """Let a target carry out a renewal, whichever incarnation it was meant for."""
+    target.renew(
+        renewal.fencing_token, renewal.last_recorded_end, renewal.expires_at_ms
+    )
+
+
 def no_answer() -> Failure[TargetFailure]:
     """Return the failure of a call whose outcome is unknown."""
     return Failure(TargetFailure(TargetFailureKind.UNKNOWN, "no answer"))
