Split the incarnations and the lease of a target from its session

What a restart of a target changes, and what calls for its former incarnations may do, is in incarnations.py now; how long what it runs may last is in leases.py, and what the parts of a term ask of the leader in term_owner.py.

--- a/src/egretloft/_internal/fleet/orders.py
+++ b/src/egretloft/_internal/fleet/orders.py
@@ -29,9 +29,10 @@
     TargetFailureKind,
 )
 from egretloft._internal.fleet.records import UnansweredStart
-from egretloft._internal.fleet.sessions import TermOwner, note_outlived_starts
+from egretloft._internal.fleet.sessions import note_outlived_starts
 from egretloft._internal.fleet.tables import FleetTables, RunPhase, RunRow, TargetRow
 from egretloft._internal.fleet.target_health import quarantine
+from egretloft._internal.fleet.term_owner import TermOwner
 from egretloft._internal.metrics import Metrics
 
 log = structlog.get_logger(__name__)
--- a/src/egretloft/_internal/fleet/sessions.py
+++ b/src/egretloft/_internal/fleet/sessions.py
@@ -8,20 +8,16 @@
 
 import asyncio
 import contextlib
-import math
-from typing import Protocol
 
 import structlog
 from returns.result import Failure
 
 from egretloft._internal.fleet.clocks import MILLISECONDS, TargetClock
 from egretloft._internal.fleet.constants import (
-    CLOCK_RATE_ERROR,
     LEASE_SECONDS,
     MAX_CALL_DELAY_SECONDS,
     RENEWAL_TIMEOUT_SECONDS,
     RENEWAL_WAIT_SECONDS,
-    START_EXPIRY_SECONDS,
 )
 from egretloft._internal.fleet.crash_suspects import (
     has_survived,
@@ -29,10 +25,11 @@
     note_failure,
     note_return,
 )
+from egretloft._internal.fleet.incarnations import Incarnations
 from egretloft._internal.fleet.interfaces import FleetClock, Targets
-from egretloft._internal.fleet.late_starts import LateStarts, SentStart
+from egretloft._internal.fleet.late_starts import SentStart
+from egretloft._internal.fleet.leases import TargetLease
 from egretloft._internal.fleet.lifecycle import (
-    add_late_start,
     adopt_run,
     apply_end,
     may_be_waiting,
@@ -50,12 +47,12 @@
 )
 from egretloft._internal.fleet.tables import (
     FleetTables,
-    JobRow,
     RunPhase,
     RunRow,
     TargetRow,
 )
 from egretloft._internal.fleet.target_health import update_health
+from egretloft._internal.fleet.term_owner import TermOwner
 from egretloft._internal.metrics import Metrics
 
 log = structlog.get_logger(__name__)
@@ -83,9 +80,6 @@
 # being listed.
 MAX_TIMES_MISSING = 2
 LEASE_MS = LEASE_SECONDS * MILLISECONDS
-START_EXPIRY_MS = START_EXPIRY_SECONDS * MILLISECONDS
-# The time of day of two machines may differ by this much.
-MAX_CLOCK_SKEW_SECONDS = 8.0
 # An idle session checks this often whether it has to renew again.
 IDLE_WAIT_SECONDS = 5.0
 
@@ -102,65 +96,6 @@
     return failure.kind is TargetFailureKind.UNKNOWN
 
 
-class TermOwner(Protocol):
-    """The leader, as seen by sessions and orders."""
-
-    epoch: int
-    recovering: bool
-    # Whether all used targets have to answer before any lease is renewed, any run
-    # started or any end acknowledged: the former leader may go on until then.
-    awaits_fences: bool
-    late_starts: LateStarts
-
-    def may_issue_orders(self) -> bool:
-        """Return whether the leader may send orders and renew leases."""
-
-    def may_start_runs(self) -> bool:
-        """Return whether it also knows what operators ask for, and may start runs."""
-
-    def is_evacuated(self, zone: str) -> bool:
-        """Return whether operators have taken an availability zone out of service."""
-
-    def on_job_changed(self, job: JobRow) -> None:
-        """Schedule a write of the job's progress and wake the scheduling loop."""
-
-    def wake_scheduler(self) -> None:
-        """Start the next tick without waiting for the tick period."""
-
-    def stop_run(self, run: RunRow, why: str) -> None:
-        """Stop a run; its resources stay in use until it has certainly ended."""
-
-    def on_run_done(self, run: RunRow) -> None:
-        """Record the run time of a finished run.
-
-        Called before the task is marked as done.
-        """
-
-    def on_crash_suspected(self, run: RunRow) -> None:
-        """Note that the target of a run may have crashed because of its start."""
-
-    def on_run_confirmed(self, run: RunRow) -> None:
-        """Note that a target has listed a run for the first time."""
-
-    def on_target_idle(self, target: TargetRow) -> None:
-        """Note that an unreachable target certainly runs nothing."""
-
-    def on_target_regained(self, target: TargetRow) -> None:
-        """Note that a target can be reached again."""
-
-    def on_target_changed(self, target: TargetRow) -> None:
-        """Wake the session of a target that restarted or moved."""
-
-    def on_fenced(self) -> None:
-        """End the term because a target has seen a newer epoch."""
-
-    async def wait_for_flush(self) -> None:
-        """Wait until pending changes have been written to the store once more."""
-
-    def extend_timeout(self, timeout_seconds: float) -> float:
-        """Return the timeout of a call, extended if the event loop is late."""
-
-
 def note_outlived_starts(
     owner: TermOwner, tables: FleetTables, target: TargetRow
 ) -> None:
@@ -195,6 +130,11 @@
         self.clock = clock
         self.metrics = metrics
         self.wake = asyncio.Event()
+        longest = targets.max_lease_seconds
+        self.lease = TargetLease(target, clock, longest)
+        self.incarnations = Incarnations(
+            owner, tables, target, clock, longest, self.lose_crashed_run
+        )
 
     async def run(self) -> None:
         """Renew whenever the target needs it, until cancelled."""
@@ -369,7 +309,7 @@
                 "target lost",
                 target=target.report.target_id,
                 error=failure.message,
-                lease_left=round(self.lease_left_seconds(), 2),
+                lease_left=round(self.lease.left_seconds(), 2),
             )
         await asyncio.sleep(RETRY_SECONDS)
 
@@ -406,10 +346,10 @@
                     rows=answer.unreadable,
                 )
         if answer.incarnation_ms != target.incarnation_ms:
-            self.on_new_incarnation(answer)
+            self.incarnations.on_new(answer)
             acknowledged_end = 0
         elif not target.refuses_late_calls:
-            self.on_late_calls_refused(answer)
+            self.incarnations.on_late_calls_refused(answer)
         if target.clock is None:
             target.clock = TargetClock(answer.target_time_ms, now)
         target.clock.observe(answer.target_time_ms, now)
@@ -439,140 +379,14 @@
         if not was_fenced:
             self.owner.wake_scheduler()
 
-    def on_new_incarnation(self, answer: RenewalAnswer) -> None:
-        """Reset what is known of a target that restarted: clock, lease and end numbers.
-
-        Its runs are removed, except those that it lists and starts of which a copy may
-        still arrive, also if they were given up or have ended since. The expiry of a
-        copy that was sent before says nothing on the new clock, and neither does that
-        of a late renewal. The target refuses them once it has seen a higher token.
-        """
-        target = self.target
-        now = self.clock.boottime()
-        # A former leader may have renewed the lease until now.
-        target.lease_ends_ms = answer.target_time_ms + LEASE_MS
-        late_until = self.late_calls_until(answer, now)
-        if target.incarnation_ms:
-            if not target.failed_renewals:
-                note_failure(target, now)
-            note_return(target, now)
-            target.restarted_at = now
-            target.former_answer = target.last_answer
-            self.tables.note_restart(target)
-            target.refuses_late_calls = False
-            log.info(
-                "target restarted",
-                target=target.report.target_id,
-                born=answer.incarnation_ms,
-                token=target.fencing_token(self.owner.epoch),
-                late_calls_for=round(max(0.0, late_until - now), 2),
-            )
-        target.late_calls_until = max(target.late_calls_until, late_until)
-        target.incarnation_ms = answer.incarnation_ms
-        target.clock = None
-        target.last_recorded_end = target.last_applied_end = (
-            target.last_acknowledged_end
-        ) = 0
-        self.keep_late_starts(answer, now)
-        if target.refuses_late_calls:
-            # It has answered the first call of a new leader, whose epoch is higher.
-            self.on_late_calls_refused(answer)
-
-    def late_calls_until(self, answer: RenewalAnswer, now: float) -> float:
-        """Return until when a new incarnation may get calls for former ones.
-
-        These are what was without an answer when the former one gave its last answer,
-        and copies of what runs already. It is minus infinity if there are none.
-        """
-        target = self.target
-        starts = self.starts_before_restart(answer)
-        until = [self.owner.late_starts.arrive_until[start] for start in starts]
-        if target.unanswered_until >= self.alive_at():
-            until.append(target.unanswered_until)
-        is_known = bool(target.incarnation_ms)
-        if answer.active if is_known else self.is_young(answer):
-            until.append(now)
-        return max(until, default=-math.inf)
-
-    def is_young(self, answer: RenewalAnswer) -> bool:
-        """Return whether a lease that a former leader's late call brought may last.
-
-        Such a call was sent before the target's start. What was without an answer then
-        is not known.
-        """
-        if not self.target.used_before:
-            return False
-        age = self.clock.wall() - answer.incarnation_ms / MILLISECONDS
-        longest = MAX_CALL_DELAY_SECONDS + self.targets.max_lease_seconds
-        return age < longest + RENEWAL_TIMEOUT_SECONDS + MAX_CLOCK_SKEW_SECONDS
-
-    def on_late_calls_refused(self, answer: RenewalAnswer) -> None:
-        """Note that the target has answered a call with its present token.
-
-        It refuses from now on what was sent to former incarnations. What it carried out
-        before may have brought the longest lease.
-        """
-        target = self.target
-        target.refuses_late_calls = True
-        if target.late_calls_until == -math.inf:
-            return
-        target.late_calls_until = -math.inf
-        longest_ms = self.targets.max_lease_seconds * MILLISECONDS
-        target.lease_ends_ms = max(
-            target.lease_ends_ms, answer.target_time_ms + longest_ms
-        )
-
-    def alive_at(self) -> float:
-        """Return when the incarnation that answered last was certainly alive."""
-        return self.target.last_answer - RENEWAL_TIMEOUT_SECONDS
-
-    def starts_before_restart(self, answer: RenewalAnswer) -> list[SentStart]:
-        """Return the start orders that the new incarnation may have carried out."""
-        return self.owner.late_starts.before_restart(
-            self.target.report.target_id, answer.incarnation_ms, self.alive_at()
-        )
-
-    def keep_late_starts(self, answer: RenewalAnswer, now: float) -> None:
-        """Keep, or add, the starts that a new incarnation may carry out or runs."""
-        target = self.target
-        listed_runs = {active.run for active in answer.active}
-        start_expires_ms = answer.target_time_ms + START_EXPIRY_MS
-        late_starts = self.owner.late_starts
-        late = [
-            start.run
-            for start in self.starts_before_restart(answer)
-            if late_starts.may_arrive(start, now)
-        ]
-        for run in list(target.runs.values()):
-            if run.key in listed_runs or run.incarnation_ms == answer.incarnation_ms:
-                run.order_expires_ms = start_expires_ms
-            elif run.confirmed:
-                self.lose_run(run, "target restarted", crashed=True)
-            elif run.order_expires_ms:
-                self.keep_unconfirmed_start(run, answer)
-        for key in late:
-            if key in listed_runs or key in target.runs:
-                continue
-            run = add_late_start(self.tables, target, key, now)
-            self.keep_unconfirmed_start(run, answer)
-
-    def keep_unconfirmed_start(self, run: RunRow, answer: RenewalAnswer) -> None:
-        """Keep a start of which a copy was sent to the former incarnation.
-
-        A stop that the former incarnation confirmed does not hold for the new one.
-        """
-        is_stopped = run.phase is RunPhase.STOPPING and run.stop_confirmed_at
-        run.sent_before_restart = True
-        run.stop_confirmed_at = 0.0
-        # While the target is unreachable, the order counts as sent just now.
-        run.order_expires_ms = answer.target_time_ms + START_EXPIRY_MS
-        if is_stopped:
-            self.owner.stop_run(run, "target restarted")
-
     def lose_all_runs(self, why: str) -> None:
         """Remove all runs of the target, which has crashed or is cut off, as lost."""
         for run in list(self.target.runs.values()):
-            self.lose_run(run, why, crashed=True)
+            self.lose_crashed_run(run, why)
+
+    def lose_crashed_run(self, run: RunRow, why: str) -> None:
+        """Remove a run of the target, which has crashed or is cut off."""
+        self.lose_run(run, why, crashed=True)
 
     def lose_run(self, run: RunRow, why: str, crashed: bool = False) -> None:
         """Remove a run that cannot be active any more and whose end was not listed.
@@ -614,7 +428,7 @@
         One that could not be decoded may come before them, so they wait until what the
         target ran has expired.
         """
-        if answer.unreadable and not self.lease_has_expired():
+        if answer.unreadable and not self.lease.has_expired():
             return
         for end in answer.ends:
             if end.number <= self.target.last_applied_end:
@@ -714,7 +528,7 @@
         """
         if not answer.lists_all_ends:
             return
-        if answer.unreadable and not self.lease_has_expired():
+        if answer.unreadable and not self.lease.has_expired():
             return
         target = self.target
         listed_runs = {active.run for active in answer.active}
@@ -753,7 +567,7 @@
             return
         if not target.runs:
             self.owner.on_target_idle(target)
-        elif self.lease_has_expired():
+        elif self.lease.has_expired():
             for run in list(target.runs.values()):
                 if not self.may_run_copy(run):
                     self.lose_run(run, "lease expired", crashed=True)
@@ -777,38 +591,6 @@
             for key, start in run.job.unanswered.items()
         )
 
-    def lease_has_expired(self) -> bool:
-        """Return whether what the target ran has certainly ended by now.
-
-        Start orders that the target may still carry out count like the lease, and late
-        calls as if each brought the longest one.
-        """
-        target = self.target
-        now = self.clock.boottime()
-        if target.clock is None or now < self.late_lease_until():
-            return False
-        return target.clock.has_passed(self.last_expiry_ms(), now)
-
-    def last_expiry_ms(self) -> float:
-        """Return when the lease and all start orders expire, on the target's clock."""
-        target = self.target
-        orders = [run.order_expires_ms for run in target.runs.values()]
-        return max([target.lease_ends_ms, *orders])
-
-    def late_lease_until(self) -> float:
-        """Return the boot time until which a lease that a late call brings may last."""
-        longest = self.targets.max_lease_seconds * (1 + CLOCK_RATE_ERROR)
-        return self.target.late_calls_until + longest
-
-    def lease_left_seconds(self) -> float:
-        """Return for how long what the target runs may last, as far as is known."""
-        target = self.target
-        if target.clock is None:
-            return math.inf
-        now = self.clock.boottime()
-        left_ms = self.last_expiry_ms() - target.clock.earliest_ms(now)
-        return max(0.0, left_ms / MILLISECONDS, self.late_lease_until() - now)
-
 
 def create_target_session(
     owner: TermOwner,
