Let short jobs use what is kept for a gang until it can start

Cause: room is withheld for a gang as long as it waits, and nothing asked how long that would be. Jobs overtook it only once no job had arrived for 2.5 s, and never once it had waited for 30 s.

Change: a reservation tells when its gang is expected to start, by the expected times of the runs that it waits for. A step that is short against the gang's wait may use the room if twice its time passes before that, or, where it is not known, while the gang waits for a run that began before it. Longer steps may once jobs no longer arrive. "step waits" tells of gangs ahead.

--- a/src/egretloft/_internal/fleet/reclaiming.py
+++ b/src/egretloft/_internal/fleet/reclaiming.py
@@ -29,6 +29,7 @@
     total_capacity,
 )
 from egretloft._internal.fleet.queueing import critical_path_ms, objective_seconds
+from egretloft._internal.fleet.reservations import MIN_REMAINING_SECONDS
 from egretloft._internal.fleet.tables import (
     JobRow,
     RunPhase,
@@ -58,8 +59,6 @@
 RECLAIM_PIN_SECONDS = 2.0
 # How long the targets reserved for a waiting gang stay pinned to it.
 RESERVATION_PIN_SECONDS = 5.0
-# Least remaining time assumed for a run, also if it has exceeded its estimate.
-MIN_REMAINING_SECONDS = 1.0
 
 
 @dataclass(slots=True, frozen=True)
@@ -168,7 +167,10 @@
 
 
 def longest_remaining_seconds(target: TargetRow, priority: int, now: float) -> float:
-    """Return the estimated seconds until all lower-priority runs of a target end."""
+    """Return the estimated seconds until all lower-priority runs of a target end.
+
+    A run that has exceeded its estimate is expected to end soon.
+    """
     longest = 0.0
     for run in target.runs.values():
         if run.priority <= priority or run.job is None:
--- a/src/egretloft/_internal/fleet/service_tick.py
+++ b/src/egretloft/_internal/fleet/service_tick.py
@@ -38,6 +38,7 @@
     plan_reservation,
     reclaim_delay_seconds,
 )
+from egretloft._internal.fleet.reservations import reserve_capacity
 from egretloft._internal.fleet.tables import (
     FleetTables,
     StepRow,
@@ -233,7 +234,7 @@
         for _, planned in plan.entries:
             target = planned.target
             planned.cpu = planned.memory_mb = planned.gpus = NOTHING_FREE
-            self.overtaking.reserved.pop(target.report.target_id, None)
+            self.overtaking.withhold(target.report.target_id)
             self.reserved[target.report.target_id] = target.report.room
 
     def requires_healthy_targets(self, step: StepRow) -> bool:
@@ -356,8 +357,11 @@
             spread,
         )
         if plan is not None:
+            now = self.context.now
+            self.overtaking.note_reserved(
+                reserve_capacity(step, plan, self.capacity_by_target, now)
+            )
             self.reserve(plan)
-            self.overtaking.note_reserved(step, plan)
         elif not pinned_targets(step, self.healthy_targets, self.context.now):
             self.unreservable.add(step, demand, priority)
 
--- a/src/egretloft/_internal/fleet/wait_report.py
+++ b/src/egretloft/_internal/fleet/wait_report.py
@@ -59,6 +59,8 @@
             fitting=fitting_tasks(step, service.capacities),
             spread=service.spread_policy.may_spread(step),
             suspected=step.suspected,
+            gangs_ahead=len(service.overtaking.reservations),
+            gang_starts_in=service.overtaking.seconds_until_start(),
         )
 
 
