Start the steps of a queue on the service that it is sent to now

Cause: a job's row keeps the service that its queue had at the submission, and the scheduler placed by it only.

Change: a step starts on the service to which the newest configuration that the leader knows sends its queue, and on the former one only if no target of the new one could hold it. The row tells by which version the job was accepted, so that a leader with an older one does not override it. "queue moved to another service" is logged, and job and step lines tell the service.

--- a/src/egretloft/_internal/fleet/intake.py
+++ b/src/egretloft/_internal/fleet/intake.py
@@ -162,6 +162,7 @@
             latency_target_ms=queue.latency_target_ms,
             accepted_at_ms=int(self.clock.wall() * MILLISECONDS),
             spec=spec,
+            configuration_version=caller.configuration_version,
         )
         key = job_key(job_id)
         # A cancel request that is there already ends the job, however late this write
--- a/src/egretloft/_internal/fleet/queueing.py
+++ b/src/egretloft/_internal/fleet/queueing.py
@@ -19,10 +19,11 @@
 
 @dataclass(slots=True, frozen=True)
 class WaitingStep:
-    """A step with tasks to start."""
+    """A step with tasks to start on the targets of a service."""
 
     job: JobRow
     step: StepRow
+    service: str
 
 
 def objective_seconds(job: JobRow) -> float:
--- a/src/egretloft/_internal/fleet/records.py
+++ b/src/egretloft/_internal/fleet/records.py
@@ -20,7 +20,11 @@
 
 @dataclass(slots=True, frozen=True)
 class AcceptedJob:
-    """A job as it was accepted; the row never changes. Times are Unix milliseconds."""
+    """A job as it was accepted; the row never changes. Times are Unix milliseconds.
+
+    ``service`` is that of the queue in ``configuration_version``; earlier releases did
+    not store the version.
+    """
 
     job_id: str
     queue: str
@@ -32,6 +36,7 @@
     latency_target_ms: int
     accepted_at_ms: int
     spec: JobSpec
+    configuration_version: int = 0
 
 
 @dataclass(slots=True, frozen=True)
--- a/src/egretloft/_internal/fleet/run_control.py
+++ b/src/egretloft/_internal/fleet/run_control.py
@@ -168,6 +168,7 @@
             occurrence=step.key.occurrence,
             attempt=attempt,
             epoch=self.owner.epoch,
+            service=placement.starts[0][1].report.service,
             targets=[target.report.target_id for _, target in placement.starts][:8],
             waited=round(now - step.ready_at, 3),
             expected=round(step.expected_seconds, 2),
--- a/src/egretloft/_internal/fleet/scheduler.py
+++ b/src/egretloft/_internal/fleet/scheduler.py
@@ -19,6 +19,11 @@
 from egretloft._internal.fleet.guarantees import create_guarantees
 from egretloft._internal.fleet.lifecycle import open_steps
 from egretloft._internal.fleet.models import OperatorState
+from egretloft._internal.fleet.queue_services import (
+    QueueServices,
+    create_queue_services,
+    listed_targets,
+)
 from egretloft._internal.fleet.queueing import WaitingStep, sort_waiting
 from egretloft._internal.fleet.reclaiming import reclaim_delay_seconds
 from egretloft._internal.fleet.run_times import RunTimes, create_run_times
@@ -43,15 +48,6 @@
 MILLISECONDS = 1000.0
 
 
-def listed_targets(tables: FleetTables, service: str) -> list[TargetRow]:
-    """Return all targets of a service, also those that may not get new work now."""
-    return [
-        target
-        for target in tables.targets.values()
-        if target.report.service == service and target.listed
-    ]
-
-
 def usable_targets(
     tables: FleetTables, operators: OperatorState, service: str
 ) -> list[TargetRow]:
@@ -77,7 +73,10 @@
 
 
 def waiting_steps(
-    tables: FleetTables, run_times: RunTimes, context: TickContext
+    tables: FleetTables,
+    run_times: RunTimes,
+    queue_services: QueueServices,
+    context: TickContext,
 ) -> list[WaitingStep]:
     """Return the steps with tasks to start, in scheduling order.
 
@@ -95,7 +94,8 @@
             if is_startable(step):
                 waiting = True
                 step.expected_seconds = run_times.expected_seconds(job, step)
-                found.append(WaitingStep(job, step))
+                service = queue_services.choose(job.accepted, step)
+                found.append(WaitingStep(job, step, service))
         if not waiting and not has_future_occurrences(job, context.wall):
             del tables.startable_jobs[job_id]
     return sort_waiting(found, context.wall, context.now)
@@ -119,6 +119,7 @@
     def __init__(self, tables: FleetTables) -> None:
         self.tables = tables
         self.run_times = create_run_times()
+        self.queue_services = create_queue_services(tables)
         self.wait_report = create_wait_report()
         self.last_arrivals: dict[str, float] = {}
 
@@ -127,7 +128,8 @@
         decisions = Decisions()
         services: dict[str, ServiceTick] = {}
         guarantees = create_guarantees(self.tables, operators)
-        queue = waiting_steps(self.tables, self.run_times, context)
+        self.queue_services.update(operators.configuration)
+        queue = waiting_steps(self.tables, self.run_times, self.queue_services, context)
         self.note_arrivals(queue)
         for waiting in queue:
             priority = waiting.job.accepted.priority
@@ -136,7 +138,7 @@
                     decisions.review_seconds, FULL_BACKLOG_REVIEW_SECONDS
                 )
                 break
-            service = waiting.job.accepted.service
+            service = waiting.service
             if service not in services:
                 services[service] = create_service_tick(
                     self.tables,
@@ -170,7 +172,7 @@
         for waiting in queue:
             if waiting.step.spec.after:
                 continue
-            service = waiting.job.accepted.service
+            service = waiting.service
             before = self.last_arrivals.get(service, -math.inf)
             self.last_arrivals[service] = max(before, waiting.step.ready_at)
 
--- a/src/egretloft/_internal/fleet/state_reader.py
+++ b/src/egretloft/_internal/fleet/state_reader.py
@@ -203,6 +203,8 @@
             request_id=job.accepted.job_id,
             version=row.version,
             queue=job.accepted.queue,
+            service=job.accepted.service,
+            configuration=job.accepted.configuration_version,
             priority=job.accepted.priority,
             tasks=sum(step.tasks for step in job.accepted.spec.steps),
         )
--- a/src/egretloft/_internal/fleet/wait_report.py
+++ b/src/egretloft/_internal/fleet/wait_report.py
@@ -39,7 +39,7 @@
         }
         for entry in idle:
             name = entry.job.accepted.job_id
-            service = services.get(entry.job.accepted.service)
+            service = services.get(entry.service)
             if now >= self.report_at[name] and service is not None:
                 self.report_at[name] = now + REPORT_PERIOD_SECONDS
                 self.report(entry, service, now)
@@ -51,6 +51,7 @@
             "step waits",
             request_id=step.key.job_id,
             step=step.key.step,
+            service=entry.service,
             tasks=len(step.waiting()),
             idle=round(now - self.idle_since[step.key.job_id], 3),
             waited=round(now - step.ready_at, 3),
--- a/tests/lib/full_scan.py
+++ b/tests/lib/full_scan.py
@@ -18,7 +18,7 @@
             continue
         for step in open_steps(job, context.wall * 1000.0, context.now):
             if is_startable(step):
-                found.append(WaitingStep(job, step))
+                found.append(WaitingStep(job, step, job.accepted.service))
     return {id(waiting.step) for waiting in found}
 
 
--- a/tests/unit/fleet/test_table_indexes.py
+++ b/tests/unit/fleet/test_table_indexes.py
@@ -27,6 +27,7 @@
     StepSpec,
     TaskKey,
 )
+from egretloft._internal.fleet.queue_services import create_queue_services
 from egretloft._internal.fleet.recorder import Recorder
 from egretloft._internal.fleet.records import (
     JobProgress,
@@ -78,6 +79,7 @@
         self.lost: list[tuple[TargetRow, RunKey]] = []
         self.context = TickContext(10.0, WALL, recovering=True)
         self.run_times = create_run_times()
+        self.queue_services = create_queue_services(self.tables)
         self.reader = StateReader(
             cast(StateOwner, self),
             self.tables,
@@ -94,7 +96,9 @@
 
     def start(self) -> None:
         """Start all startable tasks of a random waiting step."""
-        waiting = waiting_steps(self.tables, self.run_times, self.context)
+        waiting = waiting_steps(
+            self.tables, self.run_times, self.queue_services, self.context
+        )
         if not waiting:
             return
         chosen = self.generator.choice(waiting)
@@ -280,7 +284,9 @@
         for target in self.targets:
             assert target.in_use == used(target)
         expected_waiting = all_waiting(self.tables, context)
-        waiting = waiting_steps(self.tables, self.run_times, context)
+        waiting = waiting_steps(
+            self.tables, self.run_times, self.queue_services, context
+        )
         assert {id(entry.step) for entry in waiting} == expected_waiting
         expected = all_unneeded(self.tables, context.now, context.recovering)
         unneeded = runs_to_stop(self.tables, context.now, context.recovering)
--- a/tests/unit/fleet/test_waiting_bounds.py
+++ b/tests/unit/fleet/test_waiting_bounds.py
@@ -26,7 +26,7 @@
     run_task,
     single_step,
 )
-from standins.fleet.world import WHOLE_TARGET
+from standins.fleet.world import SERVICE, WHOLE_TARGET
 from unit.fleet.test_placing import NOW, fill, first_step, operators, started
 
 # Longest time for which a step may wait while there is capacity for it twice over and
@@ -417,7 +417,9 @@
     overtaking.note_reserved(Reservation(15.0, later, starts_in=85.0))
     job = add_arrival(tables, 20, now - MAX_WAIT_SECONDS)
     nothing_free = [FreeCapacity(target, 0, 0, 0) for target in targets]
-    plan = overtaking.plan(WaitingStep(job, first_step(job)), nothing_free, True)
+    plan = overtaking.plan(
+        WaitingStep(job, first_step(job), SERVICE), nothing_free, True
+    )
     assert plan is not None
     [(_, free)] = plan.entries
     assert free.target is not targets[0]
