--- a/tests/unit/fleet/test_outdated_calls.py
+++ b/tests/unit/fleet/test_outdated_calls.py
@@ -29,6 +29,8 @@
 DOWN_SECONDS = 0.5
 RESTARTED_SECONDS = 1.0
 CUT_SECONDS = 5.3
+LONG_LEASE_SECONDS = 10.0
+LONG_CUT_SECONDS = 12.0
 # A call has been answered.
 ANSWER_SECONDS = 0.05
 MILLISECONDS = 1000.0
@@ -161,3 +163,42 @@
         assert world.checker.violations == []
 
     run_virtual(main())
+
+
+class LongLeases(KeptRenewals):
+    """Targets that grant leases which outlast the recovery of a new leader."""
+
+    def __init__(self, inner: Targets) -> None:
+        super().__init__(inner)
+        self.max_lease_seconds = LONG_LEASE_SECONDS
+
+
+def test_late_renewal_does_not_outlast_the_recovery_of_a_leader_that_never_heard() -> (
+    None
+):
+    """Guards against a lease on a target that is cut off as its leader is killed."""
+
+    async def main() -> None:
+        world = build_world(target_count=2, wrap_targets=LongLeases)
+        for each in world.targets.values():
+            each.max_lease_seconds = LONG_LEASE_SECONDS
+        target = await start_jobs(world)
+        renewal = await keep_renewal(target)
+        await asyncio.sleep(CRASH_AFTER_SECONDS)
+        target.crash_for(DOWN_SECONDS)
+        target.incarnation_ms = int(world.clock.wall() * MILLISECONDS)
+        await asyncio.sleep(DOWN_SECONDS)
+        carry_out(target, renewal)
+        while not runs_job(target, 0):
+            await asyncio.sleep(0.02)
+        former = world.leader_name()
+        assert former is not None
+        target.cut = True
+        await world.kill(former)
+        await asyncio.sleep(LONG_CUT_SECONDS)
+        target.cut = False
+        assert await world.wait_for_state(job_id(0), JobState.COMPLETE, 90.0)
+        await world.stop()
+        assert world.checker.violations == []
+
+    run_virtual(main())
