--- a/tests/unit/fleet/test_outdated_calls.py
+++ b/tests/unit/fleet/test_outdated_calls.py
@@ -97,6 +97,18 @@
     )
 
 
+async def restart_and_renew_late(world: FleetWorld, target: EmulatedTarget) -> None:
+    """Let a target carry out a former renewal as it is back, and run the job again."""
+    renewal = await keep_renewal(target)
+    await asyncio.sleep(CRASH_AFTER_SECONDS)
+    target.crash_for(DOWN_SECONDS)
+    target.incarnation_ms = int(world.clock.wall() * MILLISECONDS)
+    await asyncio.sleep(DOWN_SECONDS)
+    carry_out(target, renewal)
+    while not runs_job(target, 0):
+        await asyncio.sleep(0.02)
+
+
 @pytest.mark.parametrize("returns_seconds", [0.0, RESTARTED_SECONDS])
 def test_late_renewal_does_not_outlast_the_lease_that_the_leader_expects(
     returns_seconds: float,
@@ -141,14 +153,7 @@
     async def main() -> None:
         world = build_world(target_count=2, wrap_targets=KeptRenewals)
         target = await start_jobs(world)
-        renewal = await keep_renewal(target)
-        await asyncio.sleep(CRASH_AFTER_SECONDS)
-        target.crash_for(DOWN_SECONDS)
-        target.incarnation_ms = int(world.clock.wall() * MILLISECONDS)
-        await asyncio.sleep(DOWN_SECONDS)
-        carry_out(target, renewal)
-        while not runs_job(target, 0):
-            await asyncio.sleep(0.02)
+        await restart_and_renew_late(world, target)
         former = world.leader_name()
         assert former is not None
         await world.kill(former)
@@ -183,14 +188,7 @@
         for each in world.targets.values():
             each.max_lease_seconds = LONG_LEASE_SECONDS
         target = await start_jobs(world)
-        renewal = await keep_renewal(target)
-        await asyncio.sleep(CRASH_AFTER_SECONDS)
-        target.crash_for(DOWN_SECONDS)
-        target.incarnation_ms = int(world.clock.wall() * MILLISECONDS)
-        await asyncio.sleep(DOWN_SECONDS)
-        carry_out(target, renewal)
-        while not runs_job(target, 0):
-            await asyncio.sleep(0.02)
+        await restart_and_renew_late(world, target)
         former = world.leader_name()
         assert former is not None
         target.cut = True
