--- a/tests/unit/fleet/test_outdated_calls.py
+++ b/tests/unit/fleet/test_outdated_calls.py
@@ -18,7 +18,7 @@
 )
 from lib.fleet_builders import WHOLE, build_world, job_id, single_step
 from lib.virtual_time import run_virtual
-from standins.fleet.targets import EmulatedTarget, no_answer
+from standins.fleet.targets import EmulatedTarget, no_answer, renew_late
 from standins.fleet.world import FleetWorld
 
 LONG_SECONDS = 30.0
@@ -90,13 +90,6 @@
     return KeptRenewals.kept
 
 
-def carry_out(target: EmulatedTarget, renewal: Renewal) -> None:
-    """Let a target carry out a renewal whoever it was meant for."""
-    target.renew(
-        renewal.fencing_token, renewal.last_recorded_end, renewal.expires_at_ms
-    )
-
-
 async def restart_and_renew_late(world: FleetWorld, target: EmulatedTarget) -> None:
     """Let a target carry out a former renewal as it is back, and run the job again."""
     renewal = await keep_renewal(target)
@@ -104,7 +97,7 @@
     target.crash_for(DOWN_SECONDS)
     target.incarnation_ms = int(world.clock.wall() * MILLISECONDS)
     await asyncio.sleep(DOWN_SECONDS)
-    carry_out(target, renewal)
+    renew_late(target, renewal)
     while not runs_job(target, 0):
         await asyncio.sleep(0.02)
 
@@ -136,12 +129,12 @@
         target.crash_for(DOWN_SECONDS)
         await asyncio.sleep(DOWN_SECONDS)
         if not returns_seconds:
-            carry_out(target, renewal)
+            renew_late(target, renewal)
         while not runs_job(target, 0):
             await asyncio.sleep(0.02)
         if returns_seconds:
             await asyncio.sleep(returns_seconds)
-            carry_out(target, renewal)
+            renew_late(target, renewal)
         target.cut = True
         await end_cut(world, target, CUT_SECONDS)
 
