Log for which targets a new leader waits until the former one is fenced

The leader's log had no line in that time, so that it waits for the lost target could be told only from the code.

Change: "waiting until the former leader is fenced" once the wait begins and every 5 s, with the silent targets and the longest wait that is left. No decision changes.

--- a/src/egretloft/_internal/fleet/leader.py
+++ b/src/egretloft/_internal/fleet/leader.py
@@ -81,6 +81,8 @@
 # A leader that the former one did not know waits at most this long for the targets that
 # it cannot reach. The former one may still use them in an outage of the store.
 MAX_FENCE_WAIT_SECONDS = 60.0
+# While a leader waits for the former one's targets, it logs for which this often.
+FENCE_REPORT_SECONDS = 5.0
 # A log line names at most this many instances or targets.
 LISTED_INSTANCES = 4
 # Decisions are reviewed this often while a target may run a start of a former leader.
@@ -149,6 +151,7 @@
         self.recovery_deadline = clock.boottime() + self.max_unrenewed_seconds()
         self.recovering = True
         self.awaits_fences = not term.known_to_former
+        self.fences_reported_at = -math.inf
         if self.awaits_fences:
             self.recovery_deadline = clock.boottime() + MAX_FENCE_WAIT_SECONDS
         # The instances that have pledged and may have led before, as far as examined.
@@ -676,6 +679,7 @@
             if target.used_before and not target.has_answered
         ]
         if silent and now < self.recovery_deadline:
+            self.report_silent(silent, now)
             return
         self.awaits_fences = False
         self.election.on_former_leader_fenced()
@@ -687,6 +691,20 @@
             silent=sorted(silent)[:LISTED_INSTANCES],
         )
 
+    def report_silent(self, silent: list[str], now: float) -> None:
+        """Log periodically which targets a leader that may not act yet waits for."""
+        if now - self.fences_reported_at < FENCE_REPORT_SECONDS:
+            return
+        self.fences_reported_at = now
+        log.warning(
+            "waiting until the former leader is fenced",
+            epoch=self.epoch,
+            targets=len(self.recorder.target_versions),
+            silent=len(silent),
+            first=sorted(silent)[:LISTED_INSTANCES],
+            longest_wait=round(self.recovery_deadline - now, 1),
+        )
+
     def remove_unused_targets(self) -> None:
         """Remove unlisted targets that cannot have active runs.
 
