Let targets decide between a leader without the store and an unknown successor

Cause: a leader that the store does not confirm goes on with the pledges of the instances that it knows. One that it does not know cannot tell whether it is dead or cut off, so it waited for an answer of every target that was ever used, for at most 60 s.

Change: without the store a leader acts only while more than half of the targets whose rows the store holds have answered calls of the last 3.2 s, in an incarnation that had answered while the store confirmed the leader. A successor that it does not know acts once all have answered, or 3.4 s after half of them have seen its epoch. A majority and a half share a target, and it refuses the former leader. Both count the same rows: those of which a write had no answer count as silent, and no row is written while two may count them. The heartbeat tells whether a former leader needs the targets; for one of an earlier release the wait stays as it was. Targets without runs are asked, without a lease, only while too few others answer.

Not covered: more than half of the targets lost for good together with all instances. Then a new leader waits, as nothing tells it that the former one is dead; the log names the targets.

--- a/src/egretloft/_internal/fleet/election.py
+++ b/src/egretloft/_internal/fleet/election.py
@@ -69,11 +69,14 @@
     The leader's writes require that the leader row still has ``leader_version``.
     ``known_to_former`` tells whether the former leader certainly knew this instance,
     and thus did not go on without its pledge, and whether no leader before it does.
+    ``former_needs_targets`` tells whether one that goes on does so only while more than
+    half of the targets answer it.
     """
 
     epoch: int
     leader_version: int
     known_to_former: bool = True
+    former_needs_targets: bool = True
 
 
 class Registrations(Protocol):
@@ -132,6 +135,8 @@
         self.known_to_former = True
         # What a former leader that may still go on has read of the instances' rows.
         self.former_members_version: int | None = None
+        # Whether such a former leader goes on only while most targets answer it.
+        self.former_needs_targets = True
         # Whether each of our heartbeats that may be the newest in the store announces
         # that we rely on pledges. A successor does not wait for a leader that does not.
         self.may_rely_on_pledges = True
@@ -191,6 +196,7 @@
     def on_former_leader_fenced(self) -> None:
         """Note that no former leader can go on any more."""
         self.former_members_version = None
+        self.former_needs_targets = True
 
     def step_down(self, why: str) -> None:
         """End our term, if any, without releasing it in the store."""
@@ -260,6 +266,11 @@
         self.former_members_version = (
             None if self.known_to_former else self.known_to_former_leaders()
         )
+        self.former_needs_targets = (
+            self.known_to_former
+            or self.heartbeat is None
+            or self.heartbeat.needs_targets
+        )
 
     def known_to_former_leaders(self) -> int:
         """Return what a takeover tells of the instances that former leaders know.
@@ -295,6 +306,10 @@
             self.registrations.knows_others()
         )
 
+    def may_have_former(self) -> bool:
+        """Return whether a former leader may still go on, as far as we know."""
+        return self.former_members_version is not None
+
     def is_pledged(self) -> bool:
         """Return whether this instance has pledged to a leader not to take over now."""
         return self.clock.boottime() < self.pledged_until
@@ -342,6 +357,7 @@
             relies_on_pledges=(
                 self.heartbeat is None or self.heartbeat.relies_on_pledges
             ),
+            needs_targets=self.former_needs_targets,
         )
         started = self.clock.boottime()
         result = await self.store.commit(
@@ -398,7 +414,9 @@
 
         ``silent_for`` is how many seconds the former leader's heartbeat was unchanged.
         """
-        self.term = Term(epoch, version, self.known_to_former)
+        self.term = Term(
+            epoch, version, self.known_to_former, self.former_needs_targets
+        )
         self.releasing = False
         self.confirmed_at = self.last_heartbeat_at = (
             -math.inf if sent_at is None else sent_at
@@ -432,6 +450,7 @@
             self.timeout_seconds(),
             self.members_version(released),
             self.relies_on_pledges(),
+            self.former_needs_targets,
         )
         sent_at = self.clock.boottime()
         self.last_heartbeat_at = sent_at
--- a/src/egretloft/_internal/fleet/leader.py
+++ b/src/egretloft/_internal/fleet/leader.py
@@ -60,6 +60,11 @@
     RunRow,
     TargetRow,
 )
+from egretloft._internal.fleet.target_quorum import (
+    create_target_quorum,
+    former_leader_seconds,
+    is_half,
+)
 from egretloft._internal.fleet.watching import create_table_watcher, read_partition
 from egretloft._internal.metrics import Metrics
 
@@ -78,8 +83,8 @@
 REMOVAL_RETRY_MS = 1000.0
 # Runs are examined for progress, and for targets that leave, this often.
 RUN_REVIEW_SECONDS = 0.25
-# A leader that the former one did not know waits at most this long for the targets that
-# it cannot reach. The former one may still use them in an outage of the store.
+# Longest wait for the targets of a former leader of an earlier release, which may go on
+# in an outage of the store whatever they answer.
 MAX_FENCE_WAIT_SECONDS = 60.0
 # While a leader waits for the former one's targets, it logs for which this often.
 FENCE_REPORT_SECONDS = 5.0
@@ -135,6 +140,8 @@
         self.tables = FleetTables()
         self.scheduler = Scheduler(self.tables)
         self.recorder = create_recorder(store, election, self.tables, metrics)
+        self.quorum = create_target_quorum(self.tables, self.recorder)
+        self.collects_votes = False
         self.late_starts = LateStarts(targets.max_lease_seconds)
         self.orders = create_orders(self, self.tables, targets, clock, metrics)
         self.runs = create_run_control(self, self.tables, self.orders, clock, metrics)
@@ -153,7 +160,14 @@
         self.awaits_fences = not term.known_to_former
         self.fences_reported_at = -math.inf
         if self.awaits_fences:
-            self.recovery_deadline = clock.boottime() + MAX_FENCE_WAIT_SECONDS
+            self.recovery_deadline = math.inf
+        # When a former leader of an earlier release counts as fenced at the latest.
+        self.fence_deadline = clock.boottime() + MAX_FENCE_WAIT_SECONDS
+        # The targets that the store held when the term began, which of them have
+        # answered, and when these were at least half.
+        self.former_targets: frozenset[str] = frozenset()
+        self.answered_targets: set[str] = set()
+        self.half_answered_at = math.inf
         # The instances that have pledged and may have led before, as far as examined.
         self.examined_instances: set[Incarnation] = set()
         # Those of the targets when the examination began; ``None`` outside of one.
@@ -213,10 +227,16 @@
             return Authority.NONE
         if self.election.is_confirmed():
             return Authority.CONFIRMED
-        if self.pledges.exclude_takeover(self.epoch):
+        if self.pledges.exclude_takeover(self.epoch) and self.quorum.holds(
+            self.clock.boottime()
+        ):
             return Authority.PLEDGED
         return Authority.NONE
 
+    def is_confirmed(self) -> bool:
+        """Return whether our last heartbeat still excludes a takeover."""
+        return self.is_current() and self.election.is_confirmed()
+
     def may_start_runs(self) -> bool:
         """Return whether the leader may also start runs.
 
@@ -387,6 +407,7 @@
         else:
             return False
         apply_each(used.unwrap().rows, self.reader.add_used_target, self.metrics)
+        self.former_targets = frozenset(row.key.key for row in used.unwrap().rows)
         self.jobs_watcher = create_table_watcher(
             self.store,
             self.clock,
@@ -514,6 +535,7 @@
 
     def note_authority(self) -> None:
         """Update why the leader may send orders, and log a change."""
+        self.update_votes()
         former, self.authority = self.authority, self.current_authority()
         if self.authority is former or not self.is_current():
             return
@@ -525,11 +547,27 @@
             silent_members=len(self.store.silent_members()),
             missing_pledges=sorted(self.pledges.missing(self.epoch))[:LISTED_INSTANCES],
             newest_claim=self.pledges.newest_claimed_epoch(),
+            targets=len(self.recorder.target_versions),
+            quorum_left=round(self.quorum.holds_until - self.clock.boottime(), 3),
         )
         if self.authority is Authority.PLEDGED:
             self.examine_pledges()
         elif self.authority is Authority.CONFIRMED:
             self.end_examination()
+            self.recorder.wake.set()
+
+    def update_votes(self) -> None:
+        """Ask all targets while too few answer for the leader to go on by pledges."""
+        now, collected = self.clock.boottime(), self.collects_votes
+        self.collects_votes = (
+            self.is_current()
+            and not self.election.is_confirmed()
+            and self.pledges.exclude_takeover(self.epoch)
+            and self.quorum.is_short(now)
+        )
+        if self.collects_votes and not collected:
+            for session in self.sessions.values():
+                session.wake.set()
 
     def examine_pledges(self) -> None:
         """Treat all targets as a new leader does if an instance may have led meanwhile.
@@ -667,30 +705,49 @@
             log.info("recovered", epoch=self.epoch, unfenced=len(unfenced))
 
     def check_fences(self, now: float) -> None:
-        """Begin to act once all used targets have answered, and refuse older epochs.
+        """Begin to act once the former leader certainly does not any more.
 
-        Some may have more ends than they list: these have to be acknowledged first.
+        That is at once if all used targets have answered and refuse older epochs, and
+        when its answers of the others are too old if at least half have. Some may have
+        more ends than they list: these have to be acknowledged first.
         """
         if not self.awaits_fences:
             return
-        silent = [
-            target_id
-            for target_id, target in self.tables.targets.items()
-            if target.used_before and not target.has_answered
-        ]
-        if silent and now < self.recovery_deadline:
+        silent = []
+        for target_id in self.former_targets:
+            target = self.tables.targets.get(target_id)
+            if target is not None and target.has_answered:
+                self.answered_targets.add(target_id)
+            elif target is not None or target_id not in self.answered_targets:
+                silent.append(target_id)
+        if silent and not self.is_former_leader_fenced(now):
             self.report_silent(silent, now)
             return
         self.awaits_fences = False
         self.election.on_former_leader_fenced()
-        if not silent:
-            self.recovery_deadline = now + self.max_unrenewed_seconds()
+        deadline = now + self.max_unrenewed_seconds()
+        if self.expected_incarnations is None:
+            self.recovery_deadline = deadline
+        else:
+            self.former_deadline = deadline
+        # Targets that are new, or gone, have been left as they were until now.
+        self.recorder.wake.set()
         log.info(
             "former leader fenced",
             epoch=self.epoch,
+            answered=len(self.answered_targets),
+            targets=len(self.former_targets),
             silent=sorted(silent)[:LISTED_INSTANCES],
         )
 
+    def is_former_leader_fenced(self, now: float) -> bool:
+        """Return whether the former leader has no quorum of targets any more."""
+        if not self.term.former_needs_targets:
+            return now >= self.fence_deadline
+        if is_half(len(self.answered_targets), len(self.former_targets)):
+            self.half_answered_at = min(self.half_answered_at, now)
+        return now >= self.half_answered_at + former_leader_seconds()
+
     def report_silent(self, silent: list[str], now: float) -> None:
         """Log periodically which targets a leader that may not act yet waits for."""
         if now - self.fences_reported_at < FENCE_REPORT_SECONDS:
@@ -699,10 +756,9 @@
         log.warning(
             "waiting until the former leader is fenced",
             epoch=self.epoch,
-            targets=len(self.recorder.target_versions),
-            silent=len(silent),
-            first=sorted(silent)[:LISTED_INSTANCES],
-            longest_wait=round(self.recovery_deadline - now, 1),
+            answered=len(self.answered_targets),
+            targets=len(self.former_targets),
+            silent=sorted(silent)[:LISTED_INSTANCES],
         )
 
     def remove_unused_targets(self) -> None:
--- a/src/egretloft/_internal/fleet/recorder.py
+++ b/src/egretloft/_internal/fleet/recorder.py
@@ -93,6 +93,8 @@
         self.dirty: dict[str, JobRow] = {}
         self.target_versions: dict[str, int] = {}
         self.gone_targets: set[str] = set()
+        # Targets whose row was written without an answer that tells the outcome.
+        self.unconfirmed_targets: set[str] = set()
         self.ended_jobs: dict[str, bool] = {}
         self.old_progress: set[str] = set()
         self.failing = False
@@ -111,6 +113,31 @@
             self.gone_targets.add(target_id)
             self.wake.set()
 
+    def stored_targets(self) -> list[str]:
+        """Return the targets whose rows the store certainly holds."""
+        uncertain = self.uncertain_targets()
+        return [
+            target_id
+            for target_id, version in self.target_versions.items()
+            if version and target_id not in uncertain
+        ]
+
+    def uncertain_targets(self) -> set[str]:
+        """Return the targets whose rows the store may hold or not."""
+        return self.unconfirmed_targets | {
+            target_id
+            for target_id in self.gone_targets
+            if self.target_versions.get(target_id)
+        }
+
+    def may_change_targets(self) -> bool:
+        """Return whether the rows of targets may be written now.
+
+        A leader that goes on without the store and its successor count the same rows,
+        so neither changes them before the former one is fenced.
+        """
+        return self.election.is_confirmed() and not self.election.may_have_former()
+
     def forget_job(self, job_id: str, cancelled: bool) -> None:
         """Schedule the removal of all rows of an ended job."""
         self.ended_jobs[job_id] = cancelled
@@ -191,10 +218,12 @@
         or one whose former row is yet to be removed, is not recorded now.
         """
         batch = Batch()
+        may_change_targets = self.may_change_targets()
         unrecorded = [
             target
             for target in self.tables.targets.values()
-            if not target.recorded
+            if may_change_targets
+            and not target.recorded
             and target.reachable
             and target.report.target_id not in self.gone_targets
         ]
@@ -203,8 +232,9 @@
             if batch.free_entries() < CONDITIONAL_WRITE_ENTRIES:
                 break
             batch.jobs.append((job, job.changes, job.state))
-        removable = batch.free_entries() // CONDITIONAL_WRITE_ENTRIES
-        batch.removals = sorted(self.gone_targets)[:removable]
+        if may_change_targets:
+            removable = batch.free_entries() // CONDITIONAL_WRITE_ENTRIES
+            batch.removals = sorted(self.gone_targets)[:removable]
         batch.old_progress = sorted(self.old_progress)[: batch.free_entries()]
         return batch
 
@@ -229,6 +259,7 @@
             expectations.append(Expectation(key, self.target_versions[target_id]))
             writes.append((key, None))
         writes.extend((progress_key(job_id), None) for job_id in batch.old_progress)
+        self.unconfirmed_targets.update(t.report.target_id for t in batch.targets)
         result = await self.store.commit(
             RowTransaction(tuple(expectations), tuple(writes)),
             STORE_CALL_TIMEOUT_SECONDS,
@@ -273,6 +304,7 @@
         for target in batch.targets:
             target.recorded = True
             self.target_versions[target.report.target_id] = version
+            self.unconfirmed_targets.discard(target.report.target_id)
         for target_id in batch.removals:
             self.target_versions.pop(target_id, None)
             self.gone_targets.discard(target_id)
--- a/src/egretloft/_internal/fleet/records.py
+++ b/src/egretloft/_internal/fleet/records.py
@@ -157,6 +157,8 @@
     registered up to ``members_version``. It is ``None`` if nobody goes on after the
     release of a term, and from a leader of an earlier release. Without
     ``relies_on_pledges`` it stops when it loses the store, so nobody goes on either.
+    Whoever goes on ``needs_targets`` does so only while more than half of the targets
+    answer; a leader of an earlier release does not.
     """
 
     epoch: int
@@ -167,6 +169,7 @@
     valid_seconds: float = HEARTBEAT_TIMEOUT_SECONDS
     members_version: int | None = None
     relies_on_pledges: bool = True
+    needs_targets: bool = False
 
 
 @dataclass(slots=True, frozen=True)
--- a/src/egretloft/_internal/fleet/sessions.py
+++ b/src/egretloft/_internal/fleet/sessions.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import contextlib
+import math
 
 import structlog
 from returns.result import Failure
@@ -82,6 +83,9 @@
 LEASE_MS = LEASE_SECONDS * MILLISECONDS
 # An idle session checks this often whether it has to renew again.
 IDLE_WAIT_SECONDS = 5.0
+# A target without runs is asked at most this often while too few others answer for the
+# leader to go on without the store.
+VOTE_PERIOD_SECONDS = 1.0
 
 
 def is_in_doubt(run: RunRow) -> bool:
@@ -130,6 +134,8 @@
         self.clock = clock
         self.metrics = metrics
         self.wake = asyncio.Event()
+        # When the last renewal was sent.
+        self.sent_at = -math.inf
         longest = targets.max_lease_seconds
         self.lease = TargetLease(target, clock, longest)
         self.incarnations = Incarnations(
@@ -149,13 +155,13 @@
         """Return whether to fence the target, keep runs or acknowledge ends.
 
         An unreachable target is also asked, to notice its return, a watched one, one
-        that may carry out late calls, and one that has more ends than it could list, or
-        than could be decoded.
+        that may carry out late calls, one that has more ends than it could list, or
+        than could be decoded, and one whose vote is due.
         """
         target = self.target
         if not target.fenced or target.runs or not target.reachable:
             return True
-        if not target.refuses_late_calls:
+        if not target.refuses_late_calls or self.is_vote_due():
             return True
         if self.is_watched() or not target.lists_all_ends or not target.is_readable:
             return True
@@ -165,6 +171,16 @@
         """Return whether the target is asked although nothing may run there."""
         return self.target.watched_until > self.clock.boottime()
 
+    def is_vote_due(self) -> bool:
+        """Return whether the target is to be asked again, as its answer counts."""
+        if not self.owner.collects_votes:
+            return False
+        return self.clock.boottime() - self.sent_at >= VOTE_PERIOD_SECONDS
+
+    def may_ask(self) -> bool:
+        """Return whether the target may be asked, at least without a lease."""
+        return self.owner.collects_votes or self.owner.may_issue_orders()
+
     def is_asked_only(self) -> bool:
         """Return whether the target is asked again and again without a lease."""
         if self.withholds_acknowledgement():
@@ -173,15 +189,19 @@
 
     def withholds_acknowledgement(self) -> bool:
         """Return whether the target's ends may not be acknowledged yet."""
-        return self.owner.awaits_fences or not self.target.is_readable
+        if self.owner.awaits_fences or not self.target.is_readable:
+            return True
+        return not self.owner.may_issue_orders()
 
     async def idle(self) -> None:
-        """Wait until the session is woken, at most ``IDLE_WAIT_SECONDS``."""
+        """Wait until the session is woken, or is to check whether it has to renew."""
         self.wake.clear()
+        votes = self.owner.collects_votes
+        longest = VOTE_PERIOD_SECONDS if votes else IDLE_WAIT_SECONDS
         # Not asyncio.wait_for, which swallows a cancellation that arrives as the wait
         # ends.
         with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(IDLE_WAIT_SECONDS):
+            async with asyncio.timeout(longest):
                 await self.wake.wait()
 
     def lease_expiry_ms(self, now: float) -> int | None:
@@ -190,11 +210,14 @@
         The lease counts from ``now``, at which the leader was allowed to renew it.
         ``None`` asks for the target's lists without renewing: the target's clock is
         unknown, it has no runs, the former leader may go on, its list was unreadable,
-        the last renewal failed, or it has not been heard from lately. Then it may run
-        what the leader does not know of, or be unreachable, and what it runs must be
-        able to expire; an order that has just been sent does so soon.
+        the last renewal failed, it has not been heard from lately, or the leader may
+        issue no orders. Then it may run what the leader does not know of, or be
+        unreachable, and what it runs must be able to expire; an order that has just
+        been sent does so soon.
         """
         target = self.target
+        if not self.owner.may_issue_orders():
+            return None
         if target.clock is None or target.failed_renewals or not target.runs:
             return None
         if not target.is_readable or self.owner.awaits_fences:
@@ -215,14 +238,14 @@
     async def renew_once(self) -> bool:
         """Send one renewal and apply the answer; return whether it might be sent."""
         target = self.target
-        if not self.owner.may_issue_orders():
+        if not self.may_ask():
             return False
         if target.last_applied_end > target.last_recorded_end:
             await self.wait_for_recorder()
         # The term may have ended, or a run may have started, while this waited. The
         # time is read first, so that a suspension in between prolongs no lease.
         now = self.clock.boottime()
-        if not self.owner.may_issue_orders():
+        if not self.may_ask():
             return False
         expires_at_ms = self.lease_expiry_ms(now)
         wait = 0.0
@@ -237,7 +260,7 @@
                 wait = WATCH_WAIT_SECONDS
         if expires_at_ms is not None:
             target.lease_ends_ms = max(target.lease_ends_ms, expires_at_ms)
-        sent = self.clock.boottime()
+        sent = self.sent_at = self.clock.boottime()
         acknowledged_end = self.end_to_acknowledge()
         result = await self.targets.renew(
             target.report,
@@ -269,7 +292,7 @@
         listed them: the numbers then stand for other ends, which nobody has heard of.
         """
         target = self.target
-        if target.failed_renewals or self.owner.awaits_fences:
+        if target.failed_renewals or self.withholds_acknowledgement():
             return 0
         if target.last_recorded_end <= target.last_acknowledged_end:
             return 0
@@ -365,6 +388,7 @@
             target.last_acknowledged_end, acknowledged_end
         )
         target.has_answered = True
+        self.note_vote(answer, sent)
         was_fenced = target.fenced
         # What runs, and what has ended, is known only from a complete answer.
         is_complete = answer.lists_all_ends and not answer.unreadable
@@ -379,6 +403,17 @@
         if not was_fenced:
             self.owner.wake_scheduler()
 
+    def note_vote(self, answer: RenewalAnswer, sent: float) -> None:
+        """Note that the target has refused nothing, in an incarnation that counts.
+
+        One that answered while the store excluded a takeover has not forgotten any.
+        """
+        target = self.target
+        if self.owner.is_confirmed():
+            target.confirmed_incarnation_ms = answer.incarnation_ms
+        if answer.incarnation_ms == target.confirmed_incarnation_ms:
+            target.vote_sent_at = sent
+
     def lose_all_runs(self, why: str) -> None:
         """Remove all runs of the target, which has crashed or is cut off, as lost."""
         for run in list(self.target.runs.values()):
--- a/src/egretloft/_internal/fleet/tables.py
+++ b/src/egretloft/_internal/fleet/tables.py
@@ -372,6 +372,9 @@
     former incarnation: none arrives after ``late_calls_until``, which is minus infinity
     if there is none. Of the renewals without an answer, none arrives after
     ``unanswered_until``. Both are boot times.
+    ``confirmed_incarnation_ms`` is the incarnation that answered last while the store
+    confirmed the leader, and ``vote_sent_at`` the boot time at which the last call was
+    sent that it has answered.
     ``in_use`` is the sum of the resources of ``runs``, including runs that are being
     stopped; both are changed by ``FleetTables`` only.
     """
@@ -415,6 +418,8 @@
     refuses_late_calls: bool = True
     late_calls_until: float = -math.inf
     unanswered_until: float = -math.inf
+    confirmed_incarnation_ms: int = 0
+    vote_sent_at: float = -math.inf
 
     def fencing_token(self, epoch: int) -> int:
         """Return the token of the calls that a leader sends to the target now."""
--- a/src/egretloft/_internal/fleet/term_owner.py
+++ b/src/egretloft/_internal/fleet/term_owner.py
@@ -16,8 +16,14 @@
     # Whether all used targets have to answer before any lease is renewed, any run
     # started or any end acknowledged: the former leader may go on until then.
     awaits_fences: bool
+    # Whether targets without runs are asked, too, so that the leader may go on without
+    # the store.
+    collects_votes: bool
     late_starts: LateStarts
 
+    def is_confirmed(self) -> bool:
+        """Return whether the leader's last heartbeat still excludes a takeover."""
+
     def may_issue_orders(self) -> bool:
         """Return whether the leader may send orders and renew leases."""
 
--- a/tests/lib/term_owner.py
+++ b/tests/lib/term_owner.py
@@ -14,11 +14,15 @@
     epoch = 1
     recovering = False
     awaits_fences = False
+    collects_votes = False
 
     def __init__(self, confirmed: bool) -> None:
         self.confirmed = confirmed
         self.late_starts = LateStarts(longest_lease_seconds=6.0)
 
+    def is_confirmed(self) -> bool:
+        return self.confirmed
+
     def may_issue_orders(self) -> bool:
         return self.confirmed
 
--- a/tests/unit/fleet/test_recorder.py
+++ b/tests/unit/fleet/test_recorder.py
@@ -33,6 +33,12 @@
     def __init__(self, version: int) -> None:
         self.term = Term(1, version)
 
+    def is_confirmed(self) -> bool:
+        return True
+
+    def may_have_former(self) -> bool:
+        return False
+
 
 def build_recorder(
     store: EmulatedStore, tables: FleetTables, leader_version: int
--- a/tests/unit/fleet/test_unknown_instances.py
+++ b/tests/unit/fleet/test_unknown_instances.py
@@ -4,22 +4,18 @@
 
 import asyncio
 import random
-from collections import Counter
-from typing import Any
 
 import pytest
-from returns.result import Result, Success
+from returns.result import Success
 
 from egretloft._internal.fleet.interfaces import Targets
 from egretloft._internal.fleet.models import (
     EndKind,
     JobState,
-    RenewalAnswer,
-    TargetFailure,
-    TargetReport,
 )
 from egretloft._internal.fleet.records import HeartbeatRecord
 from egretloft._internal.fleet.sessions import RETRY_SECONDS
+from lib.counting_targets import CountingTargets
 from lib.fleet_builders import (
     StubClock,
     build_election,
@@ -27,7 +23,6 @@
     job_id,
     single_step,
 )
-from lib.forwarding_targets import ForwardingTargets
 from lib.virtual_time import run_virtual
 from standins.fleet.store import EmulatedStore, StoreClient
 from standins.fleet.world import FleetWorld
@@ -51,20 +46,6 @@
 TAKEOVER_SECONDS = 3.0
 
 
-class CountingTargets(ForwardingTargets):
-    """Targets that count the renewals by their ids."""
-
-    def __init__(self, targets: Targets) -> None:
-        super().__init__(targets)
-        self.renewals: Counter[str] = Counter()
-
-    async def renew(
-        self, target: TargetReport, *call: Any
-    ) -> Result[RenewalAnswer, TargetFailure]:
-        self.renewals[target.target_id] += 1
-        return await super().renew(target, *call)
-
-
 async def start_world(seed: int) -> FleetWorld:
     """Return a fleet with targets in two zones and all its instances in one."""
     world = build_world(seed, 2, 6, zones=ZONES)
