Ask of one late start whether its lease may last

LateStarts.longest_lease took a list and had one caller, with one start. The result is the same; test_late_starts.py and test_inherited_starts.py pass.

--- a/src/egretloft/_internal/fleet/late_starts.py
+++ b/src/egretloft/_internal/fleet/late_starts.py
@@ -98,12 +98,8 @@
 
         It is not so for a start that is not known any more.
         """
-        return start in self.arrive_until and self.longest_lease([start], now) > 0
-
-    def longest_lease(self, starts: list[SentStart], now: float) -> float:
-        """Return for how many seconds from now a lease of these orders may last."""
-        latest = max((self.arrive_until[start] for start in starts), default=NEVER)
-        return max(0.0, latest + self.longest_lease_seconds - now)
+        until = self.arrive_until.get(start, NEVER)
+        return until + self.longest_lease_seconds > now
 
     def forget_old(self, now: float) -> None:
         """Forget the orders of which no lease can last any more."""
