--- a/src/egretloft/_internal/fleet/leader.py
+++ b/src/egretloft/_internal/fleet/leader.py
@@ -35,6 +35,7 @@
 from egretloft._internal.fleet.crash_trials import create_crash_trials
 from egretloft._internal.fleet.decisions import RECLAIMING_PRIORITY, TickContext
 from egretloft._internal.fleet.election import Election, Term
+from egretloft._internal.fleet.former_leader import create_former_leader
 from egretloft._internal.fleet.interfaces import (
     FleetClock,
     RowDecoder,
@@ -60,11 +61,7 @@
     RunRow,
     TargetRow,
 )
-from egretloft._internal.fleet.target_quorum import (
-    create_target_quorum,
-    former_leader_seconds,
-    is_half,
-)
+from egretloft._internal.fleet.target_quorum import create_target_quorum
 from egretloft._internal.fleet.watching import create_table_watcher, read_partition
 from egretloft._internal.metrics import Metrics
 
@@ -83,12 +80,7 @@
 REMOVAL_RETRY_MS = 1000.0
 # Runs are examined for progress, and for targets that leave, this often.
 RUN_REVIEW_SECONDS = 0.25
-# Longest wait for the targets of a former leader of an earlier release, which may go on
-# in an outage of the store whatever they answer.
-MAX_FENCE_WAIT_SECONDS = 60.0
-# While a leader waits for the former one's targets, it logs for which this often.
-FENCE_REPORT_SECONDS = 5.0
-# A log line names at most this many instances or targets.
+# A log line names at most this many instances.
 LISTED_INSTANCES = 4
 # Decisions are reviewed this often while a target may run a start of a former leader.
 DOUBT_REVIEW_SECONDS = 0.25
@@ -157,17 +149,9 @@
         self.wake = asyncio.Event()
         self.recovery_deadline = clock.boottime() + self.max_unrenewed_seconds()
         self.recovering = True
-        self.awaits_fences = not term.known_to_former
-        self.fences_reported_at = -math.inf
+        self.former_leader = create_former_leader(term, self.tables, clock.boottime())
         if self.awaits_fences:
             self.recovery_deadline = math.inf
-        # When a former leader of an earlier release counts as fenced at the latest.
-        self.fence_deadline = clock.boottime() + MAX_FENCE_WAIT_SECONDS
-        # The targets that the store held when the term began, which of them have
-        # answered, and when these were at least half.
-        self.former_targets: frozenset[str] = frozenset()
-        self.answered_targets: set[str] = set()
-        self.half_answered_at = math.inf
         # The instances that have pledged and may have led before, as far as examined.
         self.examined_instances: set[Incarnation] = set()
         # Those of the targets when the examination began; ``None`` outside of one.
@@ -183,6 +167,11 @@
         self.runs_reviewed_at = 0.0
         self.loop_delay = create_loop_delay()
 
+    @property
+    def awaits_fences(self) -> bool:
+        """Return whether a former leader may still act, so that this one may not."""
+        return self.former_leader.may_act
+
     @staticmethod
     def max_unrenewed_seconds() -> float:
         """Return for how many seconds a run may outlive the last renewal of its lease.
@@ -407,7 +396,8 @@
         else:
             return False
         apply_each(used.unwrap().rows, self.reader.add_used_target, self.metrics)
-        self.former_targets = frozenset(row.key.key for row in used.unwrap().rows)
+        used_ids = frozenset(row.key.key for row in used.unwrap().rows)
+        self.former_leader.targets = used_ids
         self.jobs_watcher = create_table_watcher(
             self.store,
             self.clock,
@@ -548,7 +538,7 @@
             missing_pledges=sorted(self.pledges.missing(self.epoch))[:LISTED_INSTANCES],
             newest_claim=self.pledges.newest_claimed_epoch(),
             targets=len(self.recorder.target_versions),
-            quorum_left=round(self.quorum.holds_until - self.clock.boottime(), 3),
+            quorum_left=self.quorum.left_seconds(self.clock.boottime()),
         )
         if self.authority is Authority.PLEDGED:
             self.examine_pledges()
@@ -686,7 +676,8 @@
         """
         if not self.recovering:
             return
-        self.check_fences(now)
+        if self.former_leader.review(now):
+            self.on_former_leader_fenced(now)
         unfenced = [
             target
             for target in self.tables.targets.values()
@@ -704,62 +695,20 @@
                 self.tables.touch(job)
             log.info("recovered", epoch=self.epoch, unfenced=len(unfenced))
 
-    def check_fences(self, now: float) -> None:
-        """Begin to act once the former leader certainly does not any more.
+    def on_former_leader_fenced(self, now: float) -> None:
+        """Begin to act, as the former leader certainly does not any more.
 
-        That is at once if all used targets have answered and refuse older epochs, and
-        when its answers of the others are too old if at least half have. Some may have
-        more ends than they list: these have to be acknowledged first.
+        It may have renewed leases until now. Some targets may have more ends than they
+        list: these have to be acknowledged before the recovery ends.
         """
-        if not self.awaits_fences:
-            return
-        silent = []
-        for target_id in self.former_targets:
-            target = self.tables.targets.get(target_id)
-            if target is not None and target.has_answered:
-                self.answered_targets.add(target_id)
-            elif target is not None or target_id not in self.answered_targets:
-                silent.append(target_id)
-        if silent and not self.is_former_leader_fenced(now):
-            self.report_silent(silent, now)
-            return
-        self.awaits_fences = False
         self.election.on_former_leader_fenced()
         deadline = now + self.max_unrenewed_seconds()
         if self.expected_incarnations is None:
             self.recovery_deadline = deadline
         else:
             self.former_deadline = deadline
-        # Targets that are new, or gone, have been left as they were until now.
+        # Rows of targets that are new, or gone, have not been written until now.
         self.recorder.wake.set()
-        log.info(
-            "former leader fenced",
-            epoch=self.epoch,
-            answered=len(self.answered_targets),
-            targets=len(self.former_targets),
-            silent=sorted(silent)[:LISTED_INSTANCES],
-        )
-
-    def is_former_leader_fenced(self, now: float) -> bool:
-        """Return whether the former leader has no quorum of targets any more."""
-        if not self.term.former_needs_targets:
-            return now >= self.fence_deadline
-        if is_half(len(self.answered_targets), len(self.former_targets)):
-            self.half_answered_at = min(self.half_answered_at, now)
-        return now >= self.half_answered_at + former_leader_seconds()
-
-    def report_silent(self, silent: list[str], now: float) -> None:
-        """Log periodically which targets a leader that may not act yet waits for."""
-        if now - self.fences_reported_at < FENCE_REPORT_SECONDS:
-            return
-        self.fences_reported_at = now
-        log.warning(
-            "waiting until the former leader is fenced",
-            epoch=self.epoch,
-            answered=len(self.answered_targets),
-            targets=len(self.former_targets),
-            silent=sorted(silent)[:LISTED_INSTANCES],
-        )
 
     def remove_unused_targets(self) -> None:
         """Remove unlisted targets that cannot have active runs.
--- a/src/egretloft/_internal/fleet/target_quorum.py
+++ b/src/egretloft/_internal/fleet/target_quorum.py
@@ -58,6 +58,14 @@
         self.holds_until = self.count()
         return self.holds_until - now < SHORT_SECONDS
 
+    def left_seconds(self, now: float) -> float | None:
+        """Return how long the answers so far are a quorum, for logs.
+
+        It is negative if they are too old, and ``None`` if there are too few.
+        """
+        left = self.holds_until - now
+        return round(left, 3) if math.isfinite(left) else None
+
     def count(self) -> float:
         """Return the boot time until which the answers so far are a quorum.
 
--- a/src/egretloft/_internal/fleet/term_owner.py
+++ b/src/egretloft/_internal/fleet/term_owner.py
@@ -13,14 +13,18 @@
 
     epoch: int
     recovering: bool
-    # Whether all used targets have to answer before any lease is renewed, any run
-    # started or any end acknowledged: the former leader may go on until then.
-    awaits_fences: bool
     # Whether targets without runs are asked, too, so that the leader may go on without
     # the store.
     collects_votes: bool
     late_starts: LateStarts
 
+    @property
+    def awaits_fences(self) -> bool:
+        """Whether a former leader may still act.
+
+        No lease is renewed, no run started and no end acknowledged until then.
+        """
+
     def is_confirmed(self) -> bool:
         """Return whether the leader's last heartbeat still excludes a takeover."""
 
