Keep recovering until the former leader is fenced

Found by reading: if a target's row in the store cannot be read, all other targets could end the recovery before the former leader counted as fenced, and it was never looked at again, so that the leader would not have acted for the rest of its term. Not seen by callers.

test_row_of_a_target_that_cannot_be_read_does_not_stop_new_instances failed before (no instance acts after 15 s) and passes now.

--- a/src/egretloft/_internal/fleet/leader.py
+++ b/src/egretloft/_internal/fleet/leader.py
@@ -678,6 +678,8 @@
             return
         if self.former_leader.review(now):
             self.on_former_leader_fenced(now)
+        if self.awaits_fences:
+            return
         unfenced = [
             target
             for target in self.tables.targets.values()
--- a/tests/unit/fleet/test_replaced_instances.py
+++ b/tests/unit/fleet/test_replaced_instances.py
@@ -290,6 +290,28 @@
     run_virtual(main())
 
 
+def test_row_of_a_target_that_cannot_be_read_does_not_stop_new_instances() -> None:
+    """Guards against a recovery that ends before the former leader is fenced."""
+
+    async def main() -> None:
+        world = build_world(1, 3, 6)
+        await world.start()
+        key = RowKey(TABLE_TARGETS, PARTITION, "target-9")
+        world.store.apply(RowTransaction((), ((key, b"unreadable"),)))
+        await replace_all(world)
+        await asyncio.sleep(RECOVERY_SECONDS)
+        assert len(acting_instances(world)) == 1
+        await submit(world, 0, JOBS, WORK_SECONDS)
+        for number in range(JOBS):
+            state = await world.wait_for_state(
+                job_id(number), JobState.COMPLETE, RECOVERY_SECONDS
+            )
+            assert state is not None
+        await world.stop()
+
+    run_virtual(main())
+
+
 def test_rows_of_gone_targets_that_operators_remove_end_the_wait() -> None:
     """More than half of the targets are gone for good with all instances.
 
