Ask once a renewal whether the leader may give orders

In an outage of the store the answer counts the pledges of all peers; asked up to five times a renewal, and twice before it. Now it is twice again.

--- a/src/egretloft/_internal/fleet/sessions.py
+++ b/src/egretloft/_internal/fleet/sessions.py
@@ -189,9 +189,7 @@
 
     def withholds_acknowledgement(self) -> bool:
         """Return whether the target's ends may not be acknowledged yet."""
-        if self.owner.awaits_fences or not self.target.is_readable:
-            return True
-        return not self.owner.may_issue_orders()
+        return self.owner.awaits_fences or not self.target.is_readable
 
     async def idle(self) -> None:
         """Wait until the session is woken, or is to check whether it has to renew."""
@@ -210,14 +208,11 @@
         The lease counts from ``now``, at which the leader was allowed to renew it.
         ``None`` asks for the target's lists without renewing: the target's clock is
         unknown, it has no runs, the former leader may go on, its list was unreadable,
-        the last renewal failed, it has not been heard from lately, or the leader may
-        issue no orders. Then it may run what the leader does not know of, or be
-        unreachable, and what it runs must be able to expire; an order that has just
-        been sent does so soon.
+        the last renewal failed, or it has not been heard from lately. Then it may run
+        what the leader does not know of, or be unreachable, and what it runs must be
+        able to expire; an order that has just been sent does so soon.
         """
         target = self.target
-        if not self.owner.may_issue_orders():
-            return None
         if target.clock is None or target.failed_renewals or not target.runs:
             return None
         if not target.is_readable or self.owner.awaits_fences:
@@ -236,7 +231,10 @@
         return RENEWAL_WAIT_SECONDS
 
     async def renew_once(self) -> bool:
-        """Send one renewal and apply the answer; return whether it might be sent."""
+        """Send one renewal and apply the answer; return whether it might be sent.
+
+        A leader that may issue no orders, and needs the answer to go on, only asks.
+        """
         target = self.target
         if not self.may_ask():
             return False
@@ -245,9 +243,10 @@
         # The term may have ended, or a run may have started, while this waited. The
         # time is read first, so that a suspension in between prolongs no lease.
         now = self.clock.boottime()
-        if not self.may_ask():
+        may_renew = self.owner.may_issue_orders()
+        if not may_renew and not self.owner.collects_votes:
             return False
-        expires_at_ms = self.lease_expiry_ms(now)
+        expires_at_ms = self.lease_expiry_ms(now) if may_renew else None
         wait = 0.0
         if (
             target.fenced
@@ -256,12 +255,12 @@
         ):
             if expires_at_ms is not None:
                 wait = self.renewal_wait_seconds()
-            elif self.is_asked_only():
+            elif not may_renew or self.is_asked_only():
                 wait = WATCH_WAIT_SECONDS
         if expires_at_ms is not None:
             target.lease_ends_ms = max(target.lease_ends_ms, expires_at_ms)
         sent = self.sent_at = self.clock.boottime()
-        acknowledged_end = self.end_to_acknowledge()
+        acknowledged_end = self.end_to_acknowledge() if may_renew else 0
         result = await self.targets.renew(
             target.report,
             Renewal(
@@ -280,7 +279,7 @@
             await self.on_failure(failure)
             return True
         self.on_answer(result.unwrap(), sent, acknowledged_end)
-        if self.withholds_acknowledgement():
+        if not may_renew or self.withholds_acknowledgement():
             # The target does not wait while it has ends to report.
             await asyncio.sleep(RETRY_SECONDS)
         return True
@@ -292,7 +291,7 @@
         listed them: the numbers then stand for other ends, which nobody has heard of.
         """
         target = self.target
-        if target.failed_renewals or self.withholds_acknowledgement():
+        if target.failed_renewals or self.owner.awaits_fences:
             return 0
         if target.last_recorded_end <= target.last_acknowledged_end:
             return 0
