Share the start and the end of the tests of a divided fleet

Three tests of test_replaced_instances.py set up the same fleet of five targets, and five ended with the same check. No product code changes.

--- a/tests/unit/fleet/test_replaced_instances.py
+++ b/tests/unit/fleet/test_replaced_instances.py
@@ -73,6 +73,22 @@
         await world.start_instance(name)
 
 
+async def start_divided(inside: int) -> tuple[FleetWorld, ActingWatch]:
+    """Return a fleet of five targets, so many of them in the zone of the instances."""
+    world = build_world(1, 2, 5)
+    for number, target_id in enumerate(world.targets):
+        world.cuts.zone_of[target_id] = KNOWN if number < inside else OUTSIDE
+    await world.start()
+    return world, ActingWatch(world)
+
+
+async def stop(world: FleetWorld, watch: ActingWatch) -> None:
+    """Stop the fleet, in which no two instances must have acted at once."""
+    await watch.stop()
+    assert watch.both_act == []
+    await world.stop()
+
+
 async def seconds_until_acting(world: FleetWorld, name: str) -> float:
     """Return how long it takes until an instance acts, up to a long cut."""
     started = world.clock.boottime()
@@ -151,9 +167,7 @@
         world.cuts.zones.clear()
         await asyncio.sleep(RECOVERY_SECONDS)
         assert len(acting_instances(world)) == 1
-        await watch.stop()
-        assert watch.both_act == []
-        await world.stop()
+        await stop(world, watch)
         assert world.checker.violations == []
 
     run_virtual(main())
@@ -163,11 +177,7 @@
     """Guards against a majority that includes a target which forgot the new epoch."""
 
     async def main() -> None:
-        world = build_world(1, 2, 5)
-        for number, target_id in enumerate(world.targets):
-            world.cuts.zone_of[target_id] = KNOWN if number < 2 else OUTSIDE
-        await world.start()
-        watch = ActingWatch(world)
+        world, watch = await start_divided(inside=2)
         await cut_off_and_join(world, NEW)
         assert await seconds_until_acting(world, NEW) <= RECOVERY_SECONDS
         moving = list(world.targets)[2]
@@ -175,9 +185,7 @@
         world.cuts.zone_of[moving] = KNOWN
         await asyncio.sleep(RECOVERY_SECONDS)
         assert acting_instances(world) == [NEW]
-        await watch.stop()
-        assert watch.both_act == []
-        await world.stop()
+        await stop(world, watch)
 
     run_virtual(main())
 
@@ -189,11 +197,7 @@
     """
 
     async def main() -> None:
-        world = build_world(1, 2, 5)
-        for number, target_id in enumerate(world.targets):
-            world.cuts.zone_of[target_id] = KNOWN if number < 3 else OUTSIDE
-        await world.start()
-        watch = ActingWatch(world)
+        world, watch = await start_divided(inside=3)
         await cut_off_and_join(world, NEW)
         await asyncio.sleep(RECOVERY_SECONDS)
         moving = list(world.targets)[2]
@@ -204,9 +208,7 @@
         world.cuts.zone_of[moving] = KNOWN
         assert await seconds_until_acting(world, NEW) <= RECOVERY_SECONDS
         await asyncio.sleep(RECOVERY_SECONDS)
-        await watch.stop()
-        assert watch.both_act == []
-        await world.stop()
+        await stop(world, watch)
 
     run_virtual(main())
 
@@ -218,11 +220,7 @@
     """
 
     async def main() -> None:
-        world = build_world(1, 2, 5)
-        for number, target_id in enumerate(world.targets):
-            world.cuts.zone_of[target_id] = KNOWN if number < 3 else OUTSIDE
-        await world.start()
-        watch = ActingWatch(world)
+        world, watch = await start_divided(inside=3)
         leading = world.leader_name() or ""
         await cut_off_and_join(world, NEW)
         await asyncio.sleep(RECOVERY_SECONDS)
@@ -230,9 +228,7 @@
         world.cuts.zone_of[list(world.targets)[2]] = OUTSIDE
         assert await seconds_until_acting(world, NEW) <= RECOVERY_SECONDS
         await asyncio.sleep(RECOVERY_SECONDS)
-        await watch.stop()
-        assert watch.both_act == []
-        await world.stop()
+        await stop(world, watch)
 
     run_virtual(main())
 
@@ -258,9 +254,7 @@
         world.cuts.zones.clear()
         await asyncio.sleep(RECOVERY_SECONDS)
         assert len(acting_instances(world)) == 1
-        await watch.stop()
-        assert watch.both_act == []
-        await world.stop()
+        await stop(world, watch)
 
     run_virtual(main())
 
