--- a/tests/lib/acting.py
+++ b/tests/lib/acting.py
@@ -5,6 +5,7 @@
 import asyncio
 
 from egretloft._internal.fleet.leader import Leader
+from lib.fleet_faults import stop_watch
 from standins.fleet.world import FleetWorld
 
 POLL_SECONDS = 0.02
@@ -35,7 +36,7 @@
 
 
 class ActingWatch:
-    """Records when more than one instance acts, and since when each one does."""
+    """Records when more than one instance acts."""
 
     def __init__(self, world: FleetWorld) -> None:
         self.world = world
@@ -52,7 +53,4 @@
 
     async def stop(self) -> None:
         """End the watch; raise its error, if it failed."""
-        self.task.cancel()
-        await asyncio.gather(self.task, return_exceptions=True)
-        if not self.task.cancelled() and self.task.exception() is not None:
-            raise self.task.exception() or RuntimeError("the watch failed")
+        await stop_watch(self.task)
--- a/tests/lib/fleet_faults.py
+++ b/tests/lib/fleet_faults.py
@@ -278,15 +278,18 @@
         name = getattr(fault, "__name__", "")
         self.report.faults.append(f"{at:.2f} {name} {seconds:.2f}")
         if not name.endswith("_target"):
-            self.checker.disturbed_until = max(
-                self.checker.disturbed_until, at + seconds
-            )
+            self.note_disturbed(seconds)
         if name.endswith(TARGET_FAULT_SUFFIXES):
             await fault(seconds)
             return
         with self.idle_jobs.fault():
             await fault(seconds)
 
+    def note_disturbed(self, seconds: float) -> None:
+        """Note that a fault of more than targets lasts for so long from now on."""
+        until = asyncio.get_running_loop().time() + seconds
+        self.checker.disturbed_until = max(self.checker.disturbed_until, until)
+
     def draw_instance(self) -> str | None:
         """Return a running instance; none if it would be the last one."""
         names = sorted(self.world.processes)
--- a/tests/lib/replacement_storm.py
+++ b/tests/lib/replacement_storm.py
@@ -81,11 +81,6 @@
             self.kill_instance,
         ]
 
-    def note_disturbed(self, seconds: float) -> None:
-        """Note that a fault of instances lasts for so long from now on."""
-        until = self.world.clock.boottime() + seconds
-        self.checker.disturbed_until = max(self.checker.disturbed_until, until)
-
     async def start_new_instance(self, zone: str) -> None:
         """Start an instance that nobody knows."""
         self.new_instances += 1
